--- a/Makefile
+++ b/Makefile
@@ -31,11 +31,11 @@
 	operator/ctl_watch.c operator/teaselctl.c
 CTL_OBJ = $(CTL:%.c=$(OBJ)/%.o)
 
-STANDIN = standin/http.c standin/ledger.c
+STANDIN = standin/fault.c standin/http.c standin/ledger.c
 STANDIN_OBJ = $(STANDIN:%.c=$(OBJ)/%.o)
 
 PROGS = $(BIN)/teaselnode $(BIN)/teaselctl $(BIN)/teaselplatform $(BIN)/teaseltarget \
-	$(BIN)/teaselcalls
+	$(BIN)/teaselcalls $(BIN)/teaselfault
 
 TESTS = $(patsubst test/%.c,$(BIN)/%,$(wildcard test/test_*.c))
 SRC = $(filter-out node/wire.pb-c.c,$(LIB)) $(CTL) $(STANDIN) \
@@ -68,7 +68,9 @@
 $(BIN)/teaselplatform: $(OBJ)/standin/teaselplatform.o
 $(BIN)/teaseltarget: $(OBJ)/standin/teaseltarget.o
 $(BIN)/teaselcalls: $(OBJ)/standin/teaselcalls.o
-$(BIN)/teaselplatform $(BIN)/teaseltarget $(BIN)/teaselcalls: $(STANDIN_OBJ) \
+$(BIN)/teaselfault: $(OBJ)/standin/teaselfault.o
+$(BIN)/teaselplatform $(BIN)/teaseltarget $(BIN)/teaselcalls $(BIN)/teaselfault: \
+	$(STANDIN_OBJ) \
 	$(OBJ)/libteaselstep.a
 	@mkdir -p $(@D)
 	@echo "  LD $@"
--- a/node/gossip.c
+++ b/node/gossip.c
@@ -167,7 +167,7 @@
 	if (s->kind == KIND_PROBE_FOR || s->kind == KIND_ACK_FOR)
 		d.about = member_at(n->members, s->about)->name;
 	if (!to->heard || s->kind == KIND_PROBE) {
-		d.address = n->settings.listen;
+		d.address = n->settings.advertise;
 		d.data_centre = n->settings.data_centre;
 	}
 	if (delta != NULL) {
@@ -269,7 +269,7 @@
 	int64_t now = base_now_ms();
 	int from, size;
 
-	size = unseal(n->key, n->settings.listen, sealed, len, plain);
+	size = unseal(n->key, n->settings.advertise, sealed, len, plain);
 	if (size >= 0)
 		d = wire__datagram__unpack(NULL, (size_t)size, plain);
 	if (d == NULL || !name_valid(d->from, MESH_NAME_MAX) ||
--- a/node/link.c
+++ b/node/link.c
@@ -32,7 +32,7 @@
 /* A connection made from here. */
 struct out {
 	char id[LINK_ROUTE_MAX]; /* routing id: changes with each connection */
-	char endpoint[64];
+	char endpoint[ENDPOINT_MAX];
 };
 
 struct link {
@@ -41,8 +41,9 @@
 	void *out; /* connects to others */
 	void *zap; /* asked by the library who may connect */
 	struct keys keys;
-	GHashTable *outs;  /* peer's name to struct out, owned */
-	GHashTable *peers; /* routing id to peer's name, owned */
+	GHashTable *outs;	     /* peer's name to struct out, owned */
+	GHashTable *peers;	     /* routing id to peer's name, owned */
+	char source[LINK_ROUTE_MAX]; /* address that connections come from */
 	unsigned int generation;
 	link_handler handler;
 	void *arg;
@@ -101,9 +102,11 @@
     link_handler handler, void *arg)
 {
 	struct link *l;
-	char endpoint[64];
+	char endpoint[ENDPOINT_MAX];
 
 	l = g_new0(struct link, 1);
+	snprintf(l->source, sizeof(l->source), "%.*s:0",
+	    (int)strcspn(listen, ":"), listen);
 	l->handler = handler;
 	l->arg = arg;
 	l->outs =
@@ -160,9 +163,9 @@
 connect_peer(struct link *l, const char *peer, const char *addr)
 {
 	struct out *o;
-	char endpoint[64];
+	char endpoint[ENDPOINT_MAX];
 
-	snprintf(endpoint, sizeof(endpoint), "tcp://%s", addr);
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s;%s", l->source, addr);
 	o = g_hash_table_lookup(l->outs, peer);
 	if (o != NULL && strcmp(o->endpoint, endpoint) == 0)
 		return o;
--- a/node/link.h
+++ b/node/link.h
@@ -10,6 +10,7 @@
 #include "wire.pb-c.h"
 
 #define LINK_ROUTE_MAX 64 /* bytes of a return route */
+#define ENDPOINT_MAX   96 /* bytes of an endpoint of the library */
 
 /* Where an answer goes: back over the connection the question came by. */
 struct link_route {
--- a/node/node.c
+++ b/node/node.c
@@ -188,8 +188,8 @@
 	spans_init(&n->spans);
 	n->replays =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	n->members = members_new(
-	    s->name, s->listen, s->data_centre, n->boot, g_rand_int(n->rand));
+	n->members = members_new(s->name, s->advertise, s->data_centre, n->boot,
+	    g_rand_int(n->rand));
 	n->config = config_store_new(s->full_sets, on_config, n);
 	entry_init(n);
 	serve_init(n);
--- a/node/node.h
+++ b/node/node.h
@@ -23,6 +23,7 @@
 	char *name; /* of the VM */
 	char *data_centre;
 	char *listen;	 /* address of the node, for TCP and UDP */
+	char *advertise; /* address that others use, if it is another */
 	char *callers;	 /* address for callers from outside */
 	char *services;	 /* address for the target beside the node */
 	char *operators; /* address for operators */
--- a/node/settings.c
+++ b/node/settings.c
@@ -33,6 +33,7 @@
 	NAME(name, MESH_NAME_MAX, 1),
 	NAME(data_centre, MESH_NAME_MAX, 1),
 	NAME(listen, MEMBER_ADDR_MAX - 1, 1),
+	NAME(advertise, MEMBER_ADDR_MAX - 1, 0),
 	NAME(callers, MEMBER_ADDR_MAX - 1, 1),
 	NAME(services, MEMBER_ADDR_MAX - 1, 1),
 	NAME(operators, MEMBER_ADDR_MAX - 1, 1),
@@ -95,6 +96,7 @@
 		return NODE_ESETTINGS;
 	fields_read(root, fields, s, rep, "settings", "");
 	check_address(root, "listen", s->listen, rep);
+	check_address(root, "advertise", s->advertise, rep);
 	check_address(root, "callers", s->callers, rep);
 	check_address(root, "services", s->services, rep);
 	check_address(root, "operators", s->operators, rep);
@@ -104,6 +106,8 @@
 		report_error(rep, json_get(root, "log")->line, "settings", "",
 		    "\"log\" must be \"error\", \"warning\", \"info\" or "
 		    "\"debug\"");
+	if (s->advertise == NULL)
+		s->advertise = g_strdup(s->listen);
 	json_free(root);
 	return rep->errors == before ? NODE_OK : NODE_ESETTINGS;
 }
--- /dev/null
+++ b/standin/teaselfault.c
@@ -0,0 +1,477 @@
+/*
+ * teaselfault: a proxy between nodes, over TCP and UDP, that injects faults.
+ * It listens on an address for each node and forwards to it; the sender is
+ * known by its IP.  Faults come from a script, or from the driver by
+ * POST /fault?do=KIND&from=GROUP&to=GROUP&value=N.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "../caller/caller.h"
+#include "../mesh/member.h"
+#include "fault.h"
+#include "standin.h"
+
+#define BLOCK	     65536 /* bytes read at a time */
+#define EVENTS	     256
+#define POLL_MS	     5
+#define REORDER_MS   20 /* a datagram that is overtaken waits so long */
+#define BACKLOG	     512
+#define CONTROL_CONN 16
+
+/* What an epoll event belongs to. */
+enum end_kind {
+	END_UDP,
+	END_LISTEN,
+	END_SIDE
+};
+
+struct end {
+	enum end_kind kind;
+	int fd;
+	int node;		/* index, END_UDP and END_LISTEN */
+	struct pipe_pair *pair; /* END_SIDE */
+	int side;		/* 0: towards the sender, 1: towards the node */
+};
+
+/* Bytes on their way. */
+struct block {
+	int64_t due;
+	size_t len;
+	int fd;	  /* UDP: the socket to send from */
+	int node; /* UDP: the receiver */
+	char data[];
+};
+
+/* Two connections joined. */
+struct pipe_pair {
+	struct end ends[2];
+	int from, to; /* nodes */
+	int silent, truncate, closed;
+	GQueue *out[2]; /* of struct block, to the other side */
+};
+
+static struct fault_table table;
+static int ep;
+static GPtrArray *pairs; /* of struct pipe_pair */
+static GQueue *held;	 /* of struct block: delayed datagrams */
+static struct end udps[FAULT_NODES], listeners[FAULT_NODES];
+
+static void address(const char *, struct sockaddr_in *);
+static int bound(int, const char *);
+static void watch(struct end *, uint32_t);
+static int peer_node(const struct sockaddr_in *);
+static void open_node(int);
+static void send_datagram(const struct block *);
+static void on_datagram(struct end *);
+static void on_accept(struct end *);
+static void on_readable(struct end *);
+static void flush_side(struct pipe_pair *, int, int64_t);
+static void close_pair(struct pipe_pair *, int);
+static void apply_once(void);
+static void flush_due(int64_t);
+static enum MHD_Result control(void *, struct visit *);
+static void loop(void);
+
+/* Reads ADDRESS:PORT. */
+static void
+address(const char *text, struct sockaddr_in *sin)
+{
+	char host[MEMBER_ADDR_MAX];
+	int port = 0;
+
+	memset(sin, 0, sizeof(*sin));
+	sin->sin_family = AF_INET;
+	if (address_split(text, host, &port) == CALLER_OK) {
+		inet_pton(AF_INET, host, &sin->sin_addr);
+		sin->sin_port = htons((uint16_t)port);
+	}
+}
+
+/* A socket bound to an address. */
+static int
+bound(int type, const char *addr)
+{
+	struct sockaddr_in sin;
+	int fd, one = 1;
+
+	address(addr, &sin);
+	fd = socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (fd < 0 || bind(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0) {
+		fprintf(stderr, "teaselfault: cannot listen on %s\n", addr);
+		exit(1);
+	}
+	return fd;
+}
+
+/* Watches one end. */
+static void
+watch(struct end *e, uint32_t events)
+{
+	struct epoll_event ev = { .events = events, .data.ptr = e };
+
+	epoll_ctl(ep, EPOLL_CTL_ADD, e->fd, &ev);
+}
+
+/* Who sent this, by the IP. */
+static int
+peer_node(const struct sockaddr_in *sin)
+{
+	char ip[INET_ADDRSTRLEN];
+
+	inet_ntop(AF_INET, &sin->sin_addr, ip, sizeof(ip));
+	return fault_node_by_ip(&table, ip);
+}
+
+/* Listens for one node. */
+static void
+open_node(int i)
+{
+	udps[i] = (struct end){ .kind = END_UDP, .node = i };
+	udps[i].fd = bound(SOCK_DGRAM, table.nodes[i].listen);
+	watch(&udps[i], EPOLLIN);
+	listeners[i] = (struct end){ .kind = END_LISTEN, .node = i };
+	listeners[i].fd = bound(SOCK_STREAM, table.nodes[i].listen);
+	listen(listeners[i].fd, BACKLOG);
+	watch(&listeners[i], EPOLLIN);
+}
+
+/* Passes a datagram on. */
+static void
+send_datagram(const struct block *b)
+{
+	struct sockaddr_in sin;
+
+	address(table.nodes[b->node].forward, &sin);
+	if (sendto(b->fd, b->data, b->len, MSG_DONTWAIT,
+		(struct sockaddr *)&sin, sizeof(sin)) < 0)
+		table.dropped++;
+	else
+		table.passed++;
+}
+
+/* A datagram for a node; the lock is held. */
+static void
+on_datagram(struct end *e)
+{
+	struct sockaddr_in sin;
+	socklen_t size = sizeof(sin);
+	struct block *b;
+	char buf[BLOCK];
+	ssize_t n;
+	int from, delay;
+
+	while ((n = recvfrom(e->fd, buf, sizeof(buf), MSG_DONTWAIT,
+		    (struct sockaddr *)&sin, &size)) >= 0) {
+		from = peer_node(&sin);
+		if (fault_value(&table, RULE_CUT, from, e->node) ||
+		    fault_chance(&table,
+			fault_value(&table, RULE_LOSS, from, e->node))) {
+			table.dropped++;
+			continue;
+		}
+		b = g_malloc(sizeof(*b) + (size_t)n);
+		b->len = (size_t)n;
+		b->fd = e->fd;
+		b->node = e->node;
+		memcpy(b->data, buf, (size_t)n);
+		if (fault_chance(&table,
+			fault_value(&table, RULE_DUPLICATE, from, e->node)))
+			send_datagram(b);
+		delay = fault_value(&table, RULE_DELAY, from, e->node);
+		if (fault_chance(&table,
+			fault_value(&table, RULE_REORDER, from, e->node)))
+			delay += REORDER_MS;
+		if (delay == 0) {
+			send_datagram(b);
+			g_free(b);
+		} else {
+			b->due = base_now_ms() + delay;
+			g_queue_push_tail(held, b);
+		}
+	}
+}
+
+/* A connection to a node; the lock is held. */
+static void
+on_accept(struct end *e)
+{
+	struct sockaddr_in sin;
+	socklen_t size = sizeof(sin);
+	struct pipe_pair *p;
+	int fd, i, one = 1;
+
+	fd = accept4(e->fd, (struct sockaddr *)&sin, &size,
+	    SOCK_NONBLOCK | SOCK_CLOEXEC);
+	if (fd < 0)
+		return;
+	p = g_new0(struct pipe_pair, 1);
+	p->from = peer_node(&sin);
+	p->to = e->node;
+	address(table.nodes[e->node].forward, &sin);
+	p->ends[0].fd = fd;
+	p->ends[1].fd =
+	    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (connect(p->ends[1].fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 &&
+	    errno != EINPROGRESS) {
+		close(p->ends[0].fd);
+		close(p->ends[1].fd);
+		g_free(p);
+		return;
+	}
+	for (i = 0; i < 2; i++) {
+		p->ends[i].kind = END_SIDE;
+		p->ends[i].pair = p;
+		p->ends[i].side = i;
+		p->out[i] = g_queue_new();
+		setsockopt(
+		    p->ends[i].fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+		watch(&p->ends[i], EPOLLIN);
+	}
+	g_ptr_array_add(pairs, p);
+}
+
+/* Ends both connections. */
+static void
+close_pair(struct pipe_pair *p, int reset)
+{
+	struct linger l = { .l_onoff = 1, .l_linger = 0 };
+	int i;
+
+	if (p->closed)
+		return;
+	p->closed = 1;
+	for (i = 0; i < 2; i++) {
+		if (reset)
+			setsockopt(p->ends[i].fd, SOL_SOCKET, SO_LINGER, &l,
+			    sizeof(l));
+		close(p->ends[i].fd);
+		g_queue_free_full(p->out[i], g_free);
+	}
+}
+
+/* Bytes from one side; the lock is held. */
+static void
+on_readable(struct end *e)
+{
+	struct pipe_pair *p = e->pair;
+	struct block *b;
+	char buf[BLOCK];
+	ssize_t n;
+	int src = e->side == 0 ? p->from : p->to;
+	int dst = e->side == 0 ? p->to : p->from;
+
+	if (p->closed)
+		return;
+	n = recv(e->fd, buf, sizeof(buf), MSG_DONTWAIT);
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n <= 0) {
+		/* An end that went silent hides even that it has closed. */
+		if (p->silent)
+			epoll_ctl(ep, EPOLL_CTL_DEL, e->fd, NULL);
+		else
+			close_pair(p, n < 0);
+		return;
+	}
+	if (p->silent || fault_value(&table, RULE_CUT, src, dst)) {
+		/* A cut loses bytes of a stream, so it stays silent after. */
+		p->silent = 1;
+		table.dropped++;
+		return;
+	}
+	b = g_malloc(sizeof(*b) + (size_t)n);
+	b->len = p->truncate ? (size_t)n / 2 : (size_t)n;
+	b->due = base_now_ms() + fault_value(&table, RULE_DELAY, src, dst);
+	memcpy(b->data, buf, b->len);
+	g_queue_push_tail(p->out[1 - e->side], b);
+	table.passed++;
+	flush_side(p, 1 - e->side, base_now_ms());
+	if (p->truncate)
+		close_pair(p, 0);
+}
+
+/* Sends what is due to one side. */
+static void
+flush_side(struct pipe_pair *p, int side, int64_t now)
+{
+	struct block *b;
+	ssize_t n;
+
+	while (!p->closed && (b = g_queue_peek_head(p->out[side])) != NULL &&
+	       b->due <= now) {
+		n = send(p->ends[side].fd, b->data, b->len,
+		    MSG_DONTWAIT | MSG_NOSIGNAL);
+		if (n < 0) {
+			if (errno != EAGAIN && errno != ENOTCONN)
+				close_pair(p, 1);
+			return;
+		}
+		if ((size_t)n < b->len) {
+			memmove(b->data, b->data + n, b->len - (size_t)n);
+			b->len -= (size_t)n;
+			return;
+		}
+		g_free(g_queue_pop_head(p->out[side]));
+	}
+}
+
+/* What the driver wishes for connections open now. */
+static void
+apply_once(void)
+{
+	const struct fault_rule *r;
+	struct pipe_pair *p;
+	guint i;
+	int k;
+
+	for (k = 0; k < table.nonce; k++) {
+		r = &table.once[k];
+		for (i = 0; i < pairs->len; i++) {
+			p = g_ptr_array_index(pairs, i);
+			if (!fault_matches(&table, r, p->from, p->to))
+				continue;
+			if (r->kind == RULE_SILENT)
+				p->silent = 1;
+			else if (r->kind == RULE_TRUNCATE)
+				p->truncate = 1;
+			else
+				close_pair(p, 1);
+		}
+	}
+	table.nonce = 0;
+}
+
+/* Sends everything whose time has come, and forgets closed pairs. */
+static void
+flush_due(int64_t now)
+{
+	struct pipe_pair *p;
+	struct block *b;
+	guint i, n = g_queue_get_length(held);
+
+	while (n-- > 0) {
+		b = g_queue_pop_head(held);
+		if (b->due > now) {
+			g_queue_push_tail(held, b);
+			continue;
+		}
+		send_datagram(b);
+		g_free(b);
+	}
+	for (i = 0; i < pairs->len; i++) {
+		p = g_ptr_array_index(pairs, i);
+		flush_side(p, 0, now);
+		flush_side(p, 1, now);
+		if (p->closed) {
+			g_ptr_array_remove_index_fast(pairs, i--);
+			g_free(p);
+		}
+	}
+}
+
+/* One request of the driver. */
+static enum MHD_Result
+control(void *arg, struct visit *v)
+{
+	const char *kind = standin_query(v, "do");
+	const char *from = standin_query(v, "from");
+	const char *to = standin_query(v, "to");
+	const char *value = standin_query(v, "value");
+	struct fault_rule r = { .kind = RULE_HEAL };
+
+	(void)arg;
+	if (kind == NULL || fault_kind(kind) < 0)
+		return standin_text(v, 400, "no such fault\n");
+	r.kind = (enum rule_kind)fault_kind(kind);
+	g_strlcpy(r.from, from != NULL ? from : "*", FAULT_NAME_MAX);
+	g_strlcpy(r.to, to != NULL ? to : "*", FAULT_NAME_MAX);
+	r.value = value != NULL ? atoi(value) : 0;
+	pthread_mutex_lock(&table.lock);
+	fault_apply(&table, &r);
+	pthread_mutex_unlock(&table.lock);
+	return standin_text(v, 200, "ok\n");
+}
+
+/* Passes traffic on until the process ends. */
+static void
+loop(void)
+{
+	struct epoll_event events[EVENTS];
+	struct end *e;
+	int64_t began = base_now_ms();
+	int i, n;
+
+	for (;;) {
+		n = epoll_wait(ep, events, EVENTS, POLL_MS);
+		pthread_mutex_lock(&table.lock);
+		fault_script(&table, base_now_ms() - began);
+		apply_once();
+		for (i = 0; i < n; i++) {
+			e = events[i].data.ptr;
+			if (e->kind == END_UDP)
+				on_datagram(e);
+			else if (e->kind == END_LISTEN)
+				on_accept(e);
+			else
+				on_readable(e);
+		}
+		flush_due(base_now_ms());
+		pthread_mutex_unlock(&table.lock);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	static char *script, *control_addr;
+	const GOptionEntry options[] = {
+		{ "script", 's', 0, G_OPTION_ARG_FILENAME, &script,
+		    "Nodes, seed and steps", "FILE" },
+		{ "control", 'c', 0, G_OPTION_ARG_STRING, &control_addr,
+		    "Address for the driver", "ADDRESS:PORT" },
+		{ NULL, 0, 0, 0, NULL, NULL, NULL },
+	};
+	GOptionContext *ctx;
+	GError *error = NULL;
+	struct report *rep = report_new();
+	GString *problems = g_string_new(NULL);
+	struct MHD_Daemon *d;
+	int i;
+
+	ctx = g_option_context_new("- proxy that injects faults");
+	g_option_context_add_main_entries(ctx, options, NULL);
+	if (!g_option_context_parse(ctx, &argc, &argv, &error) ||
+	    script == NULL || control_addr == NULL) {
+		fprintf(stderr, "teaselfault: needs --script and --control\n");
+		return 2;
+	}
+	if (fault_read(&table, script, rep) != 0) {
+		report_print(rep, script, problems);
+		fputs(problems->str, stderr);
+		return 1;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	ep = epoll_create1(EPOLL_CLOEXEC);
+	pairs = g_ptr_array_new();
+	held = g_queue_new();
+	for (i = 0; i < table.nnodes; i++)
+		open_node(i);
+	if (standin_listen(&d, control_addr, CONTROL_CONN, control, NULL) !=
+	    STANDIN_OK) {
+		fprintf(
+		    stderr, "teaselfault: cannot listen on %s\n", control_addr);
+		return 1;
+	}
+	loop();
+}
--- /dev/null
+++ b/test/herd.sh
@@ -0,0 +1,25 @@
+# Nodes die in a herd while the platform is down and come back: they take the
+# newest version that the survivors hold before they are ready.  Then all die.
+. tools/fleet.sh
+trap fleet_down EXIT
+set -e
+
+FLEET_WARM=0
+fleet_up examples/tema.json "$1"
+sed 's/30000/25000/' examples/tema.json > "$1/2.json"
+publish "$1/2.json"
+wait_status version 2 "${!VM_IP[@]}"
+
+fault down
+dead="vm-01 vm-02 vm-03 vm-05 vm-06 vm-08"
+for vm in $dead; do kill -KILL "${NODE_PID[$vm]}"; done
+for vm in $dead; do node_start "$vm"; done
+wait_ready $dead
+wait_status version 2 $dead
+
+# All at once: nobody is left who knows, so the platform has to.
+fault none
+for vm in "${!VM_IP[@]}"; do kill -KILL "${NODE_PID[$vm]}"; done
+for vm in "${!VM_IP[@]}"; do node_start "$vm"; done
+wait_ready "${!VM_IP[@]}"
+wait_status version 2 "${!VM_IP[@]}"
--- a/test/path.sh
+++ b/test/path.sh
@@ -6,9 +6,7 @@
 
 FLEET_WARM=0
 fleet_up examples/tema.json "$1"
-"$FLEET_BIN/teaselcalls" -e "$(addresses $CALLER_PORT)" \
-    -s examples/tema.json -r 100 -t 5 \
-    --ledgers "$(addresses $CONTROL_PORT)" > "$1/calls"
+calls 5 100 > "$1/calls"
 cat "$1/calls"
 grep -q '"calls": 500, "answered": 500,' "$1/calls"
 
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -12,10 +12,13 @@
 OPERATOR_PORT=9400
 TARGET_PORT=6000
 CONTROL_PORT=6001
+FAULT_CONTROL=127.0.0.1:7001
+# With FLEET_FAULT=1 nodes reach each other through the fault proxy only.
 
 declare -A NODE_PID TARGET_PID VM_IP VM_DC VM_TARGET VM_SLOTS
 FLEET_DIR=
 PLATFORM_PID=
+FAULT_PID=
 VERSION=0
 
 # Address of the n-th VM.
@@ -43,6 +46,7 @@
 	"name": "$vm",
 	"data_centre": "${VM_DC[$vm]}",
 	"listen": "$ip:$NODE_PORT",
+	"advertise": "$(advertised "$vm"):$NODE_PORT",
 	"callers": "$ip:$CALLER_PORT",
 	"services": "$ip:$SERVICE_PORT",
 	"operators": "$ip:$OPERATOR_PORT",
@@ -55,6 +59,44 @@
 JSON
 }
 
+# Address by which other nodes reach a VM's node.
+advertised() {
+	local ip=${VM_IP[$1]}
+	if [[ -n ${FLEET_FAULT:-} ]]; then
+		echo "127.1.${ip#127.0.}"
+	else
+		echo "$ip"
+	fi
+}
+
+# Starts the fault proxy before all nodes.
+fault_start() {
+	local vm sep=
+	{
+		echo '{"seed": 1, "nodes": ['
+		for vm in "${!VM_IP[@]}"; do
+			printf '%s{"name": "%s", "group": "%s", ' "$sep" \
+			    "$vm" "${VM_DC[$vm]}"
+			printf '"listen": "%s:%s", "forward": "%s:%s"}\n' \
+			    "$(advertised "$vm")" "$NODE_PORT" \
+			    "${VM_IP[$vm]}" "$NODE_PORT"
+			sep=,
+		done
+		echo ']}'
+	} > "$FLEET_DIR/fault.json"
+	"$FLEET_BIN/teaselfault" -s "$FLEET_DIR/fault.json" \
+	    -c "$FAULT_CONTROL" 2>> "$FLEET_DIR/fault.log" &
+	FAULT_PID=$!
+	sleep 0.2
+}
+
+# Injects a fault between nodes: inject KIND [FROM [TO [VALUE]]].
+inject() {
+	curl -sf -X POST \
+	    "http://$FAULT_CONTROL/fault?do=$1&from=${2:-*}&to=${3:-*}&value=${4:-0}" \
+	    > /dev/null
+}
+
 node_start() {
 	fleet_settings "$1"
 	"$FLEET_BIN/teaselnode" -c "$FLEET_DIR/$1.json" \
@@ -97,7 +139,7 @@
 			printf '%s{"vm": "%s", "data_centre": "%s", ' "$sep" \
 			    "$vm" "${VM_DC[$vm]}"
 			printf '"node": "%s:%s", "state": "%s"}\n' \
-			    "${VM_IP[$vm]}" "$NODE_PORT" "$state"
+			    "$(advertised "$vm")" "$NODE_PORT" "$state"
 			sep=,
 		done
 		echo ']}'
@@ -124,12 +166,14 @@
 # Starts a whole deployment of a set in a folder.
 fleet_up() {
 	local set=$1 vm
+	FLEET_SET=$1
 	FLEET_DIR=$2
 	mkdir -p "$FLEET_DIR"
 	rm -f "$FLEET_DIR/fleet.key"
 	"$FLEET_BIN/teaselctl" key "$FLEET_DIR/fleet.key"
 	fleet_read "$set"
 	platform_start || return 1
+	[[ -z ${FLEET_FAULT:-} ]] || fault_start
 	publish_vms
 	publish "$set" || return 1
 	for vm in "${!VM_IP[@]}"; do
@@ -174,6 +218,33 @@
 	echo "$out"
 }
 
+# Operators' addresses of all nodes, as options of teaselctl.
+all_nodes() {
+	local vm
+	for vm in "${!VM_IP[@]}"; do
+		printf -- '--node %s ' "${VM_IP[$vm]}"
+	done
+}
+
+# VMs of a data centre.
+vms_of() {
+	local vm
+	for vm in "${!VM_DC[@]}"; do
+		[[ ${VM_DC[$vm]} == "$1" ]] && echo "$vm"
+	done
+	return 0
+}
+
+# Sends calls to all nodes: calls SECONDS RATE [OPTION ...]; exit 1 when an
+# answer was wrong, or a call lost, doubled, or "not run" though it ran.
+calls() {
+	local t=$1 r=$2
+	shift 2
+	"$FLEET_BIN/teaselcalls" -e "$(addresses $CALLER_PORT)" \
+	    -s "$FLEET_SET" -t "$t" -r "$r" \
+	    --ledgers "$(addresses $CONTROL_PORT)" "$@"
+}
+
 # Sum of a counter over all nodes.
 counter_sum() {
 	local vm
@@ -187,7 +258,7 @@
 fleet_down() {
 	local pid
 	set +e
-	for pid in "${NODE_PID[@]}" "${TARGET_PID[@]}" $PLATFORM_PID; do
+	for pid in "${NODE_PID[@]}" "${TARGET_PID[@]}" $PLATFORM_PID $FAULT_PID; do
 		kill -CONT "$pid" 2> /dev/null
 		kill -KILL "$pid" 2> /dev/null
 	done
@@ -195,4 +266,5 @@
 	NODE_PID=()
 	TARGET_PID=()
 	PLATFORM_PID=
+	FAULT_PID=
 }
