--- a/mesh/call.c
+++ b/mesh/call.c
@@ -52,11 +52,14 @@
 	return CALL_REFUSE;
 }
 
-/* "Not run" must hold for the last sending and for all before it. */
+/*
+ * "Not run" must hold for the last sending and for all before it, of this
+ * call and of those that came before under the same id.
+ */
 int
 call_not_run(const struct call *c)
 {
-	return outcomes[c->last].not_run && !c->maybe_run;
+	return outcomes[c->last].not_run && !c->maybe_run && !c->unsure;
 }
 
 /* Begins a call. */
@@ -65,6 +68,7 @@
 {
 	c->state = CALL_NEW;
 	c->last = OUTCOME_NO_TARGET;
+	c->unsure = c->once && !c->minted;
 	if (now >= c->deadline)
 		return refuse(c, OUTCOME_LATE);
 	return CALL_SEND;
@@ -89,8 +93,11 @@
 {
 	if (now >= c->deadline)
 		return refuse(c, OUTCOME_LATE);
-	if (c->tries > 0 && why == OUTCOME_NO_TARGET)
+	if (c->tries > 0 && why == OUTCOME_NO_TARGET) {
+		/* Every home has said that it never ran it and never will. */
+		c->unsure = 0;
 		return refuse(c, c->last);
+	}
 	return refuse(c, why);
 }
 
@@ -150,6 +157,13 @@
 		return CALL_WAIT;
 	}
 	c->last = out;
+	c->maybe_run |= !o->not_run;
+	/*
+	 * A home that records the id only now has not passed it on before, and
+	 * those before it have said that they never ran it.
+	 */
+	if (o->recorded && out != OUTCOME_FENCED)
+		c->unsure = 0;
 	if (o->final && (c->once || out != OUTCOME_UNKNOWN))
 		return CALL_REFUSE;
 	if (!o->not_run && c->once)
--- a/mesh/call.h
+++ b/mesh/call.h
@@ -80,7 +80,8 @@
 	enum call_outcome last; /* why it was not answered yet */
 	int retry_after_ms;
 	int crashes;   /* of targets, under its fingerprint */
-	int maybe_run; /* 1: an earlier sending may have run */
+	int maybe_run; /* 1: a sending of this call may have run */
+	int unsure;    /* 1: a call before, under the same id, may have run */
 };
 
 enum call_action {
--- a/node/entry.c
+++ b/node/entry.c
@@ -214,6 +214,9 @@
 	out = read_request(n, r, ec, internal, &ref.detail);
 	if (out != OUTCOME_ANSWERED) {
 		ref.why = out;
+		/* A call before, under the caller's own id, may have run. */
+		ref.not_run = !outcomes[out].repeat ||
+			      server_header(r, ID_HEADER) == NULL;
 		ref.id = ec->call.id[0] != '\0' ? ec->call.id : NULL;
 		if (outcomes[out].repeat)
 			ref.retry_after_ms = NOT_READY_MS;
@@ -700,7 +703,8 @@
 	struct refusal ref = { .why = ec->call.last, .id = ec->call.id };
 
 	ref.not_run = call_not_run(&ec->call);
-	if (o->repeat && (ref.not_run || !ec->call.once))
+	/* What cannot be doubled may be repeated: by its nature, or its id. */
+	if (o->repeat && (ref.not_run || !ec->call.once || !ec->call.minted))
 		ref.retry_after_ms = ec->call.retry_after_ms > 0
 					 ? ec->call.retry_after_ms
 					 : RETRY_DEFAULT_MS;
--- a/standin/teaselfault.c
+++ b/standin/teaselfault.c
@@ -36,11 +36,11 @@
 };
 
 struct end {
+	struct pipe_pair *pair; /* END_SIDE */
 	enum end_kind kind;
 	int fd;
-	int node;		/* index, END_UDP and END_LISTEN */
-	struct pipe_pair *pair; /* END_SIDE */
-	int side;		/* 0: towards the sender, 1: towards the node */
+	int node; /* index, END_UDP and END_LISTEN */
+	int side; /* 0: towards the sender, 1: towards the node */
 };
 
 /* Bytes on their way. */
--- /dev/null
+++ b/test/races.sh
@@ -0,0 +1,52 @@
+# Operators race: two sets under one number, a rollback, out and in within a
+# second, a node that missed three versions, a set for newer check rules.
+. tools/fleet.sh
+trap fleet_down EXIT
+set -e
+
+FLEET_WARM=0
+set=examples/tema.json
+fleet_up "$set" "$1"
+all=$(all_nodes)
+
+# Two operators start from version 1; the second overwrites the first's head.
+"$FLEET_BIN/teaselctl" out data-centre slip-south "$set" > "$1/a.json"
+sed 's/30000/25000/' "$set" > "$1/b.json"
+publish "$1/a.json"
+wait_status version 2 vm-01
+VERSION=1
+publish "$1/b.json"
+sleep 3
+hashes=$(for vm in "${!VM_IP[@]}"; do status_of "$vm" hash; done | sort -u)
+echo "hashes in force: $hashes"
+[[ $(wc -l <<< "$hashes") == 1 ]]
+# Whoever lost is told by wait, and in the status.
+"$FLEET_BIN/teaselctl" status $all --json > "$1/status"
+grep -q '"conflict": "2-' "$1/status"
+
+# A rollback is old content under a newer version.
+publish "$set"
+wait_status version 3 "${!VM_IP[@]}"
+
+# A node sleeps through three versions, two of them out and in.
+kill -STOP "${NODE_PID[vm-07]}"
+publish "$1/a.json"
+publish "$set"
+publish "$1/b.json"
+wait_status version 6 vm-01 vm-02 vm-03
+kill -CONT "${NODE_PID[vm-07]}"
+wait_status version 6 "${!VM_IP[@]}"
+
+# A set for check rules that these programs do not know.
+sed 's/"format": 1,/"format": 1, "rules": 2,/' "$1/b.json" > "$1/rules.json"
+publish "$1/rules.json" --unchecked
+sleep 1
+wait_status version 6 "${!VM_IP[@]}"
+"$FLEET_BIN/teaselctl" status $all --json > "$1/status"
+grep -q '"rejected": "7-[0-9a-f]*", "reason": ".*rules.* is 2' "$1/status"
+
+# The mended set takes the same number.
+VERSION=6
+sed 's/30000/24000/' "$set" > "$1/c.json"
+publish "$1/c.json"
+wait_status version 7 "${!VM_IP[@]}"
--- a/test/test.h
+++ b/test/test.h
@@ -27,6 +27,8 @@
 	for (i = 0; i < n; i++)
 		if (CU_add_test(s, tests[i].name, tests[i].run) == NULL)
 			return 2;
+	base_log_init(suite);
+	base_log_level("error");
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
 	failed = CU_get_number_of_failures();
--- /dev/null
+++ b/test/test_member.c
@@ -0,0 +1,219 @@
+/* Membership: suspicion, refutation, self-suspicion, bounded datagrams. */
+#include "../mesh/member.h"
+#include "test.h"
+
+static struct members *m;
+static int64_t now;
+
+/* A table with n listed members, at time 1000. */
+static void
+begin(int n)
+{
+	char name[16];
+	int i;
+
+	now = 1000;
+	m = members_new("self", "127.0.0.1:1", "dc", 100, 1);
+	members_list_begin(m);
+	for (i = 0; i < n; i++) {
+		g_snprintf(name, sizeof(name), "vm-%d", i);
+		members_list(m, name, "127.0.0.1:2", "dc", 0, 1);
+	}
+	members_list_end(m);
+}
+
+static void
+end(void)
+{
+	members_free(m);
+}
+
+/* Passes time; others answer all probes but those to one silent member. */
+static int
+run(int64_t ms, int silent)
+{
+	struct member_send s;
+	struct rumour r;
+	struct member *p;
+	int64_t until = now + ms;
+	int sent = 0;
+
+	for (; now < until; now += 50) {
+		members_tick(m, now);
+		while (members_send(m, &s)) {
+			sent++;
+			if (s.kind != KIND_PROBE || s.to == silent ||
+			    silent == -2)
+				continue;
+			p = member_at(m, s.to);
+			r = (struct rumour){
+				.name = p->name, .addr = p->addr, .dc = p->dc
+			};
+			members_heard(m, &r, 1, now);
+			members_ack(m, s.to, s.probe, now);
+		}
+	}
+	return sent;
+}
+
+static void
+silent_member_is_suspected_then_held_dead(void)
+{
+	begin(3);
+	run(MEMBER_PERIOD_MS * 5, 1);
+	CU_ASSERT(member_at(m, 1)->state >= MEMBER_SUSPECT);
+	CU_ASSERT_FALSE(member_usable(member_at(m, 1)));
+	run(MEMBER_SUSPECT_MS + 1000, 1);
+	CU_ASSERT_EQUAL(member_at(m, 1)->state, MEMBER_DEAD);
+	CU_ASSERT(member_usable(member_at(m, 0)));
+	/* It is not forgotten: probed now and then, it comes back. */
+	run(MEMBER_PERIOD_MS * MEMBER_DEAD_EVERY * 3, -1);
+	CU_ASSERT_EQUAL(member_at(m, 1)->state, MEMBER_ALIVE);
+	end();
+}
+
+static void
+who_hears_nobody_suspects_itself(void)
+{
+	begin(5);
+	run(MEMBER_PERIOD_MS * 2, -1);
+	run(60000, -2);
+	CU_ASSERT(members_isolated(m, now));
+	/* Few can have been suspected before it noticed, none held dead. */
+	CU_ASSERT_NOT_EQUAL(member_at(m, 0)->state, MEMBER_DEAD);
+	CU_ASSERT_NOT_EQUAL(member_at(m, 4)->state, MEMBER_DEAD);
+	end();
+}
+
+static void
+suspicion_of_oneself_is_refuted(void)
+{
+	struct rumour r = { .name = "self",
+		.addr = "",
+		.dc = "",
+		.state = MEMBER_SUSPECT,
+		.incarnation = 100 };
+	struct rumour out[MEMBER_RUMOURS];
+
+	begin(1);
+	members_rumour(m, &r, now);
+	CU_ASSERT_EQUAL(members_incarnation(m), 101);
+	CU_ASSERT_EQUAL(members_rumours(m, out, MEMBER_RUMOURS), 1);
+	CU_ASSERT_STRING_EQUAL(out[0].name, "self");
+	CU_ASSERT_EQUAL(out[0].state, MEMBER_ALIVE);
+	end();
+}
+
+static void
+older_news_changes_nothing(void)
+{
+	struct rumour r = { .name = "vm-0",
+		.addr = "a",
+		.dc = "dc",
+		.state = MEMBER_ALIVE,
+		.incarnation = 7 };
+
+	begin(1);
+	members_rumour(m, &r, now);
+	r.incarnation = 6;
+	r.state = MEMBER_DEAD;
+	members_rumour(m, &r, now);
+	CU_ASSERT_EQUAL(member_at(m, 0)->state, MEMBER_ALIVE);
+	r.incarnation = 7;
+	members_rumour(m, &r, now);
+	CU_ASSERT_EQUAL(member_at(m, 0)->state, MEMBER_DEAD);
+	r.state = MEMBER_ALIVE;
+	members_rumour(m, &r, now);
+	CU_ASSERT_EQUAL(member_at(m, 0)->state, MEMBER_DEAD);
+	end();
+}
+
+static void
+leaving_is_told_at_once(void)
+{
+	struct member_send s;
+	int told = 0;
+
+	begin(20);
+	members_leave(m);
+	while (members_send(m, &s))
+		told += s.kind == KIND_TELL;
+	CU_ASSERT(told >= 3);
+	CU_ASSERT_EQUAL(members_state(m), MEMBER_LEFT);
+	end();
+}
+
+/* A VM list that says a VM leaves is told to the node on it, newest wins. */
+static void
+vm_list_is_told_to_the_node(void)
+{
+	struct rumour r = {
+		.name = "self", .state = MEMBER_LEAVING, .index = 5
+	};
+	struct member_send s;
+
+	begin(1);
+	members_list_begin(m);
+	members_list(m, "vm-0", "127.0.0.1:2", "dc", 1, 2);
+	members_list_end(m);
+	CU_ASSERT_EQUAL(members_send(m, &s), 1);
+	CU_ASSERT_EQUAL(s.kind, KIND_LISTED);
+	members_rumour(m, &r, now);
+	CU_ASSERT_EQUAL(members_state(m), MEMBER_LEAVING);
+	r.state = MEMBER_ALIVE;
+	r.index = 4;
+	members_rumour(m, &r, now);
+	CU_ASSERT_EQUAL(members_state(m), MEMBER_LEAVING);
+	r.index = 6;
+	members_rumour(m, &r, now);
+	CU_ASSERT_EQUAL(members_state(m), MEMBER_ALIVE);
+	end();
+}
+
+/* What a node sends at rest does not grow with the fleet. */
+static void
+datagrams_do_not_grow_with_members(void)
+{
+	int few, many;
+
+	begin(10);
+	run(60000, -1);
+	few = run(60000, -1);
+	end();
+	begin(1000);
+	run(60000, -1);
+	many = run(60000, -1);
+	end();
+	CU_ASSERT_EQUAL(few, many);
+}
+
+static void
+after_a_pause_nobody_is_blamed(void)
+{
+	begin(3);
+	run(MEMBER_PERIOD_MS * 2, -1);
+	now += 60000;
+	members_paused(m, now);
+	members_tick(m, now);
+	run(100, -2);
+	CU_ASSERT(member_usable(member_at(m, 0)));
+	CU_ASSERT(member_usable(member_at(m, 1)));
+	CU_ASSERT_FALSE(members_isolated(m, now));
+	end();
+}
+
+static const struct test tests[] = {
+	{ "silent member is suspected, then held dead",
+	    silent_member_is_suspected_then_held_dead },
+	{ "who hears nobody suspects itself",
+	    who_hears_nobody_suspects_itself },
+	{ "suspicion of oneself is refuted", suspicion_of_oneself_is_refuted },
+	{ "older news changes nothing", older_news_changes_nothing },
+	{ "leaving is told at once", leaving_is_told_at_once },
+	{ "VM list is told to the node", vm_list_is_told_to_the_node },
+	{ "datagrams do not grow with members",
+	    datagrams_do_not_grow_with_members },
+	{ "after a pause nobody is blamed", after_a_pause_nobody_is_blamed },
+};
+
+TEST_MAIN("member", tests)
--- /dev/null
+++ b/test/test_seal.c
@@ -0,0 +1,66 @@
+/* Sealed datagrams: outsiders, other receivers and replays change nothing. */
+#include <sodium.h>
+
+#include "../node/seal.h"
+#include "test.h"
+
+#define SELF "127.0.0.1:1"
+
+static const unsigned char key[NODE_KEY_LEN] = { 1 };
+static const unsigned char other_key[NODE_KEY_LEN] = { 2 };
+
+static void
+only_the_receiver_meant_opens(void)
+{
+	unsigned char out[SEAL_MAX], plain[SEAL_MAX];
+	int len;
+
+	CU_ASSERT(sodium_init() >= 0);
+	len = seal(key, SELF, "hello", 5, out);
+	CU_ASSERT_EQUAL(unseal(key, SELF, out, (size_t)len, plain), 5);
+	CU_ASSERT_EQUAL(
+	    unseal(key, "127.0.0.1:2", out, (size_t)len, plain), NODE_EGARBLED);
+	CU_ASSERT_EQUAL(
+	    unseal(other_key, SELF, out, (size_t)len, plain), NODE_EGARBLED);
+}
+
+static void
+changed_or_cut_is_refused(void)
+{
+	unsigned char out[SEAL_MAX], plain[SEAL_MAX];
+	int len, i;
+
+	len = seal(key, SELF, "hello", 5, out);
+	for (i = 0; i < len; i++) {
+		out[i] ^= 1;
+		CU_ASSERT_EQUAL(
+		    unseal(key, SELF, out, (size_t)len, plain), NODE_EGARBLED);
+		out[i] ^= 1;
+		CU_ASSERT_EQUAL(
+		    unseal(key, SELF, out, (size_t)i, plain), NODE_EGARBLED);
+	}
+}
+
+static void
+replay_is_noticed(void)
+{
+	struct replay r = { 0 };
+
+	CU_ASSERT(replay_fresh(&r, 5, 1));
+	CU_ASSERT_FALSE(replay_fresh(&r, 5, 1));
+	CU_ASSERT(replay_fresh(&r, 5, 3));
+	CU_ASSERT(replay_fresh(&r, 5, 2));
+	CU_ASSERT_FALSE(replay_fresh(&r, 5, 2));
+	CU_ASSERT(replay_fresh(&r, 5, 200));
+	CU_ASSERT_FALSE(replay_fresh(&r, 5, 100));
+	CU_ASSERT(replay_fresh(&r, 6, 1));
+	CU_ASSERT_FALSE(replay_fresh(&r, 5, 300));
+}
+
+static const struct test tests[] = {
+	{ "only the receiver meant opens", only_the_receiver_meant_opens },
+	{ "changed or cut is refused", changed_or_cut_is_refused },
+	{ "replay is noticed", replay_is_noticed },
+};
+
+TEST_MAIN("seal", tests)
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -261,8 +261,8 @@
 	for pid in "${NODE_PID[@]}" "${TARGET_PID[@]}" $PLATFORM_PID $FAULT_PID; do
 		kill -CONT "$pid" 2> /dev/null
 		kill -KILL "$pid" 2> /dev/null
+		wait "$pid" 2> /dev/null
 	done
-	wait 2> /dev/null
 	NODE_PID=()
 	TARGET_PID=()
 	PLATFORM_PID=
