--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 LIBS = $(shell pkg-config --libs $(PKGS)) -pthread
 
 BASE = base/clock.c base/counter.c base/error.c base/field.c base/file.c \
-	base/json.c base/log.c base/report.c
+	base/json.c base/log.c base/queue.c base/report.c
 MESH = mesh/budget.c mesh/call.c mesh/guard.c mesh/limit.c mesh/member.c \
 	mesh/memory.c mesh/pick.c mesh/poison.c mesh/reqid.c mesh/set.c \
 	mesh/set_check.c mesh/set_diff.c mesh/set_edit.c mesh/set_read.c mesh/version.c
@@ -95,6 +95,15 @@
 check: deps
 	@$(MAKE) --no-print-directory unit integration
 
+# Unit tests under the sanitizers; the configuration store's under threads'.
+SAN = address,undefined
+sanitize:
+	@$(MAKE) --no-print-directory OBJ=obj-asan BIN=bin-asan \
+	    CFLAGS="-O1 -g -fsanitize=$(SAN) -fno-sanitize-recover=all" unit
+	@$(MAKE) --no-print-directory OBJ=obj-tsan BIN=bin-tsan \
+	    CFLAGS="-O1 -g -fsanitize=thread" bin-tsan/test_config
+	bin-tsan/test_config
+
 # Tests with real processes.
 integration: all
 	@FLEET_BIN=$(BIN) tools/integration.sh
@@ -129,4 +138,5 @@
 
 -include $(shell find $(OBJ) -name '*.d' 2>/dev/null)
 
-.PHONY: all clean deps unit check integration demo format format-check lint
+
+.PHONY: all clean deps unit sanitize check integration demo format format-check lint
--- a/base/base.h
+++ b/base/base.h
@@ -89,6 +89,18 @@
 /* Appends all counters in the Prometheus text format. */
 void counter_print(GString *out);
 
+/* ---- queues between threads ---- */
+
+GAsyncQueue *queue_new(void);
+/* The item belongs to whoever takes it. */
+void queue_push(GAsyncQueue *, void *item);
+/* The oldest item; queue_pop waits for one, the other returns NULL. */
+void *queue_pop(GAsyncQueue *);
+void *queue_try_pop(GAsyncQueue *);
+/* Orderings that libraries establish, told to the thread sanitizer. */
+void base_publish(void *address);
+void base_observe(void *address);
+
 /* ---- report of problems found in a file ---- */
 
 struct report_entry {
--- a/node/config.c
+++ b/node/config.c
@@ -23,7 +23,8 @@
 	struct config_delta delta; /* payload is a whole text if !packed */
 	int packed;
 	char source[MESH_NAME_MAX + 1];
-	int last; /* 1: the thread ends */
+	int64_t began_us; /* when its check began */
+	int last;	  /* 1: the thread ends */
 };
 
 struct config_store {
@@ -44,7 +45,11 @@
 	char failure[128]; /* why the last candidate could not be used */
 };
 
+/* Stands for all readers' sections, towards the thread sanitizer. */
+static char readers;
+
 static void *store_main(void *);
+static void wait_for_readers(void);
 static void consider(struct config_store *, struct candidate_set *);
 static GBytes *decode(struct config_store *, struct candidate_set *);
 static GBytes *find_held(struct config_store *, const unsigned char *);
@@ -66,7 +71,7 @@
 	s->full_sets = full_sets;
 	s->changed = changed;
 	s->arg = arg;
-	s->work = g_async_queue_new();
+	s->work = queue_new();
 	pthread_mutex_init(&s->lock, NULL);
 	pthread_create(&s->thread, NULL, store_main, s);
 	return s;
@@ -81,7 +86,7 @@
 
 	last = g_new0(struct candidate_set, 1);
 	last->last = 1;
-	g_async_queue_push(s->work, last);
+	queue_push(s->work, last);
 	pthread_join(s->thread, NULL);
 	if (s->current != NULL) {
 		set_free(s->current->set);
@@ -107,6 +112,7 @@
 void
 config_unlock(void)
 {
+	base_publish(&readers);
 	urcu_bp_read_unlock();
 }
 
@@ -114,7 +120,11 @@
 const struct config *
 config_get(const struct config_store *s)
 {
-	return rcu_dereference(s->current);
+	struct config *c = rcu_dereference(s->current);
+
+	if (c != NULL)
+		base_observe(c);
+	return c;
 }
 
 /* Copies what is remembered of versions. */
@@ -162,7 +172,7 @@
 		c->delta.has_parent = 1;
 	}
 	g_strlcpy(c->source, source, sizeof(c->source));
-	g_async_queue_push(s->work, c);
+	queue_push(s->work, c);
 }
 
 /* Queues a difference. */
@@ -177,7 +187,7 @@
 	c->packed = 1;
 	g_bytes_ref(c->delta.payload);
 	g_strlcpy(c->source, source, sizeof(c->source));
-	g_async_queue_push(s->work, c);
+	queue_push(s->work, c);
 }
 
 /* Finds a base by its hash; the caller owns the reference. */
@@ -263,6 +273,14 @@
 	s->has_parent = c->delta.has_parent;
 }
 
+/* Waits until nobody reads what was in force before. */
+static void
+wait_for_readers(void)
+{
+	urcu_bp_synchronize_rcu();
+	base_observe(&readers);
+}
+
 /* Puts a checked set in force. */
 static void
 publish(struct config_store *s, struct candidate_set *c, struct set *set,
@@ -293,9 +311,10 @@
 	stale = s->step;
 	s->step = step;
 	s->skipped = skipped;
+	base_publish(next);
 	rcu_assign_pointer(s->current, next);
 	pthread_mutex_unlock(&s->lock);
-	urcu_bp_synchronize_rcu();
+	wait_for_readers();
 	if (old != NULL) {
 		set_free(old->set);
 		g_free(old);
@@ -303,8 +322,10 @@
 	if (stale != NULL)
 		g_bytes_unref(stale);
 	counter_add(CTR_APPLIED, 1);
-	base_log(G_LOG_LEVEL_MESSAGE, "config_applied", "version=%s source=%s",
-	    version_str(&next->version, name), next->source);
+	base_log(G_LOG_LEVEL_MESSAGE, "config_applied",
+	    "version=%s source=%s check_us=%" PRId64,
+	    version_str(&next->version, name), next->source,
+	    base_now_us() - c->began_us);
 	if (skipped)
 		base_log(G_LOG_LEVEL_WARNING, "config_skips",
 		    "version=%s was not made from the version before it, "
@@ -324,6 +345,7 @@
 	gsize len;
 	const char *data;
 
+	c->began_us = base_now_us();
 	v = config_offer(s, &c->delta.version);
 	if (v != OFFER_FETCH && v != OFFER_CONFLICT_WINS)
 		return;
@@ -356,7 +378,7 @@
 	int last = 0;
 
 	while (!last) {
-		c = g_async_queue_pop(s->work);
+		c = queue_pop(s->work);
 		last = c->last;
 		if (!last) {
 			consider(s, c);
--- a/node/mailbox.c
+++ b/node/mailbox.c
@@ -9,7 +9,7 @@
 void
 mailbox_init(struct mailbox *m)
 {
-	m->queue = g_async_queue_new();
+	m->queue = queue_new();
 	m->fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 }
 
@@ -31,7 +31,7 @@
 	e = g_new(struct event, 1);
 	e->kind = kind;
 	e->p = p;
-	g_async_queue_push(m->queue, e);
+	queue_push(m->queue, e);
 	/* A full counter is readable already, so a failure is harmless. */
 	if (write(m->fd, &one, sizeof(one)) < 0 && errno != EAGAIN)
 		base_log(G_LOG_LEVEL_WARNING, "mailbox", "error=%d", errno);
@@ -44,10 +44,10 @@
 	struct event *e;
 	uint64_t n;
 
-	if ((e = g_async_queue_try_pop(m->queue)) == NULL) {
+	if ((e = queue_try_pop(m->queue)) == NULL) {
 		if (read(m->fd, &n, sizeof(n)) < 0)
 			return 0;
-		if ((e = g_async_queue_try_pop(m->queue)) == NULL)
+		if ((e = queue_try_pop(m->queue)) == NULL)
 			return 0;
 	}
 	*out = *e;
--- /dev/null
+++ b/regress/settings/cut.cmd
@@ -0,0 +1,1 @@
+teaselnode -c cut.json
--- /dev/null
+++ b/regress/settings/missing.cmd
@@ -0,0 +1,1 @@
+teaselnode -c does-not-exist.json
--- /dev/null
+++ b/regress/settings/no-key.cmd
@@ -0,0 +1,1 @@
+teaselnode -c no-key.json
--- /dev/null
+++ b/regress/settings/usage.cmd
@@ -0,0 +1,1 @@
+teaselnode
--- /dev/null
+++ b/regress/settings/wrong.cmd
@@ -0,0 +1,1 @@
+teaselnode -c wrong.json
--- a/target/pool.c
+++ b/target/pool.c
@@ -33,7 +33,7 @@
 	p->port = port;
 	p->done = done;
 	p->arg = arg;
-	p->jobs = g_async_queue_new();
+	p->jobs = queue_new();
 	return p;
 }
 
@@ -48,7 +48,7 @@
 	s.ne = ne_session_create("http", p->host, (unsigned int)p->port);
 	ne_set_connect_timeout(s.ne, CONNECT_S);
 	for (;;) {
-		j = g_async_queue_pop(p->jobs);
+		j = queue_pop(p->jobs);
 		if (j->method == NULL)
 			break;
 		exchange_run(&s, j);
@@ -80,7 +80,7 @@
 void
 target_pool_submit(struct target_pool *p, struct exchange_job *j)
 {
-	g_async_queue_push(p->jobs, j);
+	queue_push(p->jobs, j);
 }
 
 /* Ends the workers. */
@@ -90,7 +90,7 @@
 	int i;
 
 	for (i = 0; i < p->nworkers; i++)
-		g_async_queue_push(p->jobs, exchange_job_new());
+		queue_push(p->jobs, exchange_job_new());
 	for (i = 0; i < p->nworkers; i++)
 		pthread_join(p->workers[i], NULL);
 	g_async_queue_unref(p->jobs);
--- a/test/test_guard.c
+++ b/test/test_guard.c
@@ -238,6 +238,7 @@
 poison_is_refused_after_two_crashes(void)
 {
 	struct guard_request bad = make("bad"), good = make("good"), r;
+	enum guard_verdict v;
 
 	begin();
 	bad.once = good.once = 0;
@@ -254,7 +255,7 @@
 	admit(&bad);
 	r = expect_run("good");
 	/* The other suspect waits until this one is back. */
-	CU_ASSERT_EQUAL(guard_waiting(g), 1);
+	CU_ASSERT_EQUAL(guard_next(g, &bad, &v, NOW), 0);
 	guard_done(g, &r, EXCHANGE_OK, 1000, NOW + 200);
 	r = expect_run("bad");
 	guard_done(g, &r, EXCHANGE_BROKEN, 1000, NOW + 400);
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -35,6 +35,7 @@
 		VM_TARGET[$vm]=$target
 		VM_SLOTS[$vm]=$slots
 		n=$((n + 1))
+		[[ $n -lt ${FLEET_LIMIT:-100000} ]] || break
 	done < <("$FLEET_BIN/teaselctl" list "$1")
 }
 
@@ -122,6 +123,8 @@
 	"$FLEET_BIN/teaselctl" pack "$@" --number "$VERSION" "$file" "$keys" \
 	    > "$FLEET_DIR/packed" || return 1
 	while read -r part; do
+		# The head comes last: from here on the set can be seen.
+		PUBLISHED_AT=$(date +%s%3N)
 		curl -sf -T "$keys/$part" "http://$PLATFORM/kv/$part" \
 		    > /dev/null || return 1
 	done < "$FLEET_DIR/packed"
--- /dev/null
+++ b/tools/prove.sh
@@ -0,0 +1,34 @@
+#!/usr/bin/env bash
+# Shows that tests can fail: takes one mechanism at a time out of a copy of
+# the tree and runs the test that must notice.
+set -u
+cd "$(dirname "$0")/.."
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+git ls-files -z --cached --others --exclude-standard | xargs -0 cp --parents -t "$copy"
+cp -r obj bin "$copy"
+noticed=0 missed=0
+while IFS='|' read -r file expr test; do
+	[[ $file == \#* || -z $file ]] && continue
+	file=${file// /} test=${test// /} expr=${expr# } expr=${expr% }
+	cp "$file" "$copy/original"
+	sed "$expr" "$file" > "$copy/$file"
+	if cmp -s "$file" "$copy/$file"; then
+		echo "NOT APPLIED: $file: $expr"
+		missed=$((missed + 1))
+		continue
+	fi
+	if ! make -s -C "$copy" WARN=-w "bin/$test" > "$copy/log" 2>&1; then
+		echo "DOES NOT BUILD: $file: $expr"
+		tail -n 3 "$copy/log"
+		missed=$((missed + 1))
+	elif (cd "$copy" && timeout 60 "bin/$test" > log 2>&1); then
+		echo "NOT NOTICED by $test: $file: $expr"
+		missed=$((missed + 1))
+	else
+		noticed=$((noticed + 1))
+	fi
+	cp "$copy/original" "$copy/$file"
+done < test/mutations.txt
+echo "mutations: $noticed noticed, $missed missed"
+[[ $missed == 0 ]]
--- a/tools/regress.sh
+++ b/tools/regress.sh
@@ -1,14 +1,18 @@
 #!/usr/bin/env bash
-# Runs teaselctl over inputs kept beside their expected output.  A file
-# NAME.cmd holds the arguments; NAME.out the output and the exit code.
+# Runs programs over inputs kept beside their expected output.  A file NAME.cmd
+# holds the command line, of teaselctl unless it names a program; NAME.out the
+# output and the exit code.
 # With --write, writes the expected output anew.
 set -u
 cd "$(dirname "$0")/.."
-ctl=${BIN:-bin}/teaselctl
+bin=$PWD/${BIN:-bin}
 passed=0 failed=0
 for cmd in regress/*/*.cmd; do
 	out=${cmd%.cmd}.out
-	got=$(cd "$(dirname "$cmd")" && eval "\"$OLDPWD/$ctl\" $(cat "$OLDPWD/$cmd")" 2>&1; echo "exit $?")
+	read -ra words < "$cmd"
+	[[ ${words[0]} == teasel* ]] || words=(teaselctl "${words[@]}")
+	got=$(cd "$(dirname "$cmd")" &&
+	    "$bin/${words[0]}" "${words[@]:1}" 2>&1; echo "exit $?")
 	if [[ ${1:-} == --write ]]; then
 		printf '%s\n' "$got" > "$out"
 	elif [[ $got == "$(cat "$out")" ]]; then
