--- a/Makefile
+++ b/Makefile
@@ -13,15 +13,15 @@
 
 BASE = base/clock.c base/counter.c base/error.c base/field.c base/file.c \
 	base/json.c base/log.c base/queue.c base/report.c
-MESH = mesh/budget.c mesh/call.c mesh/guard.c mesh/limit.c mesh/member.c \
-	mesh/memory.c mesh/pick.c mesh/poison.c mesh/reqid.c mesh/set.c \
+MESH = mesh/budget.c mesh/call.c mesh/guard.c mesh/home.c mesh/limit.c mesh/member.c \
+	mesh/memory.c mesh/names.c mesh/pick.c mesh/poison.c mesh/reqid.c mesh/set.c \
 	mesh/set_check.c mesh/set_diff.c mesh/set_edit.c mesh/set_read.c mesh/version.c
 PLATFORM = platform/budget.c platform/http.c platform/manifest.c \
 	platform/reader.c
 TARGET = target/exchange.c target/pool.c
 CALLER = caller/refusal.c caller/server.c
 NODE = node/config.c node/delta.c node/entry.c node/gossip.c node/link.c \
-	node/loop.c node/mailbox.c node/node.c node/seal.c node/serve.c \
+	node/loop.c node/mailbox.c node/node.c node/record.c node/seal.c node/serve.c \
 	node/settings.c node/span.c node/spread.c node/status.c \
 	node/wire.pb-c.c
 LIB = $(BASE) $(MESH) $(PLATFORM) $(TARGET) $(CALLER) $(NODE)
@@ -31,15 +31,19 @@
 	operator/ctl_watch.c operator/teaselctl.c
 CTL_OBJ = $(CTL:%.c=$(OBJ)/%.o)
 
+REPLAY = replay/replay.c replay/replay_call.c replay/replay_guard.c \
+	replay/replay_version.c replay/walk.c
+REPLAY_OBJ = $(REPLAY:%.c=$(OBJ)/%.o)
+
 STANDIN = standin/fault.c standin/http.c standin/ledger.c
 STANDIN_OBJ = $(STANDIN:%.c=$(OBJ)/%.o)
 
 PROGS = $(BIN)/teaselnode $(BIN)/teaselctl $(BIN)/teaselplatform $(BIN)/teaseltarget \
-	$(BIN)/teaselcalls $(BIN)/teaselfault
+	$(BIN)/teaselcalls $(BIN)/teaselfault $(BIN)/teaselreplay
 
 TESTS = $(patsubst test/%.c,$(BIN)/%,$(wildcard test/test_*.c))
 SRC = $(filter-out node/wire.pb-c.c,$(LIB)) $(CTL) $(STANDIN) \
-	node/teaselnode.c $(wildcard standin/teasel*.c) $(wildcard test/*.c)
+	$(REPLAY) replay/teaselreplay.c node/teaselnode.c $(wildcard standin/teasel*.c) $(wildcard test/*.c)
 HDR = $(filter-out node/wire.pb-c.h,$(wildcard */*.h))
 
 all: $(PROGS)
@@ -65,6 +69,12 @@
 	@echo "  LD $@"
 	@$(CC) $(ALL_CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS)
 
+$(BIN)/teaselreplay: $(OBJ)/replay/teaselreplay.o $(REPLAY_OBJ) \
+	$(OBJ)/libteaselstep.a
+	@mkdir -p $(@D)
+	@echo "  LD $@"
+	@$(CC) $(ALL_CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS)
+
 $(BIN)/teaselplatform: $(OBJ)/standin/teaselplatform.o
 $(BIN)/teaseltarget: $(OBJ)/standin/teaseltarget.o
 $(BIN)/teaselcalls: $(OBJ)/standin/teaselcalls.o
@@ -90,6 +100,8 @@
 unit: all $(TESTS)
 	@for t in $(TESTS); do echo "== $$t"; $$t || exit 1; done
 	@BIN=$(BIN) tools/regress.sh
+	@$(BIN)/teaselreplay traces/*.jsonl
+	@$(BIN)/teaselreplay --walk 300
 
 # All tests.
 check: deps
--- /dev/null
+++ b/mesh/home.c
@@ -0,0 +1,29 @@
+/* Homes of an id: all targets of a service in the order of their weights. */
+#include "mesh.h"
+
+/* Finds the k-th home; equal weights are ordered by index. */
+int
+home_at(const char *id, const char *const *names, int n, int k)
+{
+	uint64_t w, best_w, last_w = UINT64_MAX;
+	int i, best = MESH_ENOTFOUND, last = -1;
+
+	for (; k >= 0; k--) {
+		best = MESH_ENOTFOUND;
+		best_w = 0;
+		for (i = 0; i < n; i++) {
+			w = pick_home(id, names[i]);
+			if (w > last_w || (w == last_w && i <= last))
+				continue;
+			if (best < 0 || w > best_w) {
+				best = i;
+				best_w = w;
+			}
+		}
+		if (best < 0)
+			return MESH_ENOTFOUND;
+		last_w = best_w;
+		last = best;
+	}
+	return best;
+}
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -201,6 +201,8 @@
  * one by rendezvous hashing.
  */
 uint64_t pick_home(const char *id, const char *target);
+/* Index of the k-th home of an id among n targets, or MESH_ENOTFOUND. */
+int home_at(const char *id, const char *const *names, int n, int k);
 /* Tag of a target that reqid_make puts into ids. */
 uint16_t pick_tag(const char *target);
 /*
--- a/node/entry.c
+++ b/node/entry.c
@@ -342,41 +342,33 @@
     int service, int64_t now)
 {
 	const struct set_service *v = &s->services[service];
-	const char *name;
-	uint64_t w, best_w, last_w = UINT64_MAX;
-	int i, best, last = -1, passed, m;
-
-	for (passed = 0;; passed++) {
-		best = -1;
-		best_w = 0;
-		for (i = 0; i < v->ntargets; i++) {
-			name = s->targets[v->targets[i]].name;
-			w = pick_home(ec->call.id, name);
-			/* Equal weights are ordered by handle. */
-			if (w > last_w ||
-			    (w == last_w && v->targets[i] <= last))
+	const struct set_target *t;
+	const char **names;
+	int i, k, m = -1, passed = 0, found = MESH_ENOTFOUND;
+
+	names = g_new(const char *, v->ntargets);
+	for (i = 0; i < v->ntargets; i++)
+		names[i] = s->targets[v->targets[i]].name;
+	for (k = 0; found == MESH_ENOTFOUND; k++) {
+		i = home_at(ec->call.id, names, v->ntargets, k);
+		if (i < 0)
+			break;
+		t = &s->targets[v->targets[i]];
+		if (strcmp(t->vm, n->settings.name) != 0) {
+			m = member_find(n->members, t->vm);
+			if (m >= 0 && home_gone(n, ec, m, now))
 				continue;
-			if (best < 0 || w > best_w) {
-				best = v->targets[i];
-				best_w = w;
-			}
+			if (m < 0 ||
+			    member_at(n->members, m)->state >= MEMBER_DEAD)
+				found = MESH_EREFUSED;
 		}
-		if (best < 0)
-			return MESH_ENOTFOUND;
-		last_w = best_w;
-		last = best;
-		if (strcmp(s->targets[best].vm, n->settings.name) == 0)
-			m = -1;
-		else if ((m = member_find(n->members, s->targets[best].vm)) < 0)
-			return MESH_EREFUSED;
-		if (m >= 0 && home_gone(n, ec, m, now))
-			passed--;
-		else if (passed == ec->call.walked)
-			return m >= 0 && member_at(n->members, m)->state >=
-					     MEMBER_DEAD
-				   ? MESH_EREFUSED
-				   : best;
+		if (passed++ < ec->call.walked)
+			found = MESH_ENOTFOUND;
+		else if (found != MESH_EREFUSED)
+			found = v->targets[i];
 	}
+	g_free(names);
+	return found;
 }
 
 /* Makes the id, with the target that was chosen as its home. */
--- a/node/gossip.c
+++ b/node/gossip.c
@@ -8,7 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "node_int.h"
+#include "record.h"
 
 #define RECEIVE_BATCH 256 /* datagrams handled before others get a turn */
 #define UDP_BUFFER    (1024 * 1024) /* bytes */
@@ -217,12 +217,10 @@
 	}
 	for (i = 0; i < d->n_suspects && n->guard.guard != NULL; i++) {
 		if (d->suspects[i]->released)
-			guard_release(
-			    n->guard.guard, d->suspects[i]->fingerprint);
+			record_release(n, d->suspects[i]->fingerprint);
 		else
-			guard_suspect(n->guard.guard,
-			    d->suspects[i]->fingerprint,
-			    d->suspects[i]->crashes, now);
+			record_suspect(n, d->suspects[i]->fingerprint,
+			    d->suspects[i]->crashes);
 	}
 }
 
--- a/node/node.c
+++ b/node/node.c
@@ -5,7 +5,7 @@
 #include <sodium.h>
 #include <urcu/urcu-bp.h>
 
-#include "node_int.h"
+#include "record.h"
 
 #define FIRST_READS 2 /* keys of the platform read at the start */
 
@@ -154,6 +154,7 @@
 	entry_destroy(n);
 	members_free(n->members);
 	spans_destroy(&n->spans);
+	record_close(n);
 	g_hash_table_destroy(n->replays);
 	mailbox_destroy(&n->mailbox);
 	g_rand_free(n->rand);
--- a/node/node.h
+++ b/node/node.h
@@ -31,7 +31,8 @@
 	char *platform;	 /* address of the configuration service */
 	char *key_file;
 	char *log;
-	int readers; /* nodes a data centre that watch the source */
+	char *record; /* file for a trace of the guard, or NULL */
+	int readers;  /* nodes a data centre that watch the source */
 	int source_reads_per_min;
 	int start_spread_ms; /* first reads are spread over this time */
 	int calls_max;	     /* calls in flight at the entry */
--- a/node/node_int.h
+++ b/node/node_int.h
@@ -9,6 +9,7 @@
 
 #include <netinet/in.h>
 #include <pthread.h>
+#include <stdio.h>
 
 #include "../caller/caller.h"
 #include "../mesh/call.h"
@@ -226,6 +227,7 @@
 	struct guard_side guard;
 	struct spread spread;
 	struct spans spans;
+	FILE *trace; /* of the guard's decisions, or NULL */
 	GRand *rand;
 	int firsts;	 /* first reads of the platform still under way */
 	int firsts_good; /* of those ended, well */
--- /dev/null
+++ b/node/record.c
@@ -0,0 +1,217 @@
+/* Decisions of the guard, with a line of a trace for each. */
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+
+#include "../mesh/names.h"
+#include "record.h"
+
+#define LINE_MAX_B 1024 /* bytes; ids are at most 64 */
+
+static void line(struct node *, int64_t, int64_t, const char *, const char *,
+    const char *, ...) __attribute__((format(printf, 6, 7)));
+
+/* Writes one line: the event, its arguments, and the decision. */
+static void
+line(struct node *n, int64_t now, int64_t wall, const char *what,
+    const char *expect, const char *fmt, ...)
+{
+	GString *out;
+	va_list ap;
+
+	if (n->trace == NULL)
+		return;
+	out = g_string_new(NULL);
+	g_string_append_printf(out,
+	    "{\"at\": %" PRId64 ", \"wall\": %" PRId64 ", \"do\": \"%s\"", now,
+	    wall, what);
+	va_start(ap, fmt);
+	g_string_append_vprintf(out, fmt, ap);
+	va_end(ap);
+	if (expect != NULL) {
+		g_string_append(out, ", \"expect\": ");
+		json_quote(out, expect);
+	}
+	fprintf(n->trace, "%s}\n", out->str);
+	g_string_free(out, TRUE);
+}
+
+/* Begins a trace. */
+void
+record_open(struct node *n, int slots, int64_t wall)
+{
+	if (n->settings.record == NULL ||
+	    (n->trace = fopen(n->settings.record, "w")) == NULL)
+		return;
+	/* Whole lines, so that a trace of a process that dies is of use. */
+	setvbuf(n->trace, NULL, _IOLBF, 0);
+	fprintf(n->trace,
+	    "{\"trace\": 1, \"module\": \"guard\", \"about\": \"recorded by "
+	    "%s\", \"slots\": %d, \"limit\": %d, \"wall\": %" PRId64 "}\n",
+	    n->settings.name, slots, guard_limit(n->guard.guard)->current,
+	    wall);
+}
+
+/* Ends it. */
+void
+record_close(struct node *n)
+{
+	if (n->trace != NULL)
+		fclose(n->trace);
+	n->trace = NULL;
+}
+
+/* Admits a request. */
+enum guard_verdict
+record_admit(struct node *n, const struct guard_request *r)
+{
+	int64_t now = base_now_ms(), wall = base_wall_ms();
+	enum guard_verdict v;
+	GString *id;
+
+	v = guard_admit(n->guard.guard, r, now, wall);
+	if (n->trace == NULL)
+		return v;
+	id = g_string_new(NULL);
+	json_quote(id, r->id);
+	line(n, now, wall, "admit", guard_verdict_names[v],
+	    ", \"id\": %s, \"once\": %d, \"fresh\": %d, \"born\": %" PRId64
+	    ", \"deadline\": %" PRId64 ", \"priority\": %d, "
+	    "\"fingerprint\": \"%" PRIx64 "\", \"crashes\": %d",
+	    id->str, r->once, r->fresh, r->born_wall_ms, r->deadline,
+	    r->priority, r->fingerprint, r->crashes);
+	g_string_free(id, TRUE);
+	return v;
+}
+
+/* Takes the next request; that there was none is not worth a line. */
+int
+record_next(
+    struct node *n, struct guard_request *r, enum guard_verdict *v, int64_t now)
+{
+	char expect[LINE_MAX_B];
+	int got = guard_next(n->guard.guard, r, v, now);
+
+	if (got && n->trace != NULL) {
+		g_snprintf(expect, sizeof(expect), "%s %s",
+		    guard_verdict_names[*v], r->id);
+		line(n, now, base_wall_ms(), "next", expect, "%s", "");
+	}
+	return got;
+}
+
+/* Takes a request back. */
+void
+record_done(struct node *n, const struct guard_request *r, enum exchange e,
+    int64_t us, int64_t now)
+{
+	GString *id;
+
+	guard_done(n->guard.guard, r, e, us, now);
+	if (n->trace == NULL)
+		return;
+	id = g_string_new(NULL);
+	json_quote(id, r->id);
+	line(n, now, base_wall_ms(), "done", NULL,
+	    ", \"id\": %s, \"result\": \"%s\", \"us\": %" PRId64, id->str,
+	    exchange_names[e], us);
+	g_string_free(id, TRUE);
+}
+
+/* Fences an id. */
+enum guard_verdict
+record_fence(struct node *n, const char *id, int fresh, int64_t born)
+{
+	int64_t now = base_now_ms(), wall = base_wall_ms();
+	enum guard_verdict v;
+	GString *text;
+
+	v = guard_fence(n->guard.guard, id, fresh, born, now, wall);
+	if (n->trace == NULL)
+		return v;
+	text = g_string_new(NULL);
+	json_quote(text, id);
+	line(n, now, wall, "fence", guard_verdict_names[v],
+	    ", \"id\": %s, \"fresh\": %d, \"born\": %" PRId64, text->str, fresh,
+	    born);
+	g_string_free(text, TRUE);
+	return v;
+}
+
+/* Removes a waiting request. */
+int
+record_cancel(struct node *n, const struct served *s)
+{
+	int had = guard_cancel(n->guard.guard, s);
+	GString *id;
+
+	if (n->trace == NULL)
+		return had;
+	id = g_string_new(NULL);
+	json_quote(id, s->req.id);
+	line(n, base_now_ms(), base_wall_ms(), "cancel", had ? "yes" : "no",
+	    ", \"id\": %s", id->str);
+	g_string_free(id, TRUE);
+	return had;
+}
+
+/* Leaves or joins. */
+void
+record_out(struct node *n, int out)
+{
+	guard_set_out(n->guard.guard, out);
+	line(n, base_now_ms(), base_wall_ms(), "out", NULL, ", \"value\": %d",
+	    out);
+}
+
+/* A target left the service. */
+void
+record_removed(struct node *n, const char *target)
+{
+	int64_t wall = base_wall_ms();
+
+	guard_note_removed(n->guard.guard, n->guard.target, target, wall);
+	line(n, base_now_ms(), wall, "removed", NULL,
+	    ", \"self\": \"%s\", \"target\": \"%s\"", n->guard.target, target);
+}
+
+/* The guard stands beside another target. */
+void
+record_forget(struct node *n)
+{
+	int64_t wall = base_wall_ms();
+
+	guard_forget(n->guard.guard, wall);
+	line(n, base_now_ms(), wall, "forget", NULL, "%s", "");
+}
+
+/* The set gives the target other slots. */
+void
+record_slots(struct node *n, int slots)
+{
+	limit_slots(guard_limit(n->guard.guard), slots);
+	line(n, base_now_ms(), base_wall_ms(), "slots", NULL, ", \"value\": %d",
+	    slots);
+}
+
+/* Another guard saw crashes. */
+void
+record_suspect(struct node *n, uint64_t fp, int crashes)
+{
+	int64_t now = base_now_ms();
+
+	guard_suspect(n->guard.guard, fp, crashes, now);
+	line(n, now, base_wall_ms(), "suspect", NULL,
+	    ", \"fingerprint\": \"%" PRIx64 "\", \"crashes\": %d", fp, crashes);
+}
+
+/* A quarantine is lifted. */
+int
+record_release(struct node *n, uint64_t fp)
+{
+	int had = guard_release(n->guard.guard, fp);
+
+	line(n, base_now_ms(), base_wall_ms(), "release", had ? "yes" : "no",
+	    ", \"fingerprint\": \"%" PRIx64 "\"", fp);
+	return had;
+}
--- /dev/null
+++ b/node/record.h
@@ -0,0 +1,28 @@
+/*
+ * The guard as the loop uses it: each decision is made by mesh/ and, when the
+ * node records, written as a line of a trace that teaselreplay reads.
+ */
+#ifndef RECORD_H
+#define RECORD_H
+
+#include "node_int.h"
+
+/* Begins a trace when the settings ask for one; after guard_new. */
+void record_open(struct node *, int slots, int64_t wall_ms);
+void record_close(struct node *);
+enum guard_verdict record_admit(struct node *, const struct guard_request *);
+int record_next(
+    struct node *, struct guard_request *, enum guard_verdict *, int64_t now);
+void record_done(struct node *, const struct guard_request *, enum exchange,
+    int64_t latency_us, int64_t now);
+enum guard_verdict
+record_fence(struct node *, const char *id, int fresh, int64_t born_wall_ms);
+int record_cancel(struct node *, const struct served *);
+void record_out(struct node *, int out);
+void record_removed(struct node *, const char *target);
+void record_forget(struct node *);
+void record_slots(struct node *, int slots);
+void record_suspect(struct node *, uint64_t fingerprint, int crashes);
+int record_release(struct node *, uint64_t fingerprint);
+
+#endif
--- a/node/serve.c
+++ b/node/serve.c
@@ -4,7 +4,7 @@
  */
 #include <string.h>
 
-#include "node_int.h"
+#include "record.h"
 
 static struct served *
 held_find(struct node *, const char *, const struct link_route *, uint64_t);
@@ -121,8 +121,7 @@
 			found =
 			    strcmp(s->targets[v->targets[i]].name, name) == 0;
 		if (!found)
-			guard_note_removed(
-			    g->guard, g->target, name, base_wall_ms());
+			record_removed(n, name);
 	}
 	g_ptr_array_set_size(g->peers, 0);
 	for (i = 0; i < v->ntargets; i++)
@@ -148,12 +147,14 @@
 			g->guard = guard_new(v->slots, base_wall_ms());
 			if (n->settings.no_slow_start)
 				guard_limit(g->guard)->current = v->slots;
+			record_open(n, v->slots, base_wall_ms());
 		} else if (strcmp(g->target, t->name) != 0) {
-			guard_forget(g->guard, base_wall_ms());
+			record_forget(n);
 			g_ptr_array_set_size(g->peers, 0);
 		}
 		g_strlcpy(g->target, t->name, sizeof(g->target));
-		limit_slots(guard_limit(g->guard), v->slots);
+		if (guard_limit(g->guard)->slots != v->slots)
+			record_slots(n, v->slots);
 		target_pool_grow(g->pool, v->slots);
 		note_removed(n, v, cfg->set);
 	}
@@ -172,7 +173,7 @@
 	n->out = i < 0 || !set_target_in(cfg->set, i) || n->leaving ||
 		 members_state(n->members) != MEMBER_ALIVE;
 	if (n->guard.guard != NULL)
-		guard_set_out(n->guard.guard, n->out);
+		record_out(n, n->out);
 }
 
 /* ---- what is held ---- */
@@ -502,7 +503,7 @@
 
 	s = served_new(n, r, call, f);
 	s->req.fingerprint = f->fingerprint;
-	v = guard_admit(n->guard.guard, &s->req, base_now_ms(), base_wall_ms());
+	v = record_admit(n, &s->req);
 	if (v == GUARD_QUEUE) {
 		g_ptr_array_add(n->guard.held, s);
 		counter_add(CTR_GUARD_QUEUED, 1);
@@ -563,7 +564,7 @@
 	struct served *s;
 	int64_t now = base_now_ms();
 
-	while (guard_next(n->guard.guard, &req, &v, now)) {
+	while (record_next(n, &req, &v, now)) {
 		s = req.cookie;
 		s->req = req;
 		if (v == GUARD_RUN) {
@@ -626,7 +627,7 @@
 	int64_t now = base_now_ms();
 	int crashes;
 
-	guard_done(n->guard.guard, &s->req, j->result, j->latency_us, now);
+	record_done(n, &s->req, j->result, j->latency_us, now);
 	if (n->settings.no_slow_start)
 		guard_limit(n->guard.guard)->current =
 		    guard_limit(n->guard.guard)->slots;
@@ -673,8 +674,7 @@
 		send_outcome(n, r, call, OUTCOME_FENCED, 0);
 		return;
 	}
-	v = guard_fence(n->guard.guard, f->id, f->fresh, f->born_wall_ms,
-	    base_now_ms(), base_wall_ms());
+	v = record_fence(n, f->id, f->fresh, f->born_wall_ms);
 	if (v == GUARD_DUPLICATE)
 		duplicate(n, r, call, f->id);
 	else
@@ -693,7 +693,7 @@
 	for (i = 0; i < s->nwaiters; i++)
 		if (s->waiters[i].call == call)
 			s->waiters[i--] = s->waiters[--s->nwaiters];
-	if (s->nwaiters == 0 && guard_cancel(n->guard.guard, s)) {
+	if (s->nwaiters == 0 && record_cancel(n, s)) {
 		g_ptr_array_remove_fast(n->guard.held, s);
 		served_free(s);
 	}
--- a/node/settings.c
+++ b/node/settings.c
@@ -41,6 +41,7 @@
 	NAME(platform, MEMBER_ADDR_MAX - 1, 1),
 	NAME(key_file, PATH_BYTES, 1),
 	NAME(log, MESH_NAME_MAX, 0),
+	NAME(record, PATH_BYTES, 0),
 	INT(readers, 1, 16),
 	INT(source_reads_per_min, 1, 6000),
 	INT(start_spread_ms, 0, 60000),
--- a/node/status.c
+++ b/node/status.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "node_int.h"
+#include "record.h"
 
 #define HTTP_OK	       200
 #define HTTP_NOT_FOUND 404
@@ -216,7 +216,7 @@
 	int had = 0;
 
 	if (n->guard.guard != NULL)
-		had = guard_release(n->guard.guard, fp);
+		had = record_release(n, fp);
 	gossip_suspect(n, fp, 0, 1);
 	g_string_append_printf(
 	    out, "{\"released\": %s}\n", had ? "true" : "false");
--- /dev/null
+++ b/replay/replay.c
@@ -0,0 +1,110 @@
+/* Reads traces line by line and compares decisions. */
+#include <string.h>
+
+#include "replay.h"
+
+#define TRACE_MAX     (16 * 1024 * 1024) /* bytes of a trace */
+#define TRACE_VERSION 1
+
+static const struct replay_module *const modules[] = { &replay_guard,
+	&replay_call, &replay_version };
+
+static const struct replay_module *find_module(const char *);
+static struct json *parse_line(const char *, size_t);
+static int replay_lines(const struct replay_module *, void *, char **,
+    const char *, GString *, int *, int *);
+
+/* Finds a module by its name. */
+static const struct replay_module *
+find_module(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(modules); i++)
+		if (strcmp(modules[i]->name, name) == 0)
+			return modules[i];
+	return NULL;
+}
+
+/* Parses one line; NULL when it is no object. */
+static struct json *
+parse_line(const char *text, size_t len)
+{
+	struct report *rep = report_new();
+	struct json *j = json_parse(text, len, rep);
+
+	report_free(rep);
+	if (j != NULL && j->type != JSON_OBJECT) {
+		json_free(j);
+		return NULL;
+	}
+	return j;
+}
+
+/* Replays all lines after the first. */
+static int
+replay_lines(const struct replay_module *m, void *state, char **lines,
+    const char *path, GString *out, int *events, int *checked)
+{
+	char decision[REPLAY_DECISION_MAX];
+	const char *want;
+	struct json *j;
+	int i, err = REPLAY_OK;
+
+	for (i = 1; lines[i] != NULL; i++) {
+		if (lines[i][0] == '\0' || lines[i][0] == '/')
+			continue;
+		decision[0] = '\0';
+		j = parse_line(lines[i], strlen(lines[i]));
+		if (j == NULL || m->event(state, j, decision) != REPLAY_OK) {
+			g_string_append_printf(
+			    out, "%s:%d: no such event\n", path, i + 1);
+			json_free(j);
+			return REPLAY_EFORMAT;
+		}
+		(*events)++;
+		want = json_str(j, "expect", NULL);
+		*checked += want != NULL;
+		if (want != NULL && strcmp(want, decision) != 0) {
+			g_string_append_printf(out,
+			    "%s:%d: \"%s\" was stated, \"%s\" decided\n", path,
+			    i + 1, want, decision);
+			err = REPLAY_EDIFFERS;
+		}
+		json_free(j);
+	}
+	return err;
+}
+
+/* Replays one trace. */
+int
+replay_file(const char *path, GString *out, int *events, int *checked)
+{
+	const struct replay_module *m = NULL;
+	struct json *head;
+	void *state;
+	char *text, **lines;
+	size_t len;
+	int err;
+
+	if (base_read_file(path, TRACE_MAX, &text, &len) != BASE_OK) {
+		g_string_append_printf(out, "%s: cannot be read\n", path);
+		return REPLAY_EREAD;
+	}
+	lines = g_strsplit(text, "\n", -1);
+	g_free(text);
+	head = lines[0] != NULL ? parse_line(lines[0], strlen(lines[0])) : NULL;
+	if (json_int(head, "trace", 0) == TRACE_VERSION)
+		m = find_module(json_str(head, "module", ""));
+	if (m == NULL) {
+		g_string_append_printf(out, "%s:1: is no trace\n", path);
+		err = REPLAY_EFORMAT;
+	} else {
+		state = m->begin(head);
+		err = replay_lines(m, state, lines, path, out, events, checked);
+		m->end(state);
+	}
+	json_free(head);
+	g_strfreev(lines);
+	return err;
+}
--- /dev/null
+++ b/replay/replay_call.c
@@ -0,0 +1,84 @@
+/* Replay of an entry's decisions over one call. */
+#include <string.h>
+
+#include "../mesh/names.h"
+#include "replay.h"
+
+#define DEADLINE_DEFAULT 2000
+
+struct state {
+	struct call call;
+	struct budget budget;
+};
+
+static void *begin(const struct json *);
+static int event(void *, const struct json *, char *);
+static void end(void *);
+
+const struct replay_module replay_call = { "call", begin, event, end };
+
+/* Makes a call that begins at time 0. */
+static void *
+begin(const struct json *head)
+{
+	struct state *s;
+
+	s = g_new0(struct state, 1);
+	budget_init(&s->budget);
+	s->budget.tokens = (int)json_int(head, "tokens", s->budget.tokens);
+	s->call.once = (int)json_int(head, "once", 1);
+	s->call.minted = (int)json_int(head, "minted", 1);
+	s->call.deadline = json_int(head, "deadline", DEADLINE_DEFAULT);
+	return s;
+}
+
+/* Releases it. */
+static void
+end(void *state)
+{
+	g_free(state);
+}
+
+/* Does one event. */
+static int
+event(void *state, const struct json *j, char *decision)
+{
+	struct state *s = state;
+	const char *what = json_str(j, "do", "");
+	int64_t at = json_int(j, "at", 0);
+	enum call_action a = CALL_WAIT;
+	int out;
+
+	out = outcome_index(json_str(j, "outcome", "no_target"));
+	if (out < 0)
+		return REPLAY_EFORMAT;
+	if (json_get(j, "crashes") != NULL)
+		s->call.crashes = (int)json_int(j, "crashes", 0);
+	if (strcmp(what, "start") == 0)
+		a = call_start(&s->call, at);
+	else if (strcmp(what, "sent") == 0)
+		call_sent(&s->call, at);
+	else if (strcmp(what, "ack") == 0)
+		call_acked(&s->call, at);
+	else if (strcmp(what, "outcome") == 0)
+		a = call_outcome(
+		    &s->call, (enum call_outcome)out, &s->budget, at);
+	else if (strcmp(what, "nobody") == 0)
+		a = call_nobody(&s->call, (enum call_outcome)out, at);
+	else if (strcmp(what, "timer") == 0)
+		a = call_timer(&s->call, &s->budget, at);
+	else if (strcmp(what, "guard_dead") == 0)
+		a = call_guard_dead(&s->call, &s->budget, at);
+	else
+		return REPLAY_EFORMAT;
+	g_strlcpy(decision, call_action_names[a], REPLAY_DECISION_MAX);
+	if (a == CALL_REFUSE) {
+		g_strlcat(decision, " ", REPLAY_DECISION_MAX);
+		g_strlcat(
+		    decision, outcomes[s->call.last].code, REPLAY_DECISION_MAX);
+		g_strlcat(decision,
+		    call_not_run(&s->call) ? " not_run" : " unknown",
+		    REPLAY_DECISION_MAX);
+	}
+	return REPLAY_OK;
+}
--- /dev/null
+++ b/replay/replay_guard.c
@@ -0,0 +1,207 @@
+/* Replay of a guard's decisions. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../mesh/names.h"
+#include "replay.h"
+
+#define SLOTS_DEFAULT 12
+#define WALL_DEFAULT  1000000
+#define WALL_AHEAD    60000 /* events are covered by the memory by default */
+
+struct state {
+	struct guard *guard;
+	GHashTable *running; /* id to struct guard_request, owned */
+	GHashTable *cookies; /* id to a pointer that stands for it, owned */
+	int64_t wall;	     /* at the trace's time 0 */
+};
+
+static void *begin(const struct json *);
+static int event(void *, const struct json *, char *);
+static void end(void *);
+static void
+read_request(const struct state *, const struct json *, struct guard_request *);
+static uint64_t read_fingerprint(const struct json *);
+static void *cookie_of(struct state *, const char *);
+static void do_next(struct state *, int64_t, char *);
+static int do_done(struct state *, const struct json *, int64_t);
+static int do_cancel(struct state *, const char *);
+
+const struct replay_module replay_guard = { "guard", begin, event, end };
+
+/* Makes a guard, cold unless the trace gives a limit. */
+static void *
+begin(const struct json *head)
+{
+	struct state *s;
+	int limit = (int)json_int(head, "limit", 0);
+
+	s = g_new0(struct state, 1);
+	s->wall = json_int(head, "wall", WALL_DEFAULT);
+	s->guard =
+	    guard_new((int)json_int(head, "slots", SLOTS_DEFAULT), s->wall);
+	if (limit > 0)
+		guard_limit(s->guard)->current = limit;
+	s->cookies =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	s->running =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return s;
+}
+
+/* Releases it. */
+static void
+end(void *state)
+{
+	struct state *s = state;
+
+	guard_free(s->guard);
+	g_hash_table_destroy(s->running);
+	g_hash_table_destroy(s->cookies);
+	g_free(s);
+}
+
+/* A fingerprint in hexadecimal, or the hash of an id without one. */
+static uint64_t
+read_fingerprint(const struct json *j)
+{
+	const char *hex = json_str(j, "fingerprint", NULL);
+
+	if (hex != NULL)
+		return strtoull(hex, NULL, 16);
+	return g_str_hash(json_str(j, "id", ""));
+}
+
+/* Reads a request; what is not said is ordinary. */
+static void
+read_request(
+    const struct state *s, const struct json *j, struct guard_request *r)
+{
+	int64_t at = json_int(j, "at", 0);
+
+	memset(r, 0, sizeof(*r));
+	g_strlcpy(r->id, json_str(j, "id", ""), sizeof(r->id));
+	r->once = (int)json_int(j, "once", 1);
+	r->fresh = (int)json_int(j, "fresh", 0);
+	r->born_wall_ms = json_int(j, "born", s->wall + WALL_AHEAD + at);
+	r->deadline = json_int(j, "deadline", at + 2000);
+	r->priority = (int)json_int(j, "priority", PRIORITY_NORMAL);
+	r->fingerprint = read_fingerprint(j);
+	r->crashes = (int)json_int(j, "crashes", 0);
+}
+
+/* The pointer that stands for an id. */
+static void *
+cookie_of(struct state *s, const char *id)
+{
+	char *copy;
+
+	if ((copy = g_hash_table_lookup(s->cookies, id)) == NULL) {
+		copy = g_strdup(id);
+		g_hash_table_insert(s->cookies, copy, copy);
+	}
+	return copy;
+}
+
+/* Gives out the next request. */
+static void
+do_next(struct state *s, int64_t at, char *decision)
+{
+	struct guard_request r, *copy;
+	enum guard_verdict v;
+
+	if (!guard_next(s->guard, &r, &v, at)) {
+		g_strlcpy(decision, "none", REPLAY_DECISION_MAX);
+		return;
+	}
+	snprintf(decision, REPLAY_DECISION_MAX, "%s %s", guard_verdict_names[v],
+	    r.id);
+	if (v != GUARD_RUN)
+		return;
+	copy = g_new(struct guard_request, 1);
+	*copy = r;
+	g_hash_table_replace(s->running, g_strdup(r.id), copy);
+}
+
+/* Takes a request back. */
+static int
+do_done(struct state *s, const struct json *j, int64_t at)
+{
+	struct guard_request *r;
+	int e;
+
+	r = g_hash_table_lookup(s->running, json_str(j, "id", ""));
+	e = name_index(exchange_names, json_str(j, "result", "ok"));
+	if (r == NULL || e < 0)
+		return REPLAY_EFORMAT;
+	guard_done(s->guard, r, (enum exchange)e, json_int(j, "us", 2000), at);
+	g_hash_table_remove(s->running, r->id);
+	return REPLAY_OK;
+}
+
+/* Removes a waiting request. */
+static int
+do_cancel(struct state *s, const char *id)
+{
+	gpointer cookie = g_hash_table_lookup(s->cookies, id);
+
+	return cookie != NULL && guard_cancel(s->guard, cookie);
+}
+
+/* Does one event. */
+static int
+event(void *state, const struct json *j, char *decision)
+{
+	struct state *s = state;
+	const char *what = json_str(j, "do", ""), *id = json_str(j, "id", "");
+	int64_t at = json_int(j, "at", 0);
+	int64_t wall = json_int(j, "wall", s->wall + WALL_AHEAD + at);
+	struct guard_request r;
+	struct limit *l = guard_limit(s->guard);
+	enum guard_verdict v;
+
+	if (strcmp(what, "admit") == 0) {
+		read_request(s, j, &r);
+		r.cookie = cookie_of(s, id);
+		v = guard_admit(s->guard, &r, at, wall);
+		g_strlcpy(
+		    decision, guard_verdict_names[v], REPLAY_DECISION_MAX);
+	} else if (strcmp(what, "fence") == 0) {
+		v = guard_fence(s->guard, id, (int)json_int(j, "fresh", 0),
+		    json_int(j, "born", wall), at, wall);
+		g_strlcpy(
+		    decision, guard_verdict_names[v], REPLAY_DECISION_MAX);
+	} else if (strcmp(what, "next") == 0) {
+		do_next(s, at, decision);
+	} else if (strcmp(what, "done") == 0) {
+		return do_done(s, j, at);
+	} else if (strcmp(what, "cancel") == 0) {
+		g_strlcpy(decision, do_cancel(s, id) ? "yes" : "no",
+		    REPLAY_DECISION_MAX);
+	} else if (strcmp(what, "out") == 0) {
+		guard_set_out(s->guard, (int)json_int(j, "value", 1));
+	} else if (strcmp(what, "removed") == 0) {
+		guard_note_removed(s->guard, json_str(j, "self", ""),
+		    json_str(j, "target", ""), wall);
+	} else if (strcmp(what, "forget") == 0) {
+		guard_forget(s->guard, wall);
+	} else if (strcmp(what, "suspect") == 0) {
+		guard_suspect(s->guard, read_fingerprint(j),
+		    (int)json_int(j, "crashes", 1), at);
+	} else if (strcmp(what, "release") == 0) {
+		g_strlcpy(decision,
+		    guard_release(s->guard, read_fingerprint(j)) ? "yes" : "no",
+		    REPLAY_DECISION_MAX);
+	} else if (strcmp(what, "slots") == 0) {
+		limit_slots(l, (int)json_int(j, "value", SLOTS_DEFAULT));
+	} else if (strcmp(what, "state") == 0) {
+		snprintf(decision, REPLAY_DECISION_MAX,
+		    "limit=%d running=%d waiting=%d", l->current,
+		    guard_running(s->guard), guard_waiting(s->guard));
+	} else {
+		return REPLAY_EFORMAT;
+	}
+	return REPLAY_OK;
+}
--- a/test/races.sh
+++ b/test/races.sh
@@ -40,10 +40,13 @@
 # A set for check rules that these programs do not know.
 sed 's/"format": 1,/"format": 1, "rules": 2,/' "$1/b.json" > "$1/rules.json"
 publish "$1/rules.json" --unchecked
-sleep 1
-wait_status version 6 "${!VM_IP[@]}"
-"$FLEET_BIN/teaselctl" status $all --json > "$1/status"
+for _ in $(seq 100); do
+	"$FLEET_BIN/teaselctl" status $all --json > "$1/status"
+	grep -q '"rejected": "7-' "$1/status" && break
+	sleep 0.3
+done
 grep -q '"rejected": "7-[0-9a-f]*", "reason": ".*rules.* is 2' "$1/status"
+wait_status version 6 "${!VM_IP[@]}"
 
 # The mended set takes the same number.
 VERSION=6
--- /dev/null
+++ b/test/record.sh
@@ -0,0 +1,21 @@
+# Nodes record their guards' decisions under load, with targets that shed and
+# crash; the traces replay through the same code with the same decisions.
+. tools/fleet.sh
+trap fleet_down EXIT
+set -e
+
+export FLEET_RECORD=1 FLEET_WARM=3000 FLEET_WORK=10
+fleet_up examples/tema.json "$1"
+calls 5 200 --threads 96 > "$1/calls" &
+load=$!
+sleep 2
+curl -sf -X POST "http://${VM_IP[vm-01]}:$CONTROL_PORT/crash" > /dev/null
+curl -sf -X POST "http://${VM_IP[vm-05]}:$CONTROL_PORT/cold" > /dev/null
+wait $load
+cat "$1/calls"
+for vm in "${!VM_IP[@]}"; do
+	kill -TERM "${NODE_PID[$vm]}"
+	wait "${NODE_PID[$vm]}"
+done
+wc -l "$1"/*.trace
+"$FLEET_BIN/teaselreplay" "$1"/*.trace
--- /dev/null
+++ b/test/test_reader.c
@@ -0,0 +1,278 @@
+/*
+ * The reader against a fake platform: parts that change while they are read,
+ * garbled and oversized answers, an index that goes back, the budget.
+ */
+#include <pthread.h>
+#include <stdatomic.h>
+#include <unistd.h>
+
+#include "../platform/platform_int.h"
+#include "test.h"
+
+#define WAIT_US	 1000
+#define PATIENCE 10000 /* waits, until something counts as lost */
+
+struct platform {
+	int unused;
+};
+
+/* What the fake answers; guarded by lock. */
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static GHashTable *values; /* key to GBytes */
+static uint64_t revision;
+static int fail_with;
+static int reads;
+static GBytes *next_head; /* published as soon as a part is read */
+
+static GBytes *got; /* the last text handed on */
+static atomic_int heads, texts, firsts, lists;
+
+static struct platform *
+fake_open(const char *host, int port)
+{
+	(void)host;
+	(void)port;
+	return g_new0(struct platform, 1);
+}
+
+static void
+fake_close(struct platform *p)
+{
+	g_free(p);
+}
+
+static int
+fake_read(struct platform *p, const char *key, uint64_t index, int wait_ms,
+    GBytes **value, uint64_t *new_index)
+{
+	GBytes *b;
+	int i, err = PLATFORM_OK;
+
+	(void)p;
+	for (i = 0; index > 0 && i < wait_ms / 10 && revision == index; i++)
+		usleep(10 * WAIT_US);
+	pthread_mutex_lock(&lock);
+	reads++;
+	b = g_hash_table_lookup(values, key);
+	*new_index = revision;
+	if (fail_with != 0)
+		err = fail_with;
+	else if (b == NULL)
+		err = PLATFORM_EABSENT;
+	else
+		*value = g_bytes_ref(b);
+	if (next_head != NULL && g_str_has_prefix(key, PLATFORM_PART)) {
+		g_hash_table_insert(values, g_strdup(PLATFORM_HEAD), next_head);
+		revision++;
+		next_head = NULL;
+	}
+	pthread_mutex_unlock(&lock);
+	return err;
+}
+
+static const struct platform_ops fake = { "fake", fake_open, fake_close,
+	fake_read };
+
+static int
+on_head(void *arg, const struct manifest *m)
+{
+	(void)arg;
+	(void)m;
+	atomic_fetch_add(&heads, 1);
+	return 1;
+}
+
+static void
+on_text(void *arg, const struct manifest *m, GBytes *text)
+{
+	(void)arg;
+	(void)m;
+	pthread_mutex_lock(&lock);
+	got = g_bytes_ref(text);
+	pthread_mutex_unlock(&lock);
+	atomic_fetch_add(&texts, 1);
+}
+
+static void
+on_vms(void *arg, const struct json *list, uint64_t index)
+{
+	(void)arg;
+	(void)list;
+	(void)index;
+	atomic_fetch_add(&lists, 1);
+}
+
+static void
+on_first(void *arg, int err)
+{
+	(void)arg;
+	(void)err;
+	atomic_fetch_add(&firsts, 1);
+}
+
+static const struct reader_events events = { NULL, on_head, on_text, on_vms,
+	on_first };
+
+/* Waits until a count is reached. */
+static void
+wait_for(atomic_int *count, int n)
+{
+	int i;
+
+	for (i = 0; i < PATIENCE && atomic_load(count) < n; i++)
+		usleep(WAIT_US);
+	CU_ASSERT(atomic_load(count) >= n);
+}
+
+/* Publishes a text in parts of one byte less than half; returns its head. */
+static GBytes *
+publish(const char *text, uint64_t number, int garble)
+{
+	struct manifest m = { .parts = 2, .bytes = (int)strlen(text) };
+	GString *head = g_string_new(NULL);
+	size_t half = strlen(text) / 2;
+	char *copy = g_strdup(text);
+	int i;
+
+	m.version.number = number;
+	version_hash(text, strlen(text), m.version.hash);
+	if (garble)
+		copy[half] ^= 1;
+	pthread_mutex_lock(&lock);
+	for (i = 0; i < 2; i++)
+		g_hash_table_insert(values, manifest_part_key(&m, i),
+		    i == 0 ? g_bytes_new(copy, half)
+			   : g_bytes_new(copy + half, strlen(text) - half));
+	pthread_mutex_unlock(&lock);
+	g_free(copy);
+	manifest_print(&m, head);
+	return g_string_free_to_bytes(head);
+}
+
+static void
+begin(GBytes *head)
+{
+	values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	revision = 1;
+	fail_with = reads = 0;
+	got = NULL;
+	atomic_store(&heads, 0);
+	atomic_store(&texts, 0);
+	atomic_store(&firsts, 0);
+	if (head != NULL)
+		g_hash_table_insert(values, g_strdup(PLATFORM_HEAD), head);
+}
+
+static int
+got_is(const char *text)
+{
+	int same;
+
+	pthread_mutex_lock(&lock);
+	same = got != NULL && g_bytes_get_size(got) == strlen(text) &&
+	       memcmp(g_bytes_get_data(got, NULL), text, strlen(text)) == 0;
+	pthread_mutex_unlock(&lock);
+	return same;
+}
+
+static void
+parts_of_two_sets_never_mix(void)
+{
+	struct reader *r;
+	GBytes *head;
+
+	begin(NULL);
+	head = publish("the first text", 1, 0);
+	g_hash_table_insert(values, g_strdup(PLATFORM_HEAD), head);
+	next_head = publish("the second one", 2, 0);
+	r = reader_start(&fake, "127.0.0.1", 1, 6000, 0, &events);
+	reader_duty(r, 1);
+	wait_for(&texts, 2);
+	CU_ASSERT(got_is("the second one"));
+	reader_stop(r);
+}
+
+static void
+garbled_text_is_not_handed_on(void)
+{
+	struct reader *r;
+	GBytes *head;
+
+	begin(NULL);
+	head = publish("the first text", 1, 1);
+	g_hash_table_insert(values, g_strdup(PLATFORM_HEAD), head);
+	r = reader_start(&fake, "127.0.0.1", 1, 6000, 0, &events);
+	wait_for(&firsts, 2);
+	CU_ASSERT_EQUAL(atomic_load(&texts), 0);
+	CU_ASSERT_EQUAL(reader_error(r), PLATFORM_EGARBLED);
+	reader_stop(r);
+}
+
+static void
+off_duty_reads_no_more_after_the_first(void)
+{
+	struct reader *r;
+	int before;
+
+	begin(publish("some text", 1, 0));
+	g_hash_table_insert(values, g_strdup(PLATFORM_VMS),
+	    g_bytes_new_static("{\"vms\": []}", 11));
+	r = reader_start(&fake, "127.0.0.1", 1, 6000, 0, &events);
+	wait_for(&firsts, 2);
+	pthread_mutex_lock(&lock);
+	before = reads;
+	revision++;
+	pthread_mutex_unlock(&lock);
+	usleep(200 * WAIT_US);
+	CU_ASSERT_EQUAL(reads, before);
+	reader_stop(r);
+}
+
+static void
+head_that_makes_no_sense_is_refused(void)
+{
+	static const char *const bad[] = { "", "{", "[]", "{\"version\": 1}",
+		"{\"version\": -1, \"hash\": \"00\", \"parts\": 1, \"bytes\": "
+		"1}",
+		"{\"version\": 1, \"hash\": "
+		"\"00000000000000000000000000000000\", \"parts\": 9, "
+		"\"bytes\": 1}",
+		"{\"version\": 1, \"hash\": "
+		"\"00000000000000000000000000000000\", \"parts\": 1, "
+		"\"bytes\": 99999999}" };
+	struct manifest m;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bad); i++)
+		CU_ASSERT_EQUAL(manifest_parse(bad[i], strlen(bad[i]), &m),
+		    PLATFORM_EGARBLED);
+}
+
+static void
+budget_and_jitter_are_bounded(void)
+{
+	struct read_budget b;
+	int64_t wait;
+	int n = 0;
+
+	read_budget_init(&b, 60, 0);
+	while ((wait = read_budget_take(&b, 0)) == 0)
+		n++;
+	CU_ASSERT(n >= 1 && n <= 10);
+	CU_ASSERT(wait >= 900 && wait <= 1100);
+	CU_ASSERT_EQUAL(read_budget_take(&b, wait), 0);
+	CU_ASSERT_EQUAL(backoff_ms(0, 250, 15000, 0.0), 0);
+	CU_ASSERT_EQUAL(backoff_ms(40, 250, 15000, 0.5), 7500);
+}
+
+static const struct test tests[] = {
+	{ "parts of two sets never mix", parts_of_two_sets_never_mix },
+	{ "garbled text is not handed on", garbled_text_is_not_handed_on },
+	{ "off duty reads no more after the first",
+	    off_duty_reads_no_more_after_the_first },
+	{ "head that makes no sense is refused",
+	    head_that_makes_no_sense_is_refused },
+	{ "budget and jitter are bounded", budget_and_jitter_are_bounded },
+};
+
+TEST_MAIN("reader", tests)
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -55,6 +55,7 @@
 	"platform": "$PLATFORM",
 	"key_file": "$FLEET_DIR/fleet.key",
 	${FLEET_EXTRA:-}
+	${FLEET_RECORD:+"\"record\": \"$FLEET_DIR/$vm.trace\","}
 	"start_spread_ms": ${FLEET_SPREAD:-200}
 }
 JSON
--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -18,11 +18,16 @@
 		missed=$((missed + 1))
 		continue
 	fi
-	if ! make -s -C "$copy" WARN=-w "bin/$test" > "$copy/log" 2>&1; then
+	run="bin/$test"
+	case $test in
+	walk) run="bin/teaselreplay --walk 3000" ;;
+	traces) run="bin/teaselreplay traces/*.jsonl" ;;
+	esac
+	if ! make -s -C "$copy" WARN=-w "${run%% *}" > "$copy/log" 2>&1; then
 		echo "DOES NOT BUILD: $file: $expr"
 		tail -n 3 "$copy/log"
 		missed=$((missed + 1))
-	elif (cd "$copy" && timeout 60 "bin/$test" > log 2>&1); then
+	elif (cd "$copy" && eval "timeout 60 $run" > log 2>&1); then
 		echo "NOT NOTICED by $test: $file: $expr"
 		missed=$((missed + 1))
 	else
