--- a/base/base.h
+++ b/base/base.h
@@ -8,15 +8,18 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <netinet/in.h>
+
 #include <glib.h>
 
 /* Errors of this package; every function below returns 0 or one of these. */
 enum base_err {
 	BASE_OK = 0,
-	BASE_EREAD = -101,  /* a file cannot be opened or read */
-	BASE_ESIZE = -102,  /* a file or value is larger than allowed */
-	BASE_EPARSE = -103, /* text is not the JSON that was expected */
-	BASE_EINVAL = -104, /* a value has the wrong type or range */
+	BASE_EREAD = -101,    /* a file cannot be opened or read */
+	BASE_ESIZE = -102,    /* a file or value is larger than allowed */
+	BASE_EPARSE = -103,   /* text is not the JSON that was expected */
+	BASE_EINVAL = -104,   /* a value has the wrong type or range */
+	BASE_EADDRESS = -105, /* not an IPv4 address and a port */
 };
 
 #define BASE_MS_PER_S 1000
@@ -31,6 +34,15 @@
 /* Name of an error number of any package's number range. */
 const char *base_strerror(int err);
 
+/* ---- addresses ---- */
+
+#define ADDRESS_MAX 24 /* bytes of an IPv4 address, a port and a NUL */
+
+/* Splits ADDRESS:PORT; host has ADDRESS_MAX bytes. */
+int address_split(const char *addr, char *host, int *port);
+/* The same, for a socket. */
+int address_resolve(const char *addr, struct sockaddr_in *);
+
 /* ---- log ---- */
 
 /* Sends GLib's log to standard error, one line a record. */
--- a/base/error.c
+++ b/base/error.c
@@ -9,8 +9,8 @@
 	{ -102, "it is larger than allowed" },
 	{ -103, "it is not the JSON that was expected" },
 	{ -104, "a value has the wrong type or range" },
+	{ -105, "not an IPv4 address and a port" },
 	{ -401, "the address cannot be listened on" },
-	{ -402, "not an IPv4 address and port" },
 	{ -501, "the settings were refused" },
 	{ -502, "an address cannot be listened on" },
 	{ -503, "the key file cannot be used: it must hold 64 hexadecimal "
--- a/caller/caller.h
+++ b/caller/caller.h
@@ -13,7 +13,6 @@
 enum caller_err {
 	CALLER_OK = 0,
 	CALLER_ELISTEN = -401, /* the address cannot be listened on */
-	CALLER_EADDR = -402,   /* not an IP address and port */
 };
 
 #define CALLER_HEAD_MAX	   32768 /* bytes of a request's line and headers */
@@ -61,8 +60,6 @@
 char *server_query(const struct server_request *, const char *name);
 /* Whether the sender has closed its connection. */
 int server_gone(const struct server_request *);
-/* Splits ADDRESS:PORT; host has MEMBER_ADDR_MAX bytes. */
-int address_split(const char *addr, char *host, int *port);
 
 /* What a refusal says. */
 struct refusal {
--- a/caller/server.c
+++ b/caller/server.c
@@ -44,27 +44,6 @@
 static enum MHD_Result
 refuse_large(struct MHD_Connection *, struct server_request *);
 
-/* Splits an address. */
-int
-address_split(const char *addr, char *host, int *port)
-{
-	struct in_addr in;
-	const char *colon = strrchr(addr, ':');
-	char *end;
-	long n;
-
-	if (colon == NULL || colon - addr >= MEMBER_ADDR_MAX)
-		return CALLER_EADDR;
-	memcpy(host, addr, (size_t)(colon - addr));
-	host[colon - addr] = '\0';
-	n = strtol(colon + 1, &end, 10);
-	if (*end != '\0' || n < 1 || n > UINT16_MAX ||
-	    inet_pton(AF_INET, host, &in) != 1)
-		return CALLER_EADDR;
-	*port = (int)n;
-	return CALLER_OK;
-}
-
 /* A request's first line is there: its path is kept as it was sent. */
 static void *
 on_uri(void *arg, const char *uri, struct MHD_Connection *conn)
@@ -230,28 +209,24 @@
 server_start(struct server **out, const char *listen, size_t body_max,
     void (*submit)(void *, struct server_request *), void *arg)
 {
-	struct sockaddr_in sin = { .sin_family = AF_INET };
-	char host[MEMBER_ADDR_MAX];
+	struct sockaddr_in sin;
 	struct server *s;
-	int port;
 
-	if (address_split(listen, host, &port) != CALLER_OK)
-		return CALLER_EADDR;
-	sin.sin_port = htons((uint16_t)port);
-	inet_pton(AF_INET, host, &sin.sin_addr);
+	if (address_resolve(listen, &sin) != BASE_OK)
+		return CALLER_ELISTEN;
 	s = g_new0(struct server, 1);
 	s->body_max = body_max;
 	s->submit = submit;
 	s->arg = arg;
 	s->daemon = MHD_start_daemon(
 	    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME,
-	    (uint16_t)port, NULL, NULL, on_request, s, MHD_OPTION_SOCK_ADDR,
-	    (struct sockaddr *)&sin, MHD_OPTION_URI_LOG_CALLBACK, on_uri, s,
-	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, s,
-	    MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CALLER_CONNECTIONS,
-	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)CALLER_IDLE_S,
-	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CALLER_HEAD_MAX,
-	    MHD_OPTION_END);
+	    ntohs(sin.sin_port), NULL, NULL, on_request, s,
+	    MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&sin,
+	    MHD_OPTION_URI_LOG_CALLBACK, on_uri, s, MHD_OPTION_NOTIFY_COMPLETED,
+	    on_completed, s, MHD_OPTION_CONNECTION_LIMIT,
+	    (unsigned int)CALLER_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
+	    (unsigned int)CALLER_IDLE_S, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+	    (size_t)CALLER_HEAD_MAX, MHD_OPTION_END);
 	if (s->daemon == NULL) {
 		g_free(s);
 		return CALLER_ELISTEN;
--- a/mesh/call.c
+++ b/mesh/call.c
@@ -15,7 +15,7 @@
 	[OUTCOME_BEHIND] = { "behind", 503, 1, 0, 1, 0, 1 },
 	[OUTCOME_RESTARTED] = { "restarted", 503, 1, 0, 1, 0, 1 },
 	[OUTCOME_LATE] = { "deadline", 504, 1, 1, 0, 1, 1 },
-	[OUTCOME_FENCED] = { "not_seen", 503, 1, 1, 0, 0, 1 },
+	[OUTCOME_FENCED] = { "not_seen", 503, 1, 1, 1, 0, 1 },
 	[OUTCOME_POISON] = { "quarantined", 422, 1, 1, 0, 1, 0 },
 	[OUTCOME_SHED] = { "shed", 503, 1, 1, 0, 0, 1 },
 	[OUTCOME_REFUSED] = { "target_down", 503, 1, 1, 0, 0, 1 },
@@ -101,16 +101,15 @@
 	return refuse(c, why);
 }
 
-/* The guard has it: now only the deadline or a lost guard ends the wait. */
+/* The guard has it: from now on it is asked only now and then. */
 void
 call_acked(struct call *c, int64_t now)
 {
-	(void)now;
 	if (c->state != CALL_SENT && c->state != CALL_ASKING)
 		return;
 	c->state = CALL_ACKED;
 	c->asks = 0;
-	c->wake = c->deadline;
+	c->wake = wake_at(c, now, CALL_LOOK_MS);
 }
 
 /* Tries once more, if tries and budget allow. */
@@ -196,6 +195,11 @@
 	case CALL_PAUSED:
 		return again(c, b, now) == CALL_SEND ? CALL_SEND_SAME
 						     : CALL_REFUSE;
+	case CALL_ACKED:
+		c->state = CALL_ASKING;
+		c->asks = 0;
+		c->wake = wake_at(c, now, CALL_ACK_MS);
+		return CALL_ASK_SAME;
 	case CALL_SENT:
 	case CALL_ASKING:
 		if (!c->once && c->asks > 0) {
@@ -214,6 +218,14 @@
 	}
 }
 
+/* Whoever waits asks at once. */
+void
+call_link_lost(struct call *c, int64_t now)
+{
+	if (c->state == CALL_ACKED || c->state == CALL_SENT)
+		c->wake = now;
+}
+
 /* The guard will not answer any more. */
 enum call_action
 call_guard_dead(struct call *c, struct budget *b, int64_t now)
--- a/mesh/call.h
+++ b/mesh/call.h
@@ -53,10 +53,11 @@
 
 extern const struct outcome_info outcomes[OUTCOME_COUNT];
 
-#define CALL_ACK_MS   100 /* silence after which an entry asks */
-#define CALL_ASK_MS   250 /* between two questions */
-#define CALL_TRIES    6	  /* sendings of one call */
-#define CALL_PAUSE_MS 20  /* before the same guard is tried again, doubling */
+#define CALL_ACK_MS   100  /* silence after which an entry asks */
+#define CALL_ASK_MS   250  /* between two questions */
+#define CALL_LOOK_MS  1000 /* an acknowledged call is asked about so often */
+#define CALL_TRIES    6	   /* sendings of one call */
+#define CALL_PAUSE_MS 20   /* before the same guard is tried again, doubling */
 
 enum call_state {
 	CALL_NEW,
@@ -88,6 +89,7 @@
 	CALL_WAIT,	/* until call->wake or an event */
 	CALL_SEND,	/* choose a target and send */
 	CALL_SEND_SAME, /* send to the same target */
+	CALL_ASK_SAME,	/* ask the guard on the connection there is */
 	CALL_ASK,	/* ask the same guard on a fresh connection */
 	CALL_PASS,	/* pass the answer to the caller */
 	CALL_REFUSE,	/* refuse with call->last */
@@ -108,6 +110,8 @@
 call_outcome(struct call *, enum call_outcome, struct budget *, int64_t now);
 /* call->wake has come. */
 enum call_action call_timer(struct call *, struct budget *, int64_t now);
+/* The connection to the guard was given up: an answer may be lost with it. */
+void call_link_lost(struct call *, int64_t now);
 /* The guard is held dead: no answer will come from it. */
 enum call_action call_guard_dead(struct call *, struct budget *, int64_t now);
 
--- a/mesh/member.c
+++ b/mesh/member.c
@@ -20,7 +20,7 @@
 	GQueue *out;	     /* of struct member_send */
 	GRand *rand;
 	char name[MESH_NAME_MAX + 1];
-	char addr[MEMBER_ADDR_MAX];
+	char addr[ADDRESS_MAX];
 	char dc[MESH_NAME_MAX + 1];
 	enum member_state state; /* of this node, as it tells */
 	uint64_t incarnation;
--- a/mesh/member.h
+++ b/mesh/member.h
@@ -28,7 +28,6 @@
 	KIND_HAVE,	/* answers a push: what is held now */
 };
 
-#define MEMBER_ADDR_MAX	   24	/* bytes of an IPv4 address and port */
 #define MEMBER_PERIOD_MS   2000 /* between two probes of a node */
 #define MEMBER_DIRECT_MS   400	/* a direct probe is answered within */
 #define MEMBER_INDIRECT_MS 800	/* an indirect probe is answered within */
@@ -41,7 +40,7 @@
 struct member {
 	char name[MESH_NAME_MAX + 1];
 	char dc[MESH_NAME_MAX + 1];
-	char addr[MEMBER_ADDR_MAX];
+	char addr[ADDRESS_MAX];
 	enum member_state state;
 	int listed; /* in the VM list as last read */
 	int heard;  /* something came from it since this node began */
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -262,7 +262,7 @@
 
 #define GUARD_ID_MAX	  64	 /* bytes in a request id */
 #define GUARD_REMEMBER_MS 120000 /* ids are remembered this long */
-#define GUARD_IDS_MAX	  600000 /* 120 s of 5,000 identified calls a second */
+#define GUARD_IDS_MAX	  300000 /* 120 s of 2,500 such calls a second, 41 MB */
 #define GUARD_QUEUE_MAX	  64	 /* requests that wait for a slot */
 #define GUARD_SKEW_MS	  5000	 /* allowed difference of two wall clocks */
 #define GUARD_CRASHES_MAX 2 /* crashes after which a fingerprint is poison */
--- a/mesh/names.c
+++ b/mesh/names.c
@@ -29,6 +29,7 @@
 	[CALL_WAIT] = "wait",
 	[CALL_SEND] = "send",
 	[CALL_SEND_SAME] = "send_same",
+	[CALL_ASK_SAME] = "ask_same",
 	[CALL_ASK] = "ask",
 	[CALL_PASS] = "pass",
 	[CALL_REFUSE] = "refuse",
--- a/node/entry.c
+++ b/node/entry.c
@@ -2,73 +2,39 @@
  * The entry side: takes callers' requests, sends them to guards, and gives
  * each caller the whole answer to its own request or an honest refusal.
  */
-#include <stdlib.h>
 #include <string.h>
 
-#include <sodium.h>
-#include <xxhash.h>
+#include "entry_int.h"
 
-#include "node_int.h"
-
-#define RETRY_DEFAULT_MS 250 /* when a refused caller may come back */
-#define NOT_READY_MS	 1000
+#define RETRY_DEFAULT_MS 250  /* when a refused caller may come back */
 #define AVOID_MS	 100  /* a target that refused is avoided so long */
 #define SILENT_AVOID_MS	 1000 /* one that was silent */
 #define LOOK_MS		 100  /* between two looks for a caller's end */
-#define LOAD_PER_CALL	 10   /* percent that each call sent adds to a load */
-#define CANDIDATES_MAX	 64   /* guards that an entry uses of a service */
-#define DEADLINE_HEADER	 "X-Deadline-Ms"
-#define ID_HEADER	 "X-Request-Id"
-#define TRACE_HEADER	 "traceparent"
-
-static void take_request(struct node *, struct server_request *, int);
-static enum call_outcome read_request(struct node *, struct server_request *,
-    struct entry_call *, int, const char **);
-static enum call_outcome
-read_id(const struct server_request *, struct entry_call *, const char **);
-static int64_t read_deadline(const struct server_request *, int);
-static uint64_t fingerprint(const struct server_request *);
-static struct view *view_of(struct node *, const char *);
-static int candidate_targets(struct node *, const struct set *, int, int *);
-static void
-describe(struct node *, const struct set *, int, struct candidate *, int64_t);
-static int choose_any(struct node *, const struct set *, int, int64_t);
-static int choose_home(
-    struct node *, struct entry_call *, const struct set *, int, int64_t);
-static int choose(struct node *, struct entry_call *, const struct set *);
-static int home_gone(struct node *, const struct entry_call *, int, int64_t);
-static void mint(struct entry_call *, const char *);
+
 static void act(struct node *, struct entry_call *, enum call_action);
-static void send_call(struct node *, struct entry_call *, int);
 static void pack_forward(struct node *, struct entry_call *,
     const struct config *, Wire__Forward *, Wire__Header *);
 static uint64_t boot_of(struct node *, const char *);
-static void ask(struct node *, struct entry_call *);
+static void send_call(struct node *, struct entry_call *, int);
+static void give_up_link(struct node *, const struct entry_call *);
+static void ask(struct node *, struct entry_call *, int);
 static void cancel(struct node *, struct entry_call *);
 static void settle_view(struct node *, struct entry_call *);
 static void pass(struct node *, struct entry_call *, const Wire__Answer *);
 static void refuse(struct node *, struct entry_call *);
+static void finish(struct node *, struct entry_call *, const char *);
 static GArray *pick_calls(struct node *,
     int (*)(const struct entry_call *, const void *), const void *);
 static int is_due(const struct entry_call *, const void *);
 static int is_at_vm(const struct entry_call *, const void *);
 static void tick_call(struct node *, struct entry_call *, int64_t);
-static void finish(struct node *, struct entry_call *, const char *);
-static void entry_call_free(gpointer);
-
-/* Releases a call. */
-static void
-entry_call_free(gpointer p)
-{
-	g_free(p);
-}
 
 /* Prepares the entry. */
 void
 entry_init(struct node *n)
 {
-	n->entry.calls = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, NULL, entry_call_free);
+	n->entry.calls =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	n->entry.views =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	n->entry.next_number = 1;
@@ -83,324 +49,6 @@
 	g_hash_table_destroy(n->entry.views);
 }
 
-/* ---- on the servers' threads ---- */
-
-/* A request from outside. */
-void
-entry_from_callers(void *arg, struct server_request *r)
-{
-	take_request(arg, r, 0);
-}
-
-/* A request of the target beside this node. */
-void
-entry_from_services(void *arg, struct server_request *r)
-{
-	take_request(arg, r, 1);
-}
-
-/* Hash by which a repeated request is recognised as the same work. */
-static uint64_t
-fingerprint(const struct server_request *r)
-{
-	XXH64_hash_t h;
-
-	h = XXH3_64bits(r->method, strlen(r->method));
-	h = XXH3_64bits_withSeed(r->path, strlen(r->path), h);
-	return XXH3_64bits_withSeed(r->body->data, r->body->len, h);
-}
-
-/* The deadline: the route's, or the caller's if that is sooner. */
-static int64_t
-read_deadline(const struct server_request *r, int route_ms)
-{
-	const char *text = server_header(r, DEADLINE_HEADER);
-	int64_t ms = route_ms;
-	char *end;
-	long given;
-
-	if (text != NULL) {
-		given = strtol(text, &end, 10);
-		if (*end == '\0' && end != text && given < ms)
-			ms = MAX(0, given);
-	}
-	return r->arrived + ms;
-}
-
-/*
- * Takes the caller's id.  For a request that must not run twice, only an id
- * that states its birth can tell a first sending from one that comes after
- * all memory of the first is gone.
- */
-static enum call_outcome
-read_id(
-    const struct server_request *r, struct entry_call *ec, const char **detail)
-{
-	const char *id = server_header(r, ID_HEADER);
-	int64_t now = base_wall_ms();
-
-	if (id == NULL) {
-		ec->call.minted = 1;
-		ec->call.born_wall_ms = now;
-		return OUTCOME_ANSWERED;
-	}
-	if (!name_valid(id, GUARD_ID_MAX)) {
-		*detail = ID_HEADER " must be 1 to 64 printable bytes";
-		return OUTCOME_BAD_REQUEST;
-	}
-	g_strlcpy(ec->call.id, id, sizeof(ec->call.id));
-	ec->call.born_wall_ms = reqid_born(id);
-	if (!ec->call.once)
-		return OUTCOME_ANSWERED;
-	if (ec->call.born_wall_ms == 0) {
-		*detail = ID_HEADER " on this route must be a UUID of "
-				    "version 7, or absent";
-		return OUTCOME_BAD_REQUEST;
-	}
-	if (ec->call.born_wall_ms > now + GUARD_SKEW_MS) {
-		*detail = ID_HEADER " was made in the future";
-		return OUTCOME_BAD_REQUEST;
-	}
-	return OUTCOME_ANSWERED;
-}
-
-/* Finds the route and fills a call; OUTCOME_ANSWERED when it may go on. */
-static enum call_outcome
-read_request(struct node *n, struct server_request *r, struct entry_call *ec,
-    int internal, const char **detail)
-{
-	const struct config *cfg;
-	const struct set_route *route;
-	enum call_outcome out = OUTCOME_ANSWERED;
-	int i;
-
-	if (g_atomic_int_get(&n->entry.leaving))
-		return OUTCOME_LEAVING;
-	if (g_atomic_int_get(&n->entry.inflight) >= n->settings.calls_max)
-		return OUTCOME_TOO_MANY;
-	config_lock();
-	cfg = config_get(n->config);
-	if (cfg == NULL || !g_atomic_int_get(&n->ready)) {
-		out = OUTCOME_NOT_READY;
-	} else if ((i = set_route(cfg->set, r->method, r->path)) < 0) {
-		out = OUTCOME_NO_ROUTE;
-	} else {
-		route = &cfg->set->routes[i];
-		if (route->from == FROM_SERVICES && !internal)
-			out = OUTCOME_FORBIDDEN;
-		ec->call.once = !route->repeatable;
-		ec->call.deadline = read_deadline(r, route->deadline_ms);
-		ec->priority = route->priority;
-		g_strlcpy(ec->route, route->name, sizeof(ec->route));
-		g_strlcpy(
-		    ec->service, route->service_name, sizeof(ec->service));
-	}
-	config_unlock();
-	if (out != OUTCOME_ANSWERED)
-		return out;
-	return read_id(r, ec, detail);
-}
-
-/* Takes a whole request from a server. */
-static void
-take_request(struct node *n, struct server_request *r, int internal)
-{
-	struct refusal ref = { .not_run = 1 };
-	struct entry_call *ec;
-	enum call_outcome out;
-
-	counter_add(CTR_CALLS, 1);
-	ec = g_new0(struct entry_call, 1);
-	out = read_request(n, r, ec, internal, &ref.detail);
-	if (out != OUTCOME_ANSWERED) {
-		ref.why = out;
-		/* A call before, under the caller's own id, may have run. */
-		ref.not_run = !outcomes[out].repeat ||
-			      server_header(r, ID_HEADER) == NULL;
-		ref.id = ec->call.id[0] != '\0' ? ec->call.id : NULL;
-		if (outcomes[out].repeat)
-			ref.retry_after_ms = NOT_READY_MS;
-		refusal_reply(r, &ref);
-		g_free(ec);
-		return;
-	}
-	ec->req = r;
-	ec->fingerprint = fingerprint(r);
-	ec->began_us = base_now_us();
-	trace_begin(&ec->trace, server_header(r, TRACE_HEADER));
-	g_atomic_int_inc(&n->entry.inflight);
-	mailbox_post(&n->mailbox, EVENT_CALL, ec);
-}
-
-/* ---- on the loop's thread ---- */
-
-/* What is known of a target; made on first use. */
-static struct view *
-view_of(struct node *n, const char *target)
-{
-	struct view *v;
-
-	if ((v = g_hash_table_lookup(n->entry.views, target)) == NULL) {
-		v = g_new0(struct view, 1);
-		g_hash_table_insert(n->entry.views, g_strdup(target), v);
-	}
-	return v;
-}
-
-/*
- * The targets of a service that this entry uses: all of a small service, of a
- * large one a bounded number by rendezvous hashing over this node's name.
- */
-static int
-candidate_targets(
-    struct node *n, const struct set *s, int service, int *targets)
-{
-	const struct set_service *v = &s->services[service];
-	const char **names;
-	int i, got;
-
-	if (v->ntargets <= CANDIDATES_MAX) {
-		memcpy(targets, v->targets,
-		    (size_t)v->ntargets * sizeof(targets[0]));
-		return v->ntargets;
-	}
-	names = g_new(const char *, v->ntargets);
-	for (i = 0; i < v->ntargets; i++)
-		names[i] = s->targets[v->targets[i]].name;
-	got = pick_rendezvous(
-	    n->settings.name, names, v->ntargets, targets, CANDIDATES_MAX);
-	for (i = 0; i < got; i++)
-		targets[i] = v->targets[targets[i]];
-	g_free(names);
-	return got;
-}
-
-/* Fills in what is known of a target. */
-static void
-describe(struct node *n, const struct set *s, int target, struct candidate *c,
-    int64_t now)
-{
-	const struct set_target *t = &s->targets[target];
-	const struct view *v = view_of(n, t->name);
-	int m;
-
-	(void)now;
-	memset(c, 0, sizeof(*c));
-	c->target = target;
-	c->local = strcmp(t->dc_name, n->settings.data_centre) == 0;
-	if (strcmp(t->vm, n->settings.name) == 0)
-		c->usable = !n->out;
-	else if ((m = member_find(n->members, t->vm)) >= 0)
-		c->usable = member_usable(member_at(n->members, m));
-	c->usable = c->usable && set_target_in(s, target);
-	c->load = v->load + v->inflight * LOAD_PER_CALL;
-	c->avoid_until = v->avoid_until;
-}
-
-/* Chooses freely; when all are avoided, avoidance is given up. */
-static int
-choose_any(struct node *n, const struct set *s, int service, int64_t now)
-{
-	struct candidate c[CANDIDATES_MAX];
-	int targets[CANDIDATES_MAX], i, k, count;
-
-	count = candidate_targets(n, s, service, targets);
-	for (i = 0; i < count; i++)
-		describe(n, s, targets[i], &c[i], now);
-	k = pick_target(
-	    c, count, g_rand_int(n->rand), g_rand_int(n->rand), now);
-	if (k < 0) {
-		for (i = 0; i < count; i++)
-			c[i].avoid_until = 0;
-		k = pick_target(
-		    c, count, g_rand_int(n->rand), g_rand_int(n->rand), now);
-	}
-	return k < 0 ? MESH_ENOTFOUND : c[k].target;
-}
-
-/*
- * Whether a home's guard has said goodbye before this id was made, so that
- * the id cannot have run there.
- */
-static int
-home_gone(struct node *n, const struct entry_call *ec, int m, int64_t now)
-{
-	const struct member *p = member_at(n->members, m);
-	int64_t left_wall;
-
-	left_wall = base_wall_ms() - (now - p->since);
-	return p->state == MEMBER_LEFT &&
-	       ec->call.born_wall_ms > left_wall + GUARD_SKEW_MS;
-}
-
-/*
- * The home of an id: first in its order over all targets of the service, or
- * a later one when those before have recorded that they never run it.
- */
-static int
-choose_home(struct node *n, struct entry_call *ec, const struct set *s,
-    int service, int64_t now)
-{
-	const struct set_service *v = &s->services[service];
-	const struct set_target *t;
-	const char **names;
-	int i, k, m = -1, passed = 0, found = MESH_ENOTFOUND;
-
-	names = g_new(const char *, v->ntargets);
-	for (i = 0; i < v->ntargets; i++)
-		names[i] = s->targets[v->targets[i]].name;
-	for (k = 0; found == MESH_ENOTFOUND; k++) {
-		i = home_at(ec->call.id, names, v->ntargets, k);
-		if (i < 0)
-			break;
-		t = &s->targets[v->targets[i]];
-		if (strcmp(t->vm, n->settings.name) != 0) {
-			m = member_find(n->members, t->vm);
-			if (m >= 0 && home_gone(n, ec, m, now))
-				continue;
-			if (m < 0 ||
-			    member_at(n->members, m)->state >= MEMBER_DEAD)
-				found = MESH_EREFUSED;
-		}
-		if (passed++ < ec->call.walked)
-			found = MESH_ENOTFOUND;
-		else if (found != MESH_EREFUSED)
-			found = v->targets[i];
-	}
-	g_free(names);
-	return found;
-}
-
-/* Makes the id, with the target that was chosen as its home. */
-static void
-mint(struct entry_call *ec, const char *target)
-{
-	unsigned char random[REQID_RANDOM];
-
-	randombytes_buf(random, sizeof(random));
-	reqid_make(
-	    ec->call.id, ec->call.born_wall_ms, pick_tag(target), random);
-}
-
-/*
- * Chooses the target of the next sending.  An id that was made here is known
- * to nobody else and, where it matters, has not run: it is made anew to fit
- * the choice.  MESH_EREFUSED when the home of a caller's id cannot be asked.
- */
-static int
-choose(struct node *n, struct entry_call *ec, const struct set *s)
-{
-	int64_t now = base_now_ms();
-	int service = set_find_service(s, ec->service), t;
-
-	if (ec->call.once && !ec->call.minted)
-		return choose_home(n, ec, s, service, now);
-	t = choose_any(n, s, service, now);
-	if (t >= 0 && ec->call.minted && (ec->call.once || ec->call.tries == 0))
-		mint(ec, s->targets[t].name);
-	return t;
-}
-
 /* A call has reached the loop. */
 void
 entry_call_begin(struct node *n, struct entry_call *ec)
@@ -424,8 +72,11 @@
 	case CALL_SEND_SAME:
 		send_call(n, ec, 1);
 		break;
+	case CALL_ASK_SAME:
+		ask(n, ec, 0);
+		break;
 	case CALL_ASK:
-		ask(n, ec);
+		ask(n, ec, 1);
 		break;
 	case CALL_REFUSE:
 		refuse(n, ec);
@@ -513,7 +164,7 @@
 		i = MESH_ENOTFOUND;
 	else
 		i = same ? set_find_target(cfg->set, ec->target)
-			 : choose(n, ec, cfg->set);
+			 : entry_choose(n, ec, cfg->set);
 	if (i == MESH_EREFUSED) {
 		ec->call.maybe_run = 1;
 		act(n, ec, call_nobody(&ec->call, OUTCOME_UNKNOWN, now));
@@ -538,7 +189,7 @@
 	env.forward = &f;
 	counter_add(CTR_FORWARDS, 1);
 	call_sent(&ec->call, now);
-	view_of(n, ec->target)->inflight++;
+	entry_view(n, ec->target)->inflight++;
 	if (strcmp(ec->vm, n->settings.name) == 0) {
 		serve_forward(n, &self, number, &f);
 	} else {
@@ -550,23 +201,43 @@
 	/* The call may have ended within serve_forward, but not here. */
 	if (sent < 0) {
 		settle_view(n, ec);
-		view_of(n, ec->target)->avoid_until = now + SILENT_AVOID_MS;
+		entry_view(n, ec->target)->avoid_until = now + SILENT_AVOID_MS;
 		act(n, ec,
 		    call_outcome(
 			&ec->call, OUTCOME_UNDELIVERED, &n->entry.budget, now));
 	}
 }
 
-/* Asks the guard about a silent call, on a fresh connection. */
+/*
+ * Gives up the connection to a node.  Answers to other calls may be lost with
+ * it, so those ask too.
+ */
+static void
+give_up_link(struct node *n, const struct entry_call *asking)
+{
+	struct entry_call *ec;
+	GHashTableIter it;
+	gpointer value;
+	int64_t now = base_now_ms();
+
+	link_reset(n->link, asking->vm);
+	g_hash_table_iter_init(&it, n->entry.calls);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		ec = value;
+		if (ec != asking && strcmp(ec->vm, asking->vm) == 0)
+			call_link_lost(&ec->call, now);
+	}
+}
+
+/* Asks the guard about a call, on a fresh connection if it was silent. */
 static void
-ask(struct node *n, struct entry_call *ec)
+ask(struct node *n, struct entry_call *ec, int fresh)
 {
 	Wire__Envelope env = WIRE__ENVELOPE__INIT;
 	Wire__Fence f = WIRE__FENCE__INIT;
 	struct member *p;
 	int m;
 
-	view_of(n, ec->target)->avoid_until = base_now_ms() + SILENT_AVOID_MS;
 	if ((m = member_find(n->members, ec->vm)) < 0)
 		return;
 	p = member_at(n->members, m);
@@ -579,8 +250,12 @@
 	env.call = ec->number;
 	env.body_case = WIRE__ENVELOPE__BODY_FENCE;
 	env.fence = &f;
-	link_reset(n->link, p->name);
-	members_doubt(n->members, m);
+	if (fresh) {
+		entry_view(n, ec->target)->avoid_until =
+		    base_now_ms() + SILENT_AVOID_MS;
+		give_up_link(n, ec);
+		members_doubt(n->members, m);
+	}
 	link_send(n->link, p->name, p->addr, &env);
 }
 
@@ -611,7 +286,7 @@
 static void
 settle_view(struct node *n, struct entry_call *ec)
 {
-	struct view *v = view_of(n, ec->target);
+	struct view *v = entry_view(n, ec->target);
 
 	if (v->inflight > 0)
 		v->inflight--;
@@ -625,7 +300,7 @@
 
 	if ((ec = g_hash_table_lookup(n->entry.calls, &number)) == NULL)
 		return;
-	view_of(n, ec->target)->load = load;
+	entry_view(n, ec->target)->load = load;
 	call_acked(&ec->call, base_now_ms());
 }
 
@@ -650,7 +325,7 @@
 	/* An answer that was cut on the way is none. */
 	if (out == OUTCOME_ANSWERED && a->length != a->body.len)
 		out = OUTCOME_BROKEN;
-	v = view_of(n, ec->target);
+	v = entry_view(n, ec->target);
 	v->load = a->load;
 	if (outcomes[out].not_run)
 		v->avoid_until = now + AVOID_MS;
@@ -811,55 +486,3 @@
 	}
 	g_array_free(lost, TRUE);
 }
-
-/* Appends what a request would meet, with the reason for each target. */
-void
-entry_explain(
-    struct node *n, const char *method, const char *path, GString *out)
-{
-	const struct config *cfg = config_get(n->config);
-	const struct set_route *r;
-	const struct set_target *t;
-	struct candidate c;
-	const char *why, *sep = "";
-	int targets[CANDIDATES_MAX], i, k, count;
-	int64_t now = base_now_ms();
-
-	if (cfg == NULL || (i = set_route(cfg->set, method, path)) < 0) {
-		g_string_append_printf(out,
-		    "{\"route\": null, \"why\": \"%s\"}",
-		    cfg == NULL ? "no accepted set yet" : "no route matches");
-		return;
-	}
-	r = &cfg->set->routes[i];
-	g_string_append(out, "{\"route\": ");
-	json_quote(out, r->name);
-	g_string_append(out, ", \"service\": ");
-	json_quote(out, r->service_name);
-	g_string_append_printf(out,
-	    ", \"repeatable\": %s, \"deadline_ms\": %d, \"from\": \"%s\", "
-	    "\"targets\": [",
-	    r->repeatable ? "true" : "false", r->deadline_ms,
-	    set_from_names[r->from]);
-	count = candidate_targets(n, cfg->set, r->service, targets);
-	for (k = 0; k < count; k++) {
-		t = &cfg->set->targets[targets[k]];
-		describe(n, cfg->set, targets[k], &c, now);
-		why = "usable";
-		if (cfg->set->dcs[t->dc].state == SET_OUT)
-			why = "its data centre is out";
-		else if (t->state == SET_OUT)
-			why = "it is out";
-		else if (!c.usable)
-			why = "its node is not there";
-		else if (c.avoid_until > now)
-			why = "it refused lately";
-		g_string_append_printf(out, "%s{\"target\": ", sep);
-		json_quote(out, t->name);
-		g_string_append_printf(out,
-		    ", \"local\": %s, \"load\": %d, \"why\": \"%s\"}",
-		    c.local ? "true" : "false", c.load, why);
-		sep = ", ";
-	}
-	g_string_append(out, "]}");
-}
--- a/node/gossip.c
+++ b/node/gossip.c
@@ -2,7 +2,6 @@
  * Membership on the wire: sealed datagrams, in and out.  Every datagram says
  * what version its sender holds, so whoever is behind learns it at once.
  */
-#include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -14,7 +13,6 @@
 #define UDP_BUFFER    (1024 * 1024) /* bytes */
 #define HASH_SENT     8		    /* bytes of a hash in a datagram */
 
-static int resolve(const char *, struct sockaddr_in *);
 static void fill(struct node *, const struct member_send *, Wire__Datagram *);
 static int fill_rumours(struct node *, Wire__Datagram *, Wire__Rumour *,
     Wire__Rumour **, char names[][MESH_NAME_MAX + 1]);
@@ -27,22 +25,6 @@
 static void flush(struct node *);
 static void watch_dead(struct node *);
 
-/* Turns an address text into a socket address. */
-static int
-resolve(const char *addr, struct sockaddr_in *sin)
-{
-	char host[MEMBER_ADDR_MAX];
-	int port;
-
-	if (address_split(addr, host, &port) != CALLER_OK)
-		return NODE_EGARBLED;
-	memset(sin, 0, sizeof(*sin));
-	sin->sin_family = AF_INET;
-	sin->sin_port = htons((uint16_t)port);
-	inet_pton(AF_INET, host, &sin->sin_addr);
-	return NODE_OK;
-}
-
 /* Opens the datagram socket. */
 int
 gossip_open(struct node *n)
@@ -50,7 +32,7 @@
 	struct sockaddr_in sin;
 	int size = UDP_BUFFER;
 
-	if (resolve(n->settings.listen, &sin) != NODE_OK)
+	if (address_resolve(n->settings.listen, &sin) != BASE_OK)
 		return NODE_ELISTEN;
 	n->udp = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (n->udp < 0 ||
@@ -128,7 +110,7 @@
 		small.n_rumours = 0;
 	if (wire__datagram__get_packed_size(&small) + SEAL_OVERHEAD > SEAL_MAX)
 		small.push = NULL;
-	if (resolve(to->addr, &sin) != NODE_OK)
+	if (address_resolve(to->addr, &sin) != BASE_OK)
 		return;
 	len = (int)wire__datagram__pack(&small, plain);
 	len = seal(n->key, to->addr, plain, (size_t)len, sealed);
@@ -297,7 +279,7 @@
 	}
 	wire__datagram__free_unpacked(d, NULL);
 	if (members_state(n->members) == MEMBER_LEAVING || n->out)
-		serve_set_out(n);
+		role_set_out(n);
 }
 
 /* Receives what has come. */
@@ -396,7 +378,7 @@
 	}
 	members_list_end(n->members);
 	flush(n);
-	serve_set_out(n);
+	role_set_out(n);
 	g_array_free(list->lines, TRUE);
 	g_free(list);
 }
--- a/node/loop.c
+++ b/node/loop.c
@@ -81,7 +81,7 @@
 		serve_done(n, e->p);
 		break;
 	case EVENT_CONFIG:
-		serve_config(n);
+		role_config(n);
 		spread_applied(n);
 		break;
 	case EVENT_VMS:
@@ -172,7 +172,7 @@
 	n->leave_by = base_now_ms() + n->settings.drain_ms;
 	g_atomic_int_set(&n->entry.leaving, 1);
 	members_leave(n->members);
-	serve_set_out(n);
+	role_set_out(n);
 	base_log(G_LOG_LEVEL_MESSAGE, "leaving", "calls=%d held=%d",
 	    g_atomic_int_get(&n->entry.inflight), (int)n->guard.held->len);
 }
--- a/node/node.c
+++ b/node/node.c
@@ -67,7 +67,7 @@
 	struct vm_list *out;
 	struct vm_line l;
 	const struct json *j;
-	char host[MEMBER_ADDR_MAX];
+	char host[ADDRESS_MAX];
 	int port;
 
 	out = g_new0(struct vm_list, 1);
@@ -80,7 +80,7 @@
 		g_strlcpy(l.addr, json_str(j, "node", ""), sizeof(l.addr));
 		l.leaving = strcmp(json_str(j, "state", ""), "leaving") == 0;
 		if (name_valid(l.name, MESH_NAME_MAX) &&
-		    address_split(l.addr, host, &port) == CALLER_OK)
+		    address_split(l.addr, host, &port) == BASE_OK)
 			g_array_append_val(out->lines, l);
 	}
 	mailbox_post(&n->mailbox, EVENT_VMS, out);
@@ -104,7 +104,7 @@
 		.text = on_text,
 		.vms = on_vms,
 		.first = on_first };
-	char host[MEMBER_ADDR_MAX];
+	char host[ADDRESS_MAX];
 	int port;
 
 	address_split(n->settings.platform, host, &port);
@@ -158,6 +158,7 @@
 	g_hash_table_destroy(n->replays);
 	mailbox_destroy(&n->mailbox);
 	g_rand_free(n->rand);
+	settings_free(&n->settings);
 	sodium_memzero(n->key, sizeof(n->key));
 	g_free(n);
 }
--- a/node/node.h
+++ b/node/node.h
@@ -45,7 +45,7 @@
 	int no_retry_budget;
 };
 
-/* Reads settings; every problem goes into the report. */
+/* Reads settings; every problem goes into the report, and s owns nothing. */
 int settings_read(const char *path, struct settings *, struct report *);
 void settings_free(struct settings *);
 
@@ -56,7 +56,10 @@
 
 struct node; /* opaque: see node_int.h */
 
-/* Starts a node; on error nothing is left running. */
+/*
+ * Starts a node, which takes the settings over.  On error nothing is left
+ * running, and the settings are released.
+ */
 int
 node_start(struct node **, const struct settings *, const unsigned char *key);
 /* Stops gracefully: refuses new work, finishes what runs, tells peers. */
--- a/node/node_int.h
+++ b/node/node_int.h
@@ -58,7 +58,7 @@
 struct vm_line {
 	char name[MESH_NAME_MAX + 1];
 	char dc[MESH_NAME_MAX + 1];
-	char addr[MEMBER_ADDR_MAX];
+	char addr[ADDRESS_MAX];
 	int leaving;
 };
 
@@ -172,17 +172,24 @@
 
 #define KEPT_BYTES_MAX (4 * 1024 * 1024) /* of all answers kept */
 #define KEPT_ANSWER    (64 * 1024)	 /* bytes of one that is kept */
+#define KEPT_SHORT_MS  5000		 /* for requests that may be repeated */
+
+struct kept_store {
+	GHashTable *answers; /* id to struct kept, owned */
+	GQueue *order;	     /* of struct kept, oldest first */
+	size_t bytes;
+	int64_t keep_ms;
+};
 
 struct guard_side {
 	struct guard *guard; /* NULL: no target of the set is on this VM */
 	char target[MESH_NAME_MAX + 1]; /* beside this node, by the set */
 	struct target_pool *pool;
-	GPtrArray *held;    /* of struct served, owned */
-	GPtrArray *peers;   /* names of the service's targets, owned */
-	GHashTable *kept;   /* id to struct kept, owned */
-	GQueue *kept_order; /* of struct kept */
-	size_t kept_bytes;
-	int64_t refresh_until; /* admits nothing before, after a pause */
+	GPtrArray *held;	     /* of struct served, owned */
+	GPtrArray *peers;	     /* names of the service's targets, owned */
+	struct kept_store kept_once; /* of requests that run once */
+	struct kept_store kept_short; /* of others, whose id was made here */
+	int64_t refresh_until;	      /* admits nothing before, after a pause */
 	int refreshed;
 };
 
@@ -260,7 +267,6 @@
 /* serve.c */
 void serve_init(struct node *);
 void serve_destroy(struct node *);
-void serve_config(struct node *);
 void serve_forward(struct node *, const struct link_route *, uint64_t call,
     const Wire__Forward *);
 void serve_fence(struct node *, const struct link_route *, uint64_t call,
@@ -270,8 +276,23 @@
 void serve_tick(struct node *, int64_t now);
 /* Whether anything is held. */
 int serve_busy(const struct node *);
+
+/* role.c */
+/* A version came into force. */
+void role_config(struct node *);
 /* Recomputes whether the guard takes new work. */
-void serve_set_out(struct node *);
+void role_set_out(struct node *);
+
+/* kept.c */
+void kept_init(struct kept_store *, int64_t keep_ms);
+void kept_destroy(struct kept_store *);
+/* Keeps an answer, if it is small enough. */
+void kept_add(
+    struct kept_store *, const char *id, const Wire__Answer *, int64_t now);
+/* The answer kept under an id, owned by the caller, or NULL. */
+Wire__Answer *kept_find(const struct kept_store *, const char *id);
+/* Drops what is past its time or over the bound. */
+void kept_expire(struct kept_store *, int64_t now);
 
 /* gossip.c */
 int gossip_open(struct node *);
--- a/node/serve.c
+++ b/node/serve.c
@@ -18,6 +18,8 @@
 static void served_free(gpointer);
 static void
 duplicate(struct node *, const struct link_route *, uint64_t, const char *);
+static int send_kept(struct node *, const struct kept_store *,
+    const struct link_route *, uint64_t, const char *);
 static int add_waiter(struct served *, const struct link_route *, uint64_t);
 static void ack(struct node *, const struct link_route *, uint64_t);
 static void
@@ -26,18 +28,12 @@
     struct node *, const struct link_route *, uint64_t, enum call_outcome, int);
 static void answer_all(struct node *, struct served *, Wire__Answer *);
 static void outcome_all(struct node *, struct served *, enum call_outcome);
-static void
-keep_answer(struct node *, const struct served *, const Wire__Answer *);
-static void kept_expire(struct node *, int64_t);
-static void kept_free(gpointer);
 static void pump(struct node *);
 static void hand_out(struct node *, struct served *, int64_t);
 static void copy_headers(
     struct exchange_job *, const Wire__Forward *, const struct trace *);
 static void
 answer_exchange(struct node *, struct served *, const struct exchange_job *);
-static void
-note_removed(struct node *, const struct set_service *, const struct set *);
 static void exchange_done(void *, struct exchange_job *);
 
 /* What an entry is told of the guard's verdict. */
@@ -66,16 +62,15 @@
 void
 serve_init(struct node *n)
 {
-	char host[MEMBER_ADDR_MAX];
+	char host[ADDRESS_MAX];
 	int port;
 
 	address_split(n->settings.target, host, &port);
 	n->guard.pool = target_pool_start(host, port, exchange_done, n);
 	n->guard.held = g_ptr_array_new();
 	n->guard.peers = g_ptr_array_new_with_free_func(g_free);
-	n->guard.kept =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, kept_free);
-	n->guard.kept_order = g_queue_new();
+	kept_init(&n->guard.kept_once, GUARD_REMEMBER_MS);
+	kept_init(&n->guard.kept_short, KEPT_SHORT_MS);
 	n->guard.refreshed = 1;
 }
 
@@ -90,8 +85,8 @@
 		served_free(g_ptr_array_index(n->guard.held, i));
 	g_ptr_array_free(n->guard.held, TRUE);
 	g_ptr_array_free(n->guard.peers, TRUE);
-	g_queue_free(n->guard.kept_order);
-	g_hash_table_destroy(n->guard.kept);
+	kept_destroy(&n->guard.kept_once);
+	kept_destroy(&n->guard.kept_short);
 	guard_free(n->guard.guard);
 }
 
@@ -104,78 +99,6 @@
 	mailbox_post(&n->mailbox, EVENT_EXCHANGE, job);
 }
 
-/* ---- the set ---- */
-
-/* Targets that have left the service may have run ids of before. */
-static void
-note_removed(struct node *n, const struct set_service *v, const struct set *s)
-{
-	struct guard_side *g = &n->guard;
-	const char *name;
-	int i, found;
-	guint k;
-
-	for (k = 0; k < g->peers->len; k++) {
-		name = g_ptr_array_index(g->peers, k);
-		for (i = 0, found = 0; i < v->ntargets && !found; i++)
-			found =
-			    strcmp(s->targets[v->targets[i]].name, name) == 0;
-		if (!found)
-			record_removed(n, name);
-	}
-	g_ptr_array_set_size(g->peers, 0);
-	for (i = 0; i < v->ntargets; i++)
-		g_ptr_array_add(
-		    g->peers, g_strdup(s->targets[v->targets[i]].name));
-}
-
-/* A version came into force: whom do we guard, and is it in? */
-void
-serve_config(struct node *n)
-{
-	const struct config *cfg = config_get(n->config);
-	struct guard_side *g = &n->guard;
-	const struct set_target *t;
-	const struct set_service *v;
-	int i;
-
-	if (cfg != NULL &&
-	    (i = set_target_of_vm(cfg->set, n->settings.name)) >= 0) {
-		t = &cfg->set->targets[i];
-		v = &cfg->set->services[t->service];
-		if (g->guard == NULL) {
-			g->guard = guard_new(v->slots, base_wall_ms());
-			if (n->settings.no_slow_start)
-				guard_limit(g->guard)->current = v->slots;
-			record_open(n, v->slots, base_wall_ms());
-		} else if (strcmp(g->target, t->name) != 0) {
-			record_forget(n);
-			g_ptr_array_set_size(g->peers, 0);
-		}
-		g_strlcpy(g->target, t->name, sizeof(g->target));
-		if (guard_limit(g->guard)->slots != v->slots)
-			record_slots(n, v->slots);
-		target_pool_grow(g->pool, v->slots);
-		note_removed(n, v, cfg->set);
-	}
-	serve_set_out(n);
-}
-
-/* New work is taken only when the set, the VM list and the operator agree. */
-void
-serve_set_out(struct node *n)
-{
-	const struct config *cfg = config_get(n->config);
-	int i = -1;
-
-	if (cfg != NULL)
-		i = set_target_of_vm(cfg->set, n->settings.name);
-	n->out = i < 0 || !set_target_in(cfg->set, i) || n->leaving ||
-		 members_state(n->members) != MEMBER_ALIVE;
-	if (n->guard.guard != NULL)
-		record_out(n, n->out);
-}
-
 /* ---- what is held ---- */
 
 /* Whether two answers would go the same way. */
@@ -328,53 +251,18 @@
 	answer_all(n, s, &a);
 }
 
-/* Releases a kept answer. */
-static void
-kept_free(gpointer p)
-{
-	struct kept *k = p;
-
-	g_bytes_unref(k->packed);
-	g_free(k);
-}
-
-/* Drops kept answers past their time or over the bound. */
-static void
-kept_expire(struct node *n, int64_t now)
-{
-	struct guard_side *g = &n->guard;
-	struct kept *k;
-
-	while ((k = g_queue_peek_head(g->kept_order)) != NULL &&
-	       (k->until <= now || g->kept_bytes > KEPT_BYTES_MAX)) {
-		g_queue_pop_head(g->kept_order);
-		g->kept_bytes -= g_bytes_get_size(k->packed);
-		g_hash_table_remove(g->kept, k->id);
-	}
-}
-
-/* Keeps the answer to a request that runs once, for resends of it. */
-static void
-keep_answer(struct node *n, const struct served *s, const Wire__Answer *a)
+/* Sends the answer kept under an id; 0 when there is none. */
+static int
+send_kept(struct node *n, const struct kept_store *from,
+    const struct link_route *r, uint64_t call, const char *id)
 {
-	struct guard_side *g = &n->guard;
-	struct kept *k;
-	size_t len = wire__answer__get_packed_size(a);
-	uint8_t *buf;
+	Wire__Answer *a;
 
-	if (!s->req.once || len > KEPT_ANSWER ||
-	    g_hash_table_contains(g->kept, s->req.id))
-		return;
-	buf = g_malloc(len);
-	wire__answer__pack(a, buf);
-	k = g_new0(struct kept, 1);
-	g_strlcpy(k->id, s->req.id, sizeof(k->id));
-	k->packed = g_bytes_new_take(buf, len);
-	k->until = base_now_ms() + GUARD_REMEMBER_MS;
-	g_hash_table_insert(g->kept, k->id, k);
-	g_queue_push_tail(g->kept_order, k);
-	g->kept_bytes += len;
-	kept_expire(n, base_now_ms());
+	if ((a = kept_find(from, id)) == NULL)
+		return 0;
+	send_answer(n, r, call, a);
+	wire__answer__free_unpacked(a, NULL);
+	return 1;
 }
 
 /*
@@ -386,10 +274,6 @@
     struct node *n, const struct link_route *r, uint64_t call, const char *id)
 {
 	struct served *s;
-	struct kept *k;
-	Wire__Answer *a;
-	gsize len;
-	const uint8_t *data;
 
 	counter_add(CTR_GUARD_DUPLICATES, 1);
 	if ((s = held_by_id(n, id)) != NULL && !s->answered) {
@@ -399,13 +283,8 @@
 			send_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
 		return;
 	}
-	if ((k = g_hash_table_lookup(n->guard.kept, id)) != NULL) {
-		data = g_bytes_get_data(k->packed, &len);
-		a = wire__answer__unpack(NULL, len, data);
-		send_answer(n, r, call, a);
-		wire__answer__free_unpacked(a, NULL);
+	if (send_kept(n, &n->guard.kept_once, r, call, id))
 		return;
-	}
 	/* It ran, or it runs past its deadline; how it ended is not known. */
 	send_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
 }
@@ -613,7 +492,11 @@
 	a.body.len = len;
 	a.length = len;
 	a.load = guard_load(n->guard.guard);
-	keep_answer(n, s, &a);
+	/* An id of a caller may name several requests that may be repeated. */
+	if (s->req.once)
+		kept_add(&n->guard.kept_once, s->req.id, &a, base_now_ms());
+	else if (s->req.fresh)
+		kept_add(&n->guard.kept_short, s->req.id, &a, base_now_ms());
 	answer_all(n, s, &a);
 	g_free(a.headers);
 	g_free(headers);
@@ -659,8 +542,7 @@
 	int i;
 
 	if (f->guard_boot != n->boot) {
-		send_outcome(
-		    n, r, call, f->once ? OUTCOME_UNKNOWN : OUTCOME_FENCED, 0);
+		send_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
 		return;
 	}
 	if ((s = held_find(n, f->id, NULL, call)) != NULL) {
@@ -670,8 +552,12 @@
 		ack(n, r, call);
 		return;
 	}
+	if (!f->once && f->fresh &&
+	    send_kept(n, &n->guard.kept_short, r, call, f->id))
+		return;
+	/* What may be repeated is not remembered: it may have run and gone. */
 	if (!f->once || n->guard.guard == NULL) {
-		send_outcome(n, r, call, OUTCOME_FENCED, 0);
+		send_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
 		return;
 	}
 	v = record_fence(n, f->id, f->fresh, f->born_wall_ms);
@@ -718,7 +604,8 @@
 		outcome_all(n, s, OUTCOME_EXPIRED);
 	}
 	pump(n);
-	kept_expire(n, now);
+	kept_expire(&n->guard.kept_once, now);
+	kept_expire(&n->guard.kept_short, now);
 }
 
 /* Whether anything is held. */
--- a/node/settings.c
+++ b/node/settings.c
@@ -32,13 +32,13 @@
 static const struct field fields[] = {
 	NAME(name, MESH_NAME_MAX, 1),
 	NAME(data_centre, MESH_NAME_MAX, 1),
-	NAME(listen, MEMBER_ADDR_MAX - 1, 1),
-	NAME(advertise, MEMBER_ADDR_MAX - 1, 0),
-	NAME(callers, MEMBER_ADDR_MAX - 1, 1),
-	NAME(services, MEMBER_ADDR_MAX - 1, 1),
-	NAME(operators, MEMBER_ADDR_MAX - 1, 1),
-	NAME(target, MEMBER_ADDR_MAX - 1, 1),
-	NAME(platform, MEMBER_ADDR_MAX - 1, 1),
+	NAME(listen, ADDRESS_MAX - 1, 1),
+	NAME(advertise, ADDRESS_MAX - 1, 0),
+	NAME(callers, ADDRESS_MAX - 1, 1),
+	NAME(services, ADDRESS_MAX - 1, 1),
+	NAME(operators, ADDRESS_MAX - 1, 1),
+	NAME(target, ADDRESS_MAX - 1, 1),
+	NAME(platform, ADDRESS_MAX - 1, 1),
 	NAME(key_file, PATH_BYTES, 1),
 	NAME(log, MESH_NAME_MAX, 0),
 	NAME(record, PATH_BYTES, 0),
@@ -61,11 +61,11 @@
     struct report *rep)
 {
 	const struct json *j = json_get(root, key);
-	char host[MEMBER_ADDR_MAX];
+	char host[ADDRESS_MAX];
 	int port;
 
 	if (j != NULL && value != NULL &&
-	    address_split(value, host, &port) != CALLER_OK)
+	    address_split(value, host, &port) != BASE_OK)
 		report_error(rep, j->line, "settings", "",
 		    "\"%s\" must be an IPv4 address and a port, as "
 		    "\"127.0.0.1:7400\"",
@@ -110,7 +110,10 @@
 	if (s->advertise == NULL)
 		s->advertise = g_strdup(s->listen);
 	json_free(root);
-	return rep->errors == before ? NODE_OK : NODE_ESETTINGS;
+	if (rep->errors == before)
+		return NODE_OK;
+	settings_free(s);
+	return NODE_ESETTINGS;
 }
 
 /* Releases what the settings own. */
--- a/node/teaselnode.c
+++ b/node/teaselnode.c
@@ -37,18 +37,21 @@
 	if (level != NULL && base_log_level(level) != BASE_OK) {
 		fprintf(
 		    stderr, "teaselnode: unknown log level \"%s\"\n", level);
+		settings_free(&s);
 		return EXIT_USAGE;
 	}
-	if ((err = node_key_read(s.key_file, key)) != NODE_OK ||
-	    (err = node_start(out, &s, key)) != NODE_OK) {
-		fprintf(stderr, "teaselnode: %s\n", base_strerror(err));
-		return 1;
-	}
-	sodium_memzero(key, sizeof(key));
-	base_log(G_LOG_LEVEL_MESSAGE, "started",
+	base_log(G_LOG_LEVEL_DEBUG, "starting",
 	    "name=%s data_centre=%s listen=%s", s.name, s.data_centre,
 	    s.listen);
-	return 0;
+	if ((err = node_key_read(s.key_file, key)) == NODE_OK)
+		err = node_start(out, &s, key);
+	else
+		settings_free(&s);
+	sodium_memzero(key, sizeof(key));
+	if (err == NODE_OK)
+		return 0;
+	fprintf(stderr, "teaselnode: %s\n", base_strerror(err));
+	return 1;
 }
 
 /* Waits for the wish to stop. */
@@ -85,6 +88,7 @@
 	    config == NULL || argc > 1) {
 		fprintf(stderr, "teaselnode: %s\n",
 		    error != NULL ? error->message : "needs -c FILE");
+		g_option_context_free(ctx);
 		return EXIT_USAGE;
 	}
 	g_option_context_free(ctx);
--- a/operator/ctl.h
+++ b/operator/ctl.h
@@ -47,7 +47,19 @@
  * The operator addresses meant by --node and --all: those given, and with all
  * those of their peers, by the same port.  NULL-terminated, to be freed.
  */
-char **ctl_nodes(char **given, int all);
+char **ctl_nodes(int with_peers);
+
+/* Options of the commands over nodes. */
+extern char **ctl_node_args;
+extern int ctl_all;
+
+#define CTL_NODE_OPTIONS                                                      \
+	{ "node", 'n', 0, G_OPTION_ARG_STRING_ARRAY, &ctl_node_args,          \
+		"Operators' address of a node; may be repeated", "ADDRESS" }, \
+	{                                                                     \
+		"all", 'a', 0, G_OPTION_ARG_NONE, &ctl_all,                   \
+		    "Its peers as well, at the same port", NULL               \
+	}
 
 #define CTL_PORT 9400 /* operators' port when none is given */
 
--- a/operator/ctl_common.c
+++ b/operator/ctl_common.c
@@ -12,6 +12,9 @@
 #define CONNECT_S 2
 #define READ_S	  5
 
+char **ctl_node_args;
+int ctl_all;
+
 static int ask(const char *, const char *, const char *, GString *);
 static int collect(void *, const char *, size_t);
 static char *with_port(const char *);
@@ -100,14 +103,14 @@
 static int
 ask(const char *addr, const char *method, const char *path, GString *out)
 {
-	char host[MEMBER_ADDR_MAX], *full = with_port(addr);
+	char host[ADDRESS_MAX], *full = with_port(addr);
 	ne_session *s;
 	ne_request *req;
 	int port, err;
 
-	if (address_split(full, host, &port) != CALLER_OK) {
+	if (address_split(full, host, &port) != BASE_OK) {
 		g_free(full);
-		return CALLER_EADDR;
+		return BASE_EADDRESS;
 	}
 	g_free(full);
 	s = ne_session_create("http", host, (unsigned int)port);
@@ -152,7 +155,7 @@
 
 /* Works out which nodes are meant. */
 char **
-ctl_nodes(char **given, int all)
+ctl_nodes(int with_peers)
 {
 	GPtrArray *out = g_ptr_array_new();
 	const struct json *p;
@@ -161,10 +164,10 @@
 	char **g, *one;
 	static char *self[] = { "127.0.0.1", NULL };
 
-	for (g = given != NULL ? given : self; *g != NULL; g++)
+	for (g = ctl_node_args != NULL ? ctl_node_args : self; *g != NULL; g++)
 		g_ptr_array_add(out, with_port(*g));
 	one = g_ptr_array_index(out, 0);
-	peers = all ? ctl_get_json(one, "/peers") : NULL;
+	peers = with_peers && ctl_all ? ctl_get_json(one, "/peers") : NULL;
 	port = strrchr(one, ':');
 	for (p = peers != NULL ? peers->child : NULL; p != NULL; p = p->next) {
 		addr = json_str(p, "address", "");
--- a/operator/ctl_node.c
+++ b/operator/ctl_node.c
@@ -9,16 +9,7 @@
 #define POLL_US	     100000 /* between two looks of wait */
 #define WAIT_DEFAULT 30	    /* s */
 
-static char **node_args;
-static int all, as_json;
-
-#define NODE_OPTIONS                                                          \
-	{ "node", 'n', 0, G_OPTION_ARG_STRING_ARRAY, &node_args,              \
-		"Operators' address of a node; may be repeated", "ADDRESS" }, \
-	{                                                                     \
-		"all", 'a', 0, G_OPTION_ARG_NONE, &all,                       \
-		    "Its peers as well, at the same port", NULL               \
-	}
+static int as_json;
 
 static void print_row(const char *, const struct json *);
 static void print_json(char **);
@@ -80,7 +71,7 @@
 ctl_status(int argc, char **argv)
 {
 	const GOptionEntry entries[] = {
-		NODE_OPTIONS,
+		CTL_NODE_OPTIONS,
 		{ "json", 0, 0, G_OPTION_ARG_NONE, &as_json, "Print JSON",
 		    NULL },
 		{ NULL, 0, 0, 0, NULL, NULL, NULL },
@@ -91,7 +82,7 @@
 
 	if ((code = ctl_options(entries, "", &argc, &argv, 0, 0)) != CTL_OK)
 		return code;
-	nodes = ctl_nodes(node_args, all);
+	nodes = ctl_nodes(1);
 	if (as_json) {
 		print_json(nodes);
 		g_strfreev(nodes);
@@ -138,7 +129,7 @@
 {
 	static int timeout = WAIT_DEFAULT;
 	const GOptionEntry entries[] = {
-		NODE_OPTIONS,
+		CTL_NODE_OPTIONS,
 		{ "timeout", 't', 0, G_OPTION_ARG_INT, &timeout,
 		    "Give up after", "SECONDS" },
 		{ NULL, 0, 0, 0, NULL, NULL, NULL },
@@ -159,7 +150,7 @@
 		return CTL_USAGE;
 	}
 	deadline = began + (int64_t)timeout * BASE_MS_PER_S;
-	nodes = ctl_nodes(node_args, all);
+	nodes = ctl_nodes(1);
 	for (;;) {
 		n = in_force(nodes, want, hash, &total);
 		if (isatty(STDERR_FILENO))
@@ -182,7 +173,7 @@
 ctl_explain(int argc, char **argv)
 {
 	const GOptionEntry entries[] = {
-		NODE_OPTIONS,
+		CTL_NODE_OPTIONS,
 		{ NULL, 0, 0, 0, NULL, NULL, NULL },
 	};
 	const struct json *t;
@@ -193,7 +184,7 @@
 	if ((code = ctl_options(entries, "METHOD PATH", &argc, &argv, 2, 2)) !=
 	    CTL_OK)
 		return code;
-	nodes = ctl_nodes(node_args, 0);
+	nodes = ctl_nodes(0);
 	escaped = g_uri_escape_string(argv[2], "/", FALSE);
 	path = g_strdup_printf("/explain?method=%s&path=%s", argv[1], escaped);
 	j = ctl_get_json(nodes[0], path);
@@ -228,7 +219,7 @@
 ctl_quarantine(int argc, char **argv)
 {
 	const GOptionEntry entries[] = {
-		NODE_OPTIONS,
+		CTL_NODE_OPTIONS,
 		{ NULL, 0, 0, 0, NULL, NULL, NULL },
 	};
 	GString *out;
@@ -243,7 +234,7 @@
 		    "usage: teaselctl quarantine [release FINGERPRINT]\n");
 		return CTL_USAGE;
 	}
-	nodes = ctl_nodes(node_args, all);
+	nodes = ctl_nodes(1);
 	for (i = 0; nodes[i] != NULL; i++) {
 		out = g_string_new(NULL);
 		if (argc == 3) {
--- a/operator/ctl_watch.c
+++ b/operator/ctl_watch.c
@@ -10,17 +10,6 @@
 #define INDENT	  2
 #define DEPTH_MAX 64
 
-static char **node_args;
-static int all;
-
-#define NODE_OPTIONS                                                          \
-	{ "node", 'n', 0, G_OPTION_ARG_STRING_ARRAY, &node_args,              \
-		"Operators' address of a node; may be repeated", "ADDRESS" }, \
-	{                                                                     \
-		"all", 'a', 0, G_OPTION_ARG_NONE, &all,                       \
-		    "Its peers as well, at the same port", NULL               \
-	}
-
 /* One hop, with the node that told of it. */
 struct hop {
 	const struct json *span;
@@ -104,7 +93,7 @@
 ctl_trace(int argc, char **argv)
 {
 	const GOptionEntry entries[] = {
-		NODE_OPTIONS,
+		CTL_NODE_OPTIONS,
 		{ NULL, 0, 0, 0, NULL, NULL, NULL },
 	};
 	const struct hop *h;
@@ -118,7 +107,7 @@
 	if ((code = ctl_options(entries, "TRACE-ID", &argc, &argv, 1, 1)) !=
 	    CTL_OK)
 		return code;
-	nodes = ctl_nodes(node_args, all);
+	nodes = ctl_nodes(1);
 	collect_hops(nodes, argv[1], docs, hops);
 	/* Roots: hops whose parent is unknown here, as the caller's own. */
 	for (i = 0; i < hops->len; i++) {
@@ -158,7 +147,7 @@
 {
 	static int count;
 	const GOptionEntry entries[] = {
-		NODE_OPTIONS,
+		CTL_NODE_OPTIONS,
 		{ "count", 'c', 0, G_OPTION_ARG_INT, &count,
 		    "Stop after so many pages", "N" },
 		{ NULL, 0, 0, 0, NULL, NULL, NULL },
@@ -177,7 +166,7 @@
 
 	if ((code = ctl_options(entries, "", &argc, &argv, 0, 0)) != CTL_OK)
 		return code;
-	nodes = ctl_nodes(node_args, all);
+	nodes = ctl_nodes(1);
 	n = (int)g_strv_length(nodes);
 	last = g_malloc0((gsize)n * sizeof(*last));
 	for (page = 0; count == 0 || page < count; page++) {
--- a/replay/teaselreplay.c
+++ b/replay/teaselreplay.c
@@ -83,6 +83,7 @@
 		    error != NULL ? error->message : "needs traces or --walk");
 		return 2;
 	}
+	g_option_context_free(ctx);
 	if (walks > 0)
 		return walk_seeds(seed, walks, steps);
 	return replay_all(argc - 1, argv + 1);
--- a/standin/teaselcalls.c
+++ b/standin/teaselcalls.c
@@ -249,7 +249,7 @@
 worker(void *arg)
 {
 	ne_session **sessions;
-	char host[MEMBER_ADDR_MAX];
+	char host[ADDRESS_MAX];
 	GRand *rand = g_rand_new();
 	int64_t n;
 	int i, port;
@@ -403,6 +403,7 @@
 				  : "needs --entries and an accepted --set");
 		return 2;
 	}
+	g_option_context_free(ctx);
 	if (sodium_init() < 0 || ne_sock_init() != 0)
 		return 1;
 	entries = g_strsplit(entries_arg, ",", -1);
--- /dev/null
+++ b/test/silent.sh
@@ -0,0 +1,18 @@
+# All connections between nodes go silent while requests run at their targets:
+# answers are asked for on fresh connections.  What may be repeated is sent
+# again within the retry budget, so nearly all are answered, and nothing untrue
+# is said of the others.
+. tools/fleet.sh
+trap fleet_down EXIT
+set -e
+
+export FLEET_FAULT=1 FLEET_WARM=0 FLEET_EXTRA='"no_slow_start": true,'
+fleet_up examples/tema.json "$1"
+calls 2 60 --work 600 --threads 128 > "$1/calls" &
+load=$!
+sleep 1
+inject silent
+wait $load
+cat "$1/calls"
+answered=$(sed -n 's/.*"answered": \([0-9]*\).*/\1/p' "$1/calls")
+[[ $answered -ge 114 ]]
--- /dev/null
+++ b/tools/bench.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# All measurements, one JSON line each on standard output: about 15 minutes.
+set -u
+cd "$(dirname "$0")/.."
+set=$(mktemp)
+trap 'rm -f "$set"' EXIT
+tools/mkset.sh 1400 52 300 9 > "$set"
+"${BIN:-bin}/bench_mesh" "$set"
+for n in 25 50 200; do
+	BENCH_SETTLE=$((10 + n / 2)) tools/bench-control.sh $n
+done
+tools/bench-control.sh 200 1400 52 300 9
+# Baselines: every node reads the source; whole sets in place of differences.
+BENCH_NAME=every_node_reads FLEET_EXTRA='"every_node_reads": true,' \
+    tools/bench-control.sh 50
+BENCH_NAME=full_sets FLEET_EXTRA='"full_sets": true,' tools/bench-control.sh 50
+for set in examples/tema.json examples/great-lakes.json; do
+	tools/bench-calls.sh 500 10 "$set"
+done
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -110,7 +110,7 @@
 	local ip=${VM_IP[$1]}
 	"$FLEET_BIN/teaseltarget" -l "$ip:$TARGET_PORT" \
 	    -c "$ip:$CONTROL_PORT" -n "${VM_TARGET[$1]}" \
-	    -s "${VM_SLOTS[$1]}" -w "${FLEET_WORK:-2}" \
+	    -x "$ip:$SERVICE_PORT" -s "${VM_SLOTS[$1]}" -w "${FLEET_WORK:-2}" \
 	    -m "${FLEET_WARM:-4000}" 2>> "$FLEET_DIR/$1.target.log" &
 	TARGET_PID[$1]=$!
 }
@@ -249,6 +249,16 @@
 	    --ledgers "$(addresses $CONTROL_PORT)" "$@"
 }
 
+# Sum of a member of the stats of some VMs' targets: target_sum KEY VM...
+target_sum() {
+	local key=$1 vm
+	shift
+	for vm in "$@"; do
+		curl -sf "http://${VM_IP[$vm]}:$CONTROL_PORT/stats" |
+		    sed -n "s/.*\"$key\": \([0-9]*\).*/\1/p"
+	done | awk '{ s += $1 } END { print s + 0 }'
+}
+
 # Sum of a counter over all nodes.
 counter_sum() {
 	local vm
--- a/tools/integration.sh
+++ b/tools/integration.sh
@@ -8,17 +8,17 @@
 for t in ${1:-test/*.sh}; do
 	name=$(basename "$t" .sh)
 	dir=$(mktemp -d)
-	if timeout -k 5 300 bash "$t" "$dir" > "$dir/out" 2>&1; then
+	if timeout -k 5 300 bash "$t" "$dir" > "$dir/test.log" 2>&1; then
 		passed=$((passed + 1))
 		echo "passed: $name"
 	elif grep -qs "^test: $name\$" KNOWN-RED.txt; then
 		red=$((red + 1))
 		echo "KNOWN RED: $name"
-		tail -n 5 "$dir/out"
+		tail -n 5 "$dir/test.log"
 	else
 		failed=$((failed + 1))
 		echo "FAILED: $name"
-		tail -n 40 "$dir/out"
+		tail -n 40 "$dir/test.log"
 	fi
 	rm -rf "$dir"
 done
