--- a/base/json.c
+++ b/base/json.c
@@ -115,12 +115,14 @@
 	return j;
 }
 
+/* A null. */
 static int
 on_null(void *arg)
 {
 	return add(arg, JSON_NULL) != NULL;
 }
 
+/* True or false. */
 static int
 on_bool(void *arg, int v)
 {
@@ -131,6 +133,7 @@
 	return j != NULL;
 }
 
+/* An integer that fits 64 bits. */
 static int
 on_int(void *arg, long long v)
 {
@@ -141,6 +144,7 @@
 	return j != NULL;
 }
 
+/* Any other number. */
 static int
 on_real(void *arg, double v)
 {
@@ -151,6 +155,7 @@
 	return j != NULL;
 }
 
+/* A string; what follows a NUL would be lost to C. */
 static int
 on_string(void *arg, const unsigned char *s, size_t len)
 {
@@ -163,6 +168,7 @@
 	return j != NULL;
 }
 
+/* A key, kept until its value comes. */
 static int
 on_key(void *arg, const unsigned char *s, size_t len)
 {
@@ -189,12 +195,14 @@
 	return 1;
 }
 
+/* An object opens. */
 static int
 on_start_map(void *arg)
 {
 	return open_container(arg, JSON_OBJECT);
 }
 
+/* An array opens. */
 static int
 on_start_array(void *arg)
 {
--- a/bench/bench_mesh.c
+++ b/bench/bench_mesh.c
@@ -130,6 +130,7 @@
 	return (double)(base_now_us() - began) / SEALS;
 }
 
+/* Reads the set and measures one thing after the other. */
 int
 main(int argc, char **argv)
 {
--- a/mesh/guard.c
+++ b/mesh/guard.c
@@ -65,6 +65,7 @@
 	g_free(g);
 }
 
+/* The limit, for the status and for baselines. */
 struct limit *
 guard_limit(struct guard *g)
 {
@@ -357,18 +358,21 @@
 	g->memory = memory_new(wall_ms);
 }
 
+/* Requests at the target. */
 int
 guard_running(const struct guard *g)
 {
 	return g->running;
 }
 
+/* Requests in the queue. */
 int
 guard_waiting(const struct guard *g)
 {
 	return g->waiting;
 }
 
+/* Ids in the memory. */
 int
 guard_remembered(const struct guard *g)
 {
@@ -402,18 +406,21 @@
 	poison_raise(g->poison, fp, crashes, now);
 }
 
+/* Crashes counted under a fingerprint. */
 int
 guard_crashes(struct guard *g, uint64_t fp, int64_t now)
 {
 	return poison_crashes(g->poison, fp, now);
 }
 
+/* Forgets a quarantine by the operator's word. */
 int
 guard_release(struct guard *g, uint64_t fp)
 {
 	return poison_clear(g->poison, fp);
 }
 
+/* Appends what is quarantined. */
 void
 guard_print_poison(struct guard *g, GString *out, int64_t now)
 {
--- a/mesh/member.c
+++ b/mesh/member.c
@@ -86,18 +86,21 @@
 	g_free(m);
 }
 
+/* Members known, this node left out. */
 int
 members_count(const struct members *m)
 {
 	return (int)m->all->len;
 }
 
+/* The member of a handle. */
 struct member *
 member_at(struct members *m, int i)
 {
 	return g_ptr_array_index(m->all, i);
 }
 
+/* Finds a member by name. */
 int
 member_find(struct members *m, const char *name)
 {
@@ -107,12 +110,14 @@
 	return i < 0 ? MESH_ENOTFOUND : i;
 }
 
+/* Incarnation that this node tells of itself. */
 uint64_t
 members_incarnation(const struct members *m)
 {
 	return m->incarnation;
 }
 
+/* State that this node tells of itself. */
 enum member_state
 members_state(const struct members *m)
 {
@@ -126,6 +131,7 @@
 	return m->all->len > 0 && now - m->heard_at > MEMBER_SILENCE_MS;
 }
 
+/* Whether new work may be sent to a member. */
 int
 member_usable(const struct member *p)
 {
--- a/mesh/set.c
+++ b/mesh/set.c
@@ -87,12 +87,14 @@
 	return MESH_ENOTFOUND;
 }
 
+/* Finds a data centre. */
 int
 set_find_dc(const struct set *s, const char *name)
 {
 	return find_name(s->dcs, s->ndcs, sizeof(s->dcs[0]), name);
 }
 
+/* Finds a service. */
 int
 set_find_service(const struct set *s, const char *name)
 {
@@ -100,12 +102,14 @@
 	    s->services, s->nservices, sizeof(s->services[0]), name);
 }
 
+/* Finds a target. */
 int
 set_find_target(const struct set *s, const char *name)
 {
 	return find_name(s->targets, s->ntargets, sizeof(s->targets[0]), name);
 }
 
+/* Finds a route by its name. */
 int
 set_find_route(const struct set *s, const char *name)
 {
--- a/mesh/set_diff.c
+++ b/mesh/set_diff.c
@@ -62,30 +62,35 @@
 	o->n++;
 }
 
+/* Data centres in a set. */
 static int
 dc_count(const struct set *s)
 {
 	return s->ndcs;
 }
 
+/* Services in a set. */
 static int
 service_count(const struct set *s)
 {
 	return s->nservices;
 }
 
+/* Targets in a set. */
 static int
 target_count(const struct set *s)
 {
 	return s->ntargets;
 }
 
+/* Routes in a set. */
 static int
 route_count(const struct set *s)
 {
 	return s->nroutes;
 }
 
+/* Fields of a data centre. */
 static void
 dc_describe(const struct set *s, int i, struct object *o)
 {
@@ -93,6 +98,7 @@
 	put(o, "state", set_state_names[s->dcs[i].state]);
 }
 
+/* Fields of a service. */
 static void
 service_describe(const struct set *s, int i, struct object *o)
 {
@@ -101,6 +107,7 @@
 	put_int(o, "connections", s->services[i].connections);
 }
 
+/* Fields of a target. */
 static void
 target_describe(const struct set *s, int i, struct object *o)
 {
@@ -113,6 +120,7 @@
 	put(o, "state", set_state_names[t->state]);
 }
 
+/* Fields of a route. */
 static void
 route_describe(const struct set *s, int i, struct object *o)
 {
--- a/node/teaselnode.c
+++ b/node/teaselnode.c
@@ -64,6 +64,7 @@
 	base_log(G_LOG_LEVEL_MESSAGE, "signal", "number=%d", sig);
 }
 
+/* Starts a node and stops it on a signal. */
 int
 main(int argc, char **argv)
 {
--- a/operator/ctl_common.c
+++ b/operator/ctl_common.c
@@ -126,12 +126,14 @@
 	return err == NE_OK ? BASE_OK : BASE_EREAD;
 }
 
+/* Reads a page of a node. */
 int
 ctl_get(const char *addr, const char *path, GString *out)
 {
 	return ask(addr, "GET", path, out);
 }
 
+/* Makes a node do something. */
 int
 ctl_post(const char *addr, const char *path, GString *out)
 {
--- a/operator/teaselctl.c
+++ b/operator/teaselctl.c
@@ -39,6 +39,7 @@
 		fprintf(f, "  %-11s %s\n", commands[i].name, commands[i].what);
 }
 
+/* Finds the subcommand and runs it. */
 int
 main(int argc, char **argv)
 {
--- a/replay/teaselreplay.c
+++ b/replay/teaselreplay.c
@@ -60,6 +60,7 @@
 	return seed < first + count;
 }
 
+/* Replays traces or walks. */
 int
 main(int argc, char **argv)
 {
--- a/standin/http.c
+++ b/standin/http.c
@@ -106,6 +106,7 @@
 	return standin_answer(v, status, "text/plain", text, strlen(text));
 }
 
+/* A query parameter, or NULL. */
 const char *
 standin_query(struct visit *v, const char *name)
 {
@@ -113,6 +114,7 @@
 	    v->conn, MHD_GET_ARGUMENT_KIND, name);
 }
 
+/* A header, or NULL. */
 const char *
 standin_header(struct visit *v, const char *name)
 {
--- a/standin/teaselcalls.c
+++ b/standin/teaselcalls.c
@@ -361,6 +361,7 @@
 	return set != NULL ? 0 : -1;
 }
 
+/* Sends all calls, then sums up. */
 int
 main(int argc, char **argv)
 {
--- a/standin/teaselfault.c
+++ b/standin/teaselfault.c
@@ -415,6 +415,7 @@
 	}
 }
 
+/* Listens for all nodes and passes traffic on. */
 int
 main(int argc, char **argv)
 {
--- a/standin/teaselplatform.c
+++ b/standin/teaselplatform.c
@@ -311,6 +311,7 @@
 	return standin_text(v, MHD_HTTP_NOT_FOUND, "no such page\n");
 }
 
+/* Serves until a signal comes. */
 int
 main(int argc, char **argv)
 {
--- a/standin/teaseltarget.c
+++ b/standin/teaseltarget.c
@@ -342,6 +342,7 @@
 	return standin_text(v, 200, "ok\n");
 }
 
+/* Serves until a signal comes. */
 int
 main(int argc, char **argv)
 {
