--- a/Makefile
+++ b/Makefile
@@ -111,7 +111,7 @@
 	@for t in $(TESTS); do echo "== $$t"; $$t || exit 1; done
 	@BIN=$(BIN) tools/regress.sh
 	@$(BIN)/teaselreplay traces/*.jsonl
-	@$(BIN)/teaselreplay --walk 300
+	@$(BIN)/teaselreplay --walk 3000
 
 # All tests.
 check: deps
