Two holes in "at most once" and "not run" that the random walk found

A question was answered "never seen", the answer was delayed; the guard restarted, the late first sending was refused, the call was sent to it again and ran; then the old answer came and sent the call on to another guard.

Ruled out: the walk's model; entry.c matched answers by call, not by sending.

Change: the number on the wire names the sending, and what is said of an earlier one is late. Under a caller's own id "not run" is said only when all homes have recorded the id.

--- a/mesh/call.c
+++ b/mesh/call.c
@@ -157,12 +157,6 @@
 	}
 	c->last = out;
 	c->maybe_run |= !o->not_run;
-	/*
-	 * A home that records the id only now has not passed it on before, and
-	 * those before it have said that they never ran it.
-	 */
-	if (o->recorded && out != OUTCOME_FENCED)
-		c->unsure = 0;
 	if (o->final && (c->once || out != OUTCOME_UNKNOWN))
 		return CALL_REFUSE;
 	if (!o->not_run && c->once)
--- a/node/entry.c
+++ b/node/entry.c
@@ -9,8 +9,11 @@
 #define RETRY_DEFAULT_MS 250  /* when a refused caller may come back */
 #define AVOID_MS	 100  /* a target that refused is avoided so long */
 #define SILENT_AVOID_MS	 1000 /* one that was silent */
+#define SENDINGS_MAX	 8    /* of one call; more than CALL_TRIES */
 #define LOOK_MS		 100  /* between two looks for a caller's end */
 
+static uint64_t wire_number(const struct entry_call *);
+static struct entry_call *find_sending(struct node *, uint64_t);
 static void act(struct node *, struct entry_call *, enum call_action);
 static void pack_forward(struct node *, struct entry_call *,
     const struct config *, Wire__Forward *, Wire__Header *);
@@ -61,6 +64,27 @@
 	act(n, ec, call_start(&ec->call, now));
 }
 
+/*
+ * Number of a call's current sending on the wire.  What is said of an earlier
+ * sending must not be taken for the current one.
+ */
+static uint64_t
+wire_number(const struct entry_call *ec)
+{
+	return ec->number * SENDINGS_MAX + (uint64_t)ec->call.tries;
+}
+
+/* The call whose current sending has a number, or NULL. */
+static struct entry_call *
+find_sending(struct node *n, uint64_t wire)
+{
+	uint64_t number = wire / SENDINGS_MAX;
+	struct entry_call *ec;
+
+	ec = g_hash_table_lookup(n->entry.calls, &number);
+	return ec != NULL && wire_number(ec) == wire ? ec : NULL;
+}
+
 /* Does what was decided; the call may be gone afterwards. */
 static void
 act(struct node *n, struct entry_call *ec, enum call_action a)
@@ -157,7 +181,7 @@
 	struct member *p;
 	char tp[TRACEPARENT_LEN];
 	int64_t now = base_now_ms();
-	uint64_t number = ec->number;
+	uint64_t number;
 	int i, sent = 0;
 
 	if (set_find_service(cfg->set, ec->service) < 0)
@@ -184,11 +208,12 @@
 	trace_header(&ec->trace, tp);
 	f.trace = tp;
 	pack_forward(n, ec, cfg, &f, headers);
+	counter_add(CTR_FORWARDS, 1);
+	call_sent(&ec->call, now);
+	number = wire_number(ec);
 	env.call = number;
 	env.body_case = WIRE__ENVELOPE__BODY_FORWARD;
 	env.forward = &f;
-	counter_add(CTR_FORWARDS, 1);
-	call_sent(&ec->call, now);
 	entry_view(n, ec->target)->inflight++;
 	if (strcmp(ec->vm, n->settings.name) == 0) {
 		serve_forward(n, &self, number, &f);
@@ -247,7 +272,7 @@
 	f.target = ec->target;
 	f.once = ec->call.once;
 	f.fresh = ec->call.minted;
-	env.call = ec->number;
+	env.call = wire_number(ec);
 	env.body_case = WIRE__ENVELOPE__BODY_FENCE;
 	env.fence = &f;
 	if (fresh) {
@@ -270,13 +295,13 @@
 	int m;
 
 	if (strcmp(ec->vm, n->settings.name) == 0) {
-		serve_cancel(n, &self, ec->number);
+		serve_cancel(n, &self, wire_number(ec));
 		return;
 	}
 	if ((m = member_find(n->members, ec->vm)) < 0)
 		return;
 	p = member_at(n->members, m);
-	env.call = ec->number;
+	env.call = wire_number(ec);
 	env.body_case = WIRE__ENVELOPE__BODY_CANCEL;
 	env.cancel = &c;
 	link_send(n->link, p->name, p->addr, &env);
@@ -298,7 +323,7 @@
 {
 	struct entry_call *ec;
 
-	if ((ec = g_hash_table_lookup(n->entry.calls, &number)) == NULL)
+	if ((ec = find_sending(n, number)) == NULL)
 		return;
 	entry_view(n, ec->target)->load = load;
 	call_acked(&ec->call, base_now_ms());
@@ -315,7 +340,7 @@
 	int64_t now = base_now_ms();
 	int m;
 
-	if ((ec = g_hash_table_lookup(n->entry.calls, &number)) == NULL) {
+	if ((ec = find_sending(n, number)) == NULL) {
 		counter_add(CTR_LATE_ANSWERS, 1);
 		return;
 	}
--- a/replay/walk.c
+++ b/replay/walk.c
@@ -43,6 +43,7 @@
 	int call, guard;
 	uint64_t boot;
 	enum call_outcome outcome;
+	int sending; /* of the call, that this is about */
 };
 
 /* A request held by a guard. */
@@ -51,7 +52,7 @@
 	int guard;
 	uint64_t boot;
 	int call; /* whose message brought it */
-	int waiters[CALLS_MAX], nwaiters;
+	int waiters[CALLS_MAX], sendings[CALLS_MAX], nwaiters;
 	int running;
 };
 
@@ -73,6 +74,7 @@
 	GPtrArray *held; /* of struct walk_held */
 	struct budget budget;
 	uint64_t boots;
+	int about; /* sending that a guard speaks of */
 	char broken[BROKEN_MAX];
 };
 
@@ -114,8 +116,14 @@
 {
 	if (w->nflight == FLIGHT_MAX)
 		return;
-	w->flight[w->nflight++] =
-	    (struct message){ kind, call, guard, boot, out };
+	w->flight[w->nflight++] = (struct message){ .kind = kind,
+		.call = call,
+		.guard = guard,
+		.boot = boot,
+		.outcome = out,
+		.sending = kind == MESSAGE_FORWARD || kind == MESSAGE_FENCE
+			       ? w->calls[call].call.tries
+			       : w->about };
 }
 
 /* A refusal ends a call; "not run" must be true now. */
@@ -241,6 +249,7 @@
 	int id = w->calls[m->call].id;
 
 	if ((h = find_held(w, m->guard, id)) != NULL) {
+		h->sendings[h->nwaiters] = m->sending;
 		h->waiters[h->nwaiters++] = m->call;
 		post(w, MESSAGE_ACK, m->call, m->guard, g->boot,
 		    OUTCOME_ANSWERED);
@@ -291,6 +300,7 @@
 	h->guard = m->guard;
 	h->boot = g->boot;
 	h->call = m->call;
+	h->sendings[h->nwaiters] = m->sending;
 	h->waiters[h->nwaiters++] = m->call;
 	v = guard_admit(g->guard, &h->req, w->now, wall(w));
 	if (v == GUARD_QUEUE) {
@@ -337,6 +347,7 @@
 	struct walk_call *k = &w->calls[m.call];
 
 	w->flight[i] = w->flight[--w->nflight];
+	w->about = m.sending;
 	if (m.kind == MESSAGE_FORWARD) {
 		on_forward(w, &m);
 		return;
@@ -345,8 +356,8 @@
 		on_fence(w, &m);
 		return;
 	}
-	/* An answer of a guard that the call has left is dropped as well. */
-	if (k->over || m.guard != k->guard)
+	/* What is said of an earlier sending is dropped as well. */
+	if (k->over || m.sending != k->call.tries)
 		return;
 	if (m.kind == MESSAGE_ACK) {
 		call_acked(&k->call, w->now);
@@ -362,8 +373,10 @@
 {
 	int i;
 
-	for (i = 0; i < h->nwaiters; i++)
+	for (i = 0; i < h->nwaiters; i++) {
+		w->about = h->sendings[i];
 		post(w, MESSAGE_OUTCOME, h->waiters[i], h->guard, h->boot, out);
+	}
 	h->nwaiters = 0;
 }
 
