--- a/replay/walk.c
+++ b/replay/walk.c
@@ -88,6 +88,7 @@
 static void refused(struct world *, int);
 static void new_call(struct world *, int, int);
 static void deliver(struct world *, int);
+static void answer(struct world *, const struct message *, enum guard_verdict);
 static void on_forward(struct world *, const struct message *);
 static void on_fence(struct world *, const struct message *);
 static void on_duplicate(struct world *, const struct message *);
@@ -275,6 +276,17 @@
 	return by_verdict[v];
 }
 
+/* Tells an entry at once what its guard said. */
+static void
+answer(struct world *w, const struct message *m, enum guard_verdict v)
+{
+	if (v == GUARD_DUPLICATE)
+		on_duplicate(w, m);
+	else
+		post(w, MESSAGE_OUTCOME, m->call, m->guard,
+		    w->guards[m->guard].boot, outcome_of(v));
+}
+
 /* A request reaches a guard. */
 static void
 on_forward(struct world *w, const struct message *m)
@@ -310,11 +322,7 @@
 		return;
 	}
 	g_free(h);
-	if (v == GUARD_DUPLICATE)
-		on_duplicate(w, m);
-	else
-		post(w, MESSAGE_OUTCOME, m->call, m->guard, g->boot,
-		    outcome_of(v));
+	answer(w, m, v);
 }
 
 /* A question reaches a guard. */
@@ -332,11 +340,7 @@
 	}
 	v = guard_fence(g->guard, k->call.id, k->call.minted,
 	    k->call.born_wall_ms, w->now, wall(w));
-	if (v == GUARD_DUPLICATE)
-		on_duplicate(w, m);
-	else
-		post(w, MESSAGE_OUTCOME, m->call, m->guard, g->boot,
-		    outcome_of(v));
+	answer(w, m, v);
 }
 
 /* Delivers a message; answers to calls that are over are late. */
