A restarted node waits for its predecessor's addresses

The log shows that two of six killed processes were still dying when the first successor was started; a successor that finds an address taken exited at once. Ruled out: the platform's outage in that test (nodes were up, one was not); load alone (240 restarts under 12 busy loops lost none here). Change: a node tries a taken address again for up to 5 s. A failed test now prints what its nodes complained about last. Before: herd.sh, which now starts a successor before it kills the predecessor, fails with the earlier binary. After: it passes. Conclusion: supervisors that are quicker than the kernel lose no node.

--- a/node/gossip.c
+++ b/node/gossip.c
@@ -35,9 +35,12 @@
 	if (address_resolve(n->settings.listen, &sin) != BASE_OK)
 		return NODE_ELISTEN;
 	n->udp = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (n->udp < 0 ||
-	    bind(n->udp, (struct sockaddr *)&sin, sizeof(sin)) != 0)
+	if (n->udp < 0)
 		return NODE_ELISTEN;
+	if (bind(n->udp, (struct sockaddr *)&sin, sizeof(sin)) != 0) {
+		gossip_close(n);
+		return NODE_ELISTEN;
+	}
 	setsockopt(n->udp, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
 	return NODE_OK;
 }
@@ -48,6 +51,7 @@
 {
 	if (n->udp >= 0)
 		close(n->udp);
+	n->udp = -1;
 }
 
 /* Fills in what every datagram carries. */
--- a/node/node.c
+++ b/node/node.c
@@ -7,7 +7,9 @@
 
 #include "record.h"
 
-#define FIRST_READS 2 /* keys of the platform read at the start */
+#define FIRST_READS	2    /* keys of the platform read at the start */
+#define LISTEN_MS	5000 /* a predecessor that is dying holds its addresses */
+#define LISTEN_EVERY_US 50000
 
 static void on_config(void *);
 static int on_head(void *, const struct manifest *);
@@ -15,7 +17,10 @@
 static void on_vms(void *, const struct json *, uint64_t);
 static void on_first(void *, int);
 static void start_reader(struct node *);
-static int start_servers(struct node *);
+static int listen_operators(struct node *);
+static int listen_callers(struct node *);
+static int listen_services(struct node *);
+static int listen_all(struct node *);
 static void stop_servers(struct node *);
 static void release(struct node *);
 static void *loop_thread(void *);
@@ -113,20 +118,61 @@
 	    n->settings.source_reads_per_min, n->settings.start_spread_ms, &ev);
 }
 
-/* Starts to listen for callers and operators. */
+/* Starts to listen for operators. */
 static int
-start_servers(struct node *n)
+listen_operators(struct node *n)
 {
-	const struct settings *s = &n->settings;
-	size_t body = (size_t)s->body_max;
-
-	if (server_start(&n->operators, s->operators, 0, operator_request, n) !=
-		CALLER_OK ||
-	    server_start(&n->callers, s->callers, body, entry_from_callers,
-		n) != CALLER_OK ||
-	    server_start(&n->services, s->services, body, entry_from_services,
-		n) != CALLER_OK)
-		return NODE_ELISTEN;
+	int err;
+
+	err = server_start(
+	    &n->operators, n->settings.operators, 0, operator_request, n);
+	return err == CALLER_OK ? NODE_OK : NODE_ELISTEN;
+}
+
+/* Starts to listen for callers from outside. */
+static int
+listen_callers(struct node *n)
+{
+	int err;
+
+	err = server_start(&n->callers, n->settings.callers,
+	    (size_t)n->settings.body_max, entry_from_callers, n);
+	return err == CALLER_OK ? NODE_OK : NODE_ELISTEN;
+}
+
+/* Starts to listen for the target beside the node. */
+static int
+listen_services(struct node *n)
+{
+	int err;
+
+	err = server_start(&n->services, n->settings.services,
+	    (size_t)n->settings.body_max, entry_from_services, n);
+	return err == CALLER_OK ? NODE_OK : NODE_ELISTEN;
+}
+
+/*
+ * Listens on every address.  One that is taken is tried again for a while:
+ * whoever restarts a killed node may be quicker than the kernel is to end it.
+ */
+static int
+listen_all(struct node *n)
+{
+	static int (*const listeners[])(struct node *) = { gossip_open,
+		loop_open_link, listen_operators, listen_callers,
+		listen_services };
+	int64_t deadline = n->started_at + LISTEN_MS;
+	size_t i = 0;
+
+	while (i < G_N_ELEMENTS(listeners)) {
+		if (listeners[i](n) == NODE_OK) {
+			i++;
+			continue;
+		}
+		if (base_now_ms() >= deadline)
+			return NODE_ELISTEN;
+		g_usleep(LISTEN_EVERY_US);
+	}
 	return NODE_OK;
 }
 
@@ -196,9 +242,7 @@
 	entry_init(n);
 	serve_init(n);
 	n->udp = -1;
-	if ((err = gossip_open(n)) != NODE_OK ||
-	    (err = loop_open_link(n)) != NODE_OK ||
-	    (err = start_servers(n)) != NODE_OK) {
+	if ((err = listen_all(n)) != NODE_OK) {
 		stop_servers(n);
 		release(n);
 		return err;
--- a/test/herd.sh
+++ b/test/herd.sh
@@ -23,3 +23,11 @@
 for vm in "${!VM_IP[@]}"; do node_start "$vm"; done
 wait_ready "${!VM_IP[@]}"
 wait_status version 2 "${!VM_IP[@]}"
+
+# A successor started before its predecessor is gone waits for the addresses.
+old=${NODE_PID[vm-01]}
+node_start vm-01
+sleep 0.5
+kill -KILL "$old"
+wait_ready vm-01
+kill -0 "${NODE_PID[vm-01]}"
--- a/tools/integration.sh
+++ b/tools/integration.sh
@@ -5,6 +5,16 @@
 set -u
 cd "$(dirname "$0")/.."
 passed=0 failed=0 red=0
+
+# What the nodes of a failed test complained about last.
+last_words() {
+	local log
+	for log in "$1"/vm-*.log; do
+		[[ $log == *.target.log ]] && continue
+		echo "-- $(basename "$log")"
+		grep -v 'level=info\|level=debug' "$log" | tail -n 3
+	done
+}
 for t in ${1:-test/*.sh}; do
 	name=$(basename "$t" .sh)
 	dir=$(mktemp -d)
@@ -18,7 +28,8 @@
 	else
 		failed=$((failed + 1))
 		echo "FAILED: $name"
-		tail -n 40 "$dir/test.log"
+				tail -n 40 "$dir/test.log"
+		last_words "$dir"
 	fi
 	rm -rf "$dir"
 done
