A node that starts without the source joins by greeting peers

Cause: with the platform down a restarted node can read no VM list, knows nobody, and waits until a survivor's turn to probe it comes; probes of those held dead are rarer still. Ruled out: the transfer of the set and its check (under 1 ms after the first contact); links to dead peers. Change: settings may list peers. Membership is split by job (table, probes, rumours).

--- a/Makefile
+++ b/Makefile
@@ -13,14 +13,14 @@
 
 BASE = base/address.c base/clock.c base/counter.c base/error.c base/field.c base/file.c \
 	base/json.c base/log.c base/queue.c base/report.c
-MESH = mesh/budget.c mesh/call.c mesh/guard.c mesh/home.c mesh/limit.c mesh/member.c \
+MESH = mesh/budget.c mesh/call.c mesh/guard.c mesh/home.c mesh/limit.c mesh/member.c mesh/member_probe.c mesh/member_tell.c \
 	mesh/memory.c mesh/names.c mesh/pick.c mesh/poison.c mesh/reqid.c mesh/set.c \
 	mesh/set_check.c mesh/set_diff.c mesh/set_edit.c mesh/set_read.c mesh/version.c
 PLATFORM = platform/budget.c platform/http.c platform/manifest.c \
 	platform/reader.c
 TARGET = target/exchange.c target/pool.c
 CALLER = caller/refusal.c caller/server.c
-NODE = node/choose.c node/config.c node/delta.c node/entry.c node/gossip.c node/intake.c node/kept.c node/link.c \
+NODE = node/choose.c node/config.c node/delta.c node/entry.c node/gossip.c node/intake.c node/join.c node/kept.c node/link.c \
 	node/loop.c node/mailbox.c node/node.c node/record.c node/role.c node/seal.c node/serve.c \
 	node/settings.c node/span.c node/spread.c node/status.c \
 	node/wire.pb-c.c
--- a/base/base.h
+++ b/base/base.h
@@ -181,6 +181,7 @@
 
 enum field_type {
 	FIELD_NAME, /* char *, printable, 1 to max bytes */
+	FIELD_LIST, /* char **, ends with NULL, of at most max strings */
 	FIELD_INT,  /* int, min to max */
 	FIELD_BOOL, /* int, 0 or 1 */
 	FIELD_ENUM, /* int, index into names */
--- a/base/field.c
+++ b/base/field.c
@@ -14,6 +14,8 @@
     struct report *, const char *, const char *);
 static void read_one(const struct json *, const struct field *, void *,
     struct report *, const char *, const char *);
+static void read_list(const struct json *, const struct field *, char ***,
+    struct report *, const char *, const char *);
 static void read_enum(const struct json *, const struct field *, int *,
     struct report *, const char *, const char *);
 
@@ -126,6 +128,31 @@
 		    "\"%s\" cannot be \"%s\"", f->key, j->str);
 }
 
+/* Reads a list of strings. */
+static void
+read_list(const struct json *j, const struct field *f, char ***out,
+    struct report *rep, const char *kind, const char *name)
+{
+	GPtrArray *list = g_ptr_array_new();
+	const struct json *e;
+
+	for (e = j->child; e != NULL; e = e->next) {
+		if (e->type != JSON_STRING)
+			report_error(rep, e->line, kind, name,
+			    "\"%s\" must list strings, not %s", f->key,
+			    json_type_name(e->type));
+		else
+			g_ptr_array_add(list, g_strdup(e->str));
+	}
+	if (list->len > f->max)
+		report_error(rep, j->line, kind, name,
+		    "\"%s\" lists %u values, not at most %" PRId64, f->key,
+		    list->len, f->max);
+	g_ptr_array_add(list, NULL);
+	g_strfreev(*out);
+	*out = (char **)g_ptr_array_free(list, FALSE);
+}
+
 /* Reads one field by its row. */
 static void
 read_one(const struct json *j, const struct field *f, void *out,
@@ -133,6 +160,7 @@
 {
 	static const enum json_type wanted[] = {
 		[FIELD_NAME] = JSON_STRING,
+		[FIELD_LIST] = JSON_ARRAY,
 		[FIELD_INT] = JSON_INT,
 		[FIELD_BOOL] = JSON_BOOL,
 		[FIELD_ENUM] = JSON_STRING,
@@ -155,6 +183,9 @@
 		g_free(*(char **)at);
 		*(char **)at = g_strdup(j->str);
 		break;
+	case FIELD_LIST:
+		read_list(j, f, (char ***)at, rep, kind, name);
+		break;
 	case FIELD_INT:
 		if (j->num < f->min || j->num > f->max)
 			report_error(rep, j->line, kind, name,
--- a/mesh/member.h
+++ b/mesh/member.h
@@ -26,6 +26,8 @@
 	KIND_LISTED,	/* what the VM list says of the receiver */
 	KIND_PUSH,	/* a new set */
 	KIND_HAVE,	/* answers a push: what is held now */
+	KIND_JOIN,	/* a node that starts greets one it may not know */
+	KIND_WELCOME,	/* answers it: some members that are alive */
 };
 
 #define MEMBER_PERIOD_MS   2000 /* between two probes of a node */
@@ -120,5 +122,7 @@
 int members_send(struct members *, struct member_send *);
 /* Rumours for the next datagram; returns how many. */
 int members_rumours(struct members *, struct rumour *, int max);
+/* Some usable members, from a place by chance; returns how many. */
+int members_sample(struct members *, struct rumour *, int max);
 
 #endif
--- /dev/null
+++ b/mesh/member_tell.c
@@ -0,0 +1,149 @@
+/* Membership: rumours, taken in and told. */
+#include <string.h>
+
+#include "member_int.h"
+
+#define TELL_ON_LEAVE 8 /* members told at once by one that leaves */
+
+static void refute(struct members *m, const struct rumour *r);
+static struct rumour as_rumour(const struct member *);
+static int picked(const struct rumour *out, int n, const char *name);
+
+/* Others hold this node suspect or dead: a greater incarnation refutes. */
+static void
+refute(struct members *m, const struct rumour *r)
+{
+	if (r->state <= m->state || r->incarnation < m->incarnation ||
+	    m->state == MEMBER_LEFT)
+		return;
+	m->incarnation = r->incarnation + 1;
+	m->tell_self = member_tell_count(m);
+}
+
+/* News of a node. */
+void
+members_rumour(struct members *m, const struct rumour *r, int64_t now)
+{
+	struct member *p;
+	int i, newer;
+
+	if (strcmp(r->name, m->name) == 0) {
+		if (r->index > 0)
+			member_listed_state(m, r);
+		else
+			refute(m, r);
+		return;
+	}
+	if (r->index > 0)
+		return;
+	if ((i = member_find(m, r->name)) < 0) {
+		p = member_add(m, r->name, r->addr, r->dc);
+		p->state = r->state;
+		p->since = now;
+		p->incarnation = r->incarnation;
+		p->tell = member_tell_count(m);
+		p->suspect_until = now + MEMBER_SUSPECT_MS;
+		return;
+	}
+	p = member_at(m, i);
+	newer = r->incarnation > p->incarnation;
+	/* In one incarnation a worse state overrides a better one. */
+	if (!newer && (r->incarnation < p->incarnation || r->state <= p->state))
+		return;
+	p->incarnation = r->incarnation;
+	if (newer)
+		g_strlcpy(p->addr, r->addr, sizeof(p->addr));
+	member_set_state(m, p, r->state, now);
+	if (r->state == MEMBER_SUSPECT)
+		p->suspect_until = now + MEMBER_SUSPECT_MS;
+}
+
+/* Tells some members at once; rumours carry it to the others. */
+void
+members_leave(struct members *m)
+{
+	int i, at, n = members_count(m), told = 0;
+
+	m->state = MEMBER_LEFT;
+	m->incarnation++;
+	m->tell_self = member_tell_count(m);
+	at = n > 0 ? g_rand_int_range(m->rand, 0, n) : 0;
+	for (i = 0; i < n && told < TELL_ON_LEAVE; i++) {
+		at = (at + 1) % n;
+		if (member_at(m, at)->state != MEMBER_ALIVE)
+			continue;
+		member_push(m, KIND_TELL, at, -1, 0);
+		told++;
+	}
+}
+
+/* Whether a name is already among the first n rumours. */
+static int
+picked(const struct rumour *out, int n, const char *name)
+{
+	int i;
+
+	for (i = 0; i < n; i++)
+		if (out[i].name == name)
+			return 1;
+	return 0;
+}
+
+/* News of a member as it is told. */
+static struct rumour
+as_rumour(const struct member *p)
+{
+	return (struct rumour){ .name = p->name,
+		.addr = p->addr,
+		.dc = p->dc,
+		.state = p->state,
+		.incarnation = p->incarnation };
+}
+
+/* Picks rumours: this node's own first, then those told least often. */
+int
+members_rumours(struct members *m, struct rumour *out, int max)
+{
+	struct member *p, *best;
+	int i, n = 0;
+
+	if (m->tell_self > 0 && n < max) {
+		m->tell_self--;
+		out[n++] = (struct rumour){ .name = m->name,
+			.addr = m->addr,
+			.dc = m->dc,
+			.state = m->state,
+			.incarnation = m->incarnation };
+	}
+	while (n < max) {
+		best = NULL;
+		for (i = 0; i < members_count(m); i++) {
+			p = member_at(m, i);
+			if (p->tell > 0 && !picked(out, n, p->name) &&
+			    (best == NULL || p->tell > best->tell))
+				best = p;
+		}
+		if (best == NULL)
+			break;
+		best->tell--;
+		out[n++] = as_rumour(best);
+	}
+	return n;
+}
+
+/* Some members that are alive, for a node that knows few. */
+int
+members_sample(struct members *m, struct rumour *out, int max)
+{
+	int i, at, n = 0, count = members_count(m);
+	struct member *p;
+
+	at = count > 0 ? g_rand_int_range(m->rand, 0, count) : 0;
+	for (i = 0; i < count && n < max; i++) {
+		at = (at + 1) % count;
+		p = member_at(m, at);
+		if (member_usable(p) && p->heard)
+			out[n++] = as_rumour(p);
+	}
+	return n;
+}
--- a/node/gossip.c
+++ b/node/gossip.c
@@ -16,8 +16,7 @@
 static void fill(struct node *, const struct member_send *, Wire__Datagram *);
 static int fill_rumours(struct node *, Wire__Datagram *, Wire__Rumour *,
     Wire__Rumour **, char names[][MESH_NAME_MAX + 1]);
-static void
-transmit(struct node *, const struct member *, const Wire__Datagram *, int);
+static void transmit(struct node *, const char *, const Wire__Datagram *, int);
 static void received(struct node *, const unsigned char *, size_t);
 static int is_replay(struct node *, const Wire__Datagram *);
 static void learn(struct node *, const Wire__Datagram *, int, int64_t);
@@ -84,7 +83,9 @@
 	struct rumour r[MEMBER_RUMOURS];
 	int i, count;
 
-	count = members_rumours(n->members, r, MEMBER_RUMOURS);
+	count = d->kind == KIND_WELCOME
+		    ? members_sample(n->members, r, MEMBER_RUMOURS)
+		    : members_rumours(n->members, r, MEMBER_RUMOURS);
 	for (i = 0; i < count; i++) {
 		wire__rumour__init(&out[i]);
 		g_strlcpy(names[i], r[i].name, sizeof(names[i]));
@@ -102,8 +103,7 @@
 
 /* Packs, seals and sends; rumours and a payload that do not fit stay out. */
 static void
-transmit(struct node *n, const struct member *to, const Wire__Datagram *d,
-    int spread)
+transmit(struct node *n, const char *addr, const Wire__Datagram *d, int spread)
 {
 	unsigned char plain[SEAL_MAX], sealed[SEAL_MAX];
 	Wire__Datagram small = *d;
@@ -114,10 +114,10 @@
 		small.n_rumours = 0;
 	if (wire__datagram__get_packed_size(&small) + SEAL_OVERHEAD > SEAL_MAX)
 		small.push = NULL;
-	if (address_resolve(to->addr, &sin) != BASE_OK)
+	if (address_resolve(addr, &sin) != BASE_OK)
 		return;
 	len = (int)wire__datagram__pack(&small, plain);
-	len = seal(n->key, to->addr, plain, (size_t)len, sealed);
+	len = seal(n->key, addr, plain, (size_t)len, sealed);
 	if (len < 0 || sendto(n->udp, sealed, (size_t)len, MSG_DONTWAIT,
 			   (struct sockaddr *)&sin, sizeof(sin)) < 0)
 		return;
@@ -152,7 +152,7 @@
 	}
 	if (s->kind == KIND_PROBE_FOR || s->kind == KIND_ACK_FOR)
 		d.about = member_at(n->members, s->about)->name;
-	if (!to->heard || s->kind == KIND_PROBE) {
+	if (!to->heard || s->kind == KIND_PROBE || s->kind == KIND_WELCOME) {
 		d.address = n->settings.advertise;
 		d.data_centre = n->settings.data_centre;
 	}
@@ -160,7 +160,20 @@
 		spread_pack(delta, &push, &v);
 		d.push = &push;
 	}
-	transmit(n, to, &d, s->kind == KIND_PUSH || s->kind == KIND_HAVE);
+	transmit(n, to->addr, &d, s->kind == KIND_PUSH || s->kind == KIND_HAVE);
+}
+
+/* Greets a node that may be a stranger, and to whom this one may be one. */
+void
+gossip_greet(struct node *n, const char *addr)
+{
+	Wire__Datagram d = WIRE__DATAGRAM__INIT;
+	struct member_send s = { .kind = KIND_JOIN };
+
+	fill(n, &s, &d);
+	d.address = n->settings.advertise;
+	d.data_centre = n->settings.data_centre;
+	transmit(n, addr, &d, 0);
 }
 
 /* Whether a datagram was seen before, or is of an earlier process. */
@@ -237,6 +250,10 @@
 	case KIND_PUSH:
 		spread_push(n, from, d->push);
 		break;
+	case KIND_JOIN:
+		s.kind = KIND_WELCOME;
+		gossip_send(n, &s, NULL);
+		break;
 	default:
 		break;
 	}
@@ -363,7 +380,7 @@
 		fill(n, &s, &d);
 		d.suspects = &one;
 		d.n_suspects = 1;
-		transmit(n, member_at(n->members, m), &d, 0);
+		transmit(n, member_at(n->members, m)->addr, &d, 0);
 	}
 }
 
@@ -381,6 +398,7 @@
 		    list->index);
 	}
 	members_list_end(n->members);
+	n->listed = 1;
 	flush(n);
 	role_set_out(n);
 	g_array_free(list->lines, TRUE);
--- a/node/loop.c
+++ b/node/loop.c
@@ -205,6 +205,7 @@
 {
 	notice_pause(n, now);
 	gossip_tick(n, now);
+	join_tick(n, now);
 	spread_tick(n, now);
 	entry_tick(n, now);
 	serve_tick(n, now);
--- a/node/node.h
+++ b/node/node.h
@@ -31,6 +31,7 @@
 	char *platform;	 /* address of the configuration service */
 	char *key_file;
 	char *log;
+	char **peers; /* addresses to join by; NULL, or ends with NULL */
 	char *record; /* file for a trace of the guard, or NULL */
 	int readers;  /* nodes a data centre that watch the source */
 	int source_reads_per_min;
--- a/node/node_int.h
+++ b/node/node_int.h
@@ -236,6 +236,9 @@
 	struct spans spans;
 	FILE *trace; /* of the guard's decisions, or NULL */
 	GRand *rand;
+	int listed;	 /* a VM list was read */
+	int joins;	 /* greetings sent */
+	int64_t join_at; /* when the next greeting is due */
 	int firsts;	 /* first reads of the platform still under way */
 	int firsts_good; /* of those ended, well */
 	int64_t started_at;
@@ -306,6 +309,11 @@
 void
 gossip_suspect(struct node *, uint64_t fingerprint, int crashes, int released);
 void gossip_vms(struct node *, struct vm_list *);
+/* Greets the node at an address, which need not be known. */
+void gossip_greet(struct node *, const char *addr);
+
+/* join.c */
+void join_tick(struct node *, int64_t now);
 
 /* spread.c */
 /* A version came into force here. */
--- a/node/settings.c
+++ b/node/settings.c
@@ -8,10 +8,13 @@
 #include "node.h"
 
 #define PATH_BYTES   1024
+#define PEERS_MAX    16
 #define KEY_FILE_MAX 256
 
 static void
 check_address(const struct json *, const char *, const char *, struct report *);
+static void
+check_peers(const struct json *, const struct settings *, struct report *);
 
 #define NAME(key, max, req)                                               \
 	{                                                                 \
@@ -42,6 +45,8 @@
 	NAME(key_file, PATH_BYTES, 1),
 	NAME(log, MESH_NAME_MAX, 0),
 	NAME(record, PATH_BYTES, 0),
+	{ "peers", FIELD_LIST, offsetof(struct settings, peers), 0, PEERS_MAX,
+	    NULL, 0 },
 	INT(readers, 1, 16),
 	INT(source_reads_per_min, 1, 6000),
 	INT(start_spread_ms, 0, 60000),
@@ -72,6 +77,17 @@
 		    key);
 }
 
+/* Checks every address of peers. */
+static void
+check_peers(
+    const struct json *root, const struct settings *s, struct report *rep)
+{
+	int i;
+
+	for (i = 0; s->peers != NULL && s->peers[i] != NULL; i++)
+		check_address(root, "peers", s->peers[i], rep);
+}
+
 /* Reads a file of settings. */
 int
 settings_read(const char *path, struct settings *s, struct report *rep)
@@ -103,6 +119,7 @@
 	check_address(root, "operators", s->operators, rep);
 	check_address(root, "target", s->target, rep);
 	check_address(root, "platform", s->platform, rep);
+	check_peers(root, s, rep);
 	if (s->log != NULL && base_log_level(s->log) != BASE_OK)
 		report_error(rep, json_get(root, "log")->line, "settings", "",
 		    "\"log\" must be \"error\", \"warning\", \"info\" or "
@@ -125,6 +142,7 @@
 	for (f = fields; f->key != NULL; f++)
 		if (f->type == FIELD_NAME)
 			g_free(*(char **)((char *)s + f->offset));
+	g_strfreev(s->peers);
 }
 
 /* Reads the fleet's key. */
--- a/test/herd.sh
+++ b/test/herd.sh
@@ -1,5 +1,6 @@
 # Nodes die in a herd while the platform is down and come back: they take the
-# newest version that the survivors hold before they are ready.  Then all die.
+# newest version that the survivors hold before they are ready; so does a VM
+# that is new.  Then all die.
 . tools/fleet.sh
 trap fleet_down EXIT
 set -e
@@ -17,6 +18,13 @@
 wait_ready $dead
 wait_status version 2 $dead
 
+# A VM that no list named yet joins by the peers of its settings.
+VM_IP[vm-new]=127.0.1.99
+VM_DC[vm-new]=slip-north
+node_start vm-new
+wait_ready vm-new
+wait_status version 2 vm-new
+
 # All at once: nobody is left who knows, so the platform has to.
 fault none
 for vm in "${!VM_IP[@]}"; do kill -KILL "${NODE_PID[$vm]}"; done
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -39,6 +39,16 @@
 	done < <("$FLEET_BIN/teaselctl" list "$1")
 }
 
+# Some nodes by whose addresses the others may join: every third of the first.
+fleet_peers() {
+	local vm sep=
+	for vm in $(printf '%s\n' "${!VM_IP[@]}" | sort | sed -n '4~3p' |
+	    head -n 4); do
+		printf '%s"%s:%s"' "$sep" "$(advertised "$vm")" "$NODE_PORT"
+		sep=', '
+	done
+}
+
 # Writes the settings of a VM's node; further lines may be given.
 fleet_settings() {
 	local vm=$1 ip=${VM_IP[$1]}
@@ -53,7 +63,8 @@
 	"operators": "$ip:$OPERATOR_PORT",
 	"target": "$ip:$TARGET_PORT",
 	"platform": "$PLATFORM",
-	"key_file": "$FLEET_DIR/fleet.key",
+		"key_file": "$FLEET_DIR/fleet.key",
+	"peers": [$(fleet_peers)],
 	${FLEET_EXTRA:-}
 	${FLEET_RECORD:+"\"record\": \"$FLEET_DIR/$vm.trace\","}
 	"start_spread_ms": ${FLEET_SPREAD:-200}
