Every node tells which version was rejected, why and by whom

Cause: only readers see a version that the check refuses; others never fetch it, so their status said nothing (races.sh: vm-07 had no rejection). Ways weighed: push the refused text to all (each would check it, at the cost of a set a node); fetch the reason on demand (the operator must know whom to ask); tell version, reason and name like a rumour. The last is built: about 150 bytes on as many datagrams as a rumour takes. It decides nothing at the receiver, as check rules may differ during an upgrade. Before: races.sh fails with the earlier programs.

--- a/mesh/member.c
+++ b/mesh/member.c
@@ -122,7 +122,7 @@
 
 /* How many datagrams carry a rumour until nearly all have heard it. */
 int
-member_tell_count(const struct members *m)
+members_tell_count(const struct members *m)
 {
 	return TELL_FACTOR * (int)g_bit_storage(m->all->len + 1);
 }
@@ -138,7 +138,7 @@
 	if (s == MEMBER_SUSPECT)
 		counter_add(CTR_SUSPECTED, 1);
 	p->state = s;
-	p->tell = member_tell_count(m);
+	p->tell = members_tell_count(m);
 }
 
 /* Begins reading a VM list. */
@@ -206,7 +206,7 @@
 	m->heard_at = now;
 	if ((i = member_find(m, from->name)) < 0) {
 		p = member_add(m, from->name, from->addr, from->dc);
-		p->tell = member_tell_count(m);
+		p->tell = members_tell_count(m);
 		i = members_count(m) - 1;
 	} else {
 		p = member_at(m, i);
@@ -216,7 +216,7 @@
 		return i;
 	if (strcmp(p->addr, from->addr) != 0) {
 		g_strlcpy(p->addr, from->addr, sizeof(p->addr));
-		p->tell = member_tell_count(m);
+		p->tell = members_tell_count(m);
 	}
 	if (from->incarnation > p->incarnation || p->state != MEMBER_LEFT) {
 		member_set_state(m, p, from->state, now);
@@ -237,7 +237,7 @@
 		return;
 	m->state = r->state;
 	m->incarnation++;
-	m->tell_self = member_tell_count(m);
+	m->tell_self = members_tell_count(m);
 }
 
 /* Takes the next datagram. */
--- a/mesh/member.h
+++ b/mesh/member.h
@@ -122,6 +122,8 @@
 int members_send(struct members *, struct member_send *);
 /* Rumours for the next datagram; returns how many. */
 int members_rumours(struct members *, struct rumour *, int max);
+/* How many datagrams carry a rumour until nearly all have heard it. */
+int members_tell_count(const struct members *);
 /* Some usable members, from a place by chance; returns how many. */
 int members_sample(struct members *, struct rumour *, int max);
 
--- a/mesh/member_int.h
+++ b/mesh/member_int.h
@@ -46,8 +46,7 @@
 /* Changes a member's state and makes it a rumour. */
 void member_set_state(
     struct members *m, struct member *p, enum member_state s, int64_t now);
-/* How many datagrams carry a rumour until nearly all have heard it. */
-int member_tell_count(const struct members *m);
+
 /* What the VM list says of this node itself. */
 void member_listed_state(struct members *m, const struct rumour *r);
 
--- a/mesh/member_tell.c
+++ b/mesh/member_tell.c
@@ -17,7 +17,7 @@
 	    m->state == MEMBER_LEFT)
 		return;
 	m->incarnation = r->incarnation + 1;
-	m->tell_self = member_tell_count(m);
+	m->tell_self = members_tell_count(m);
 }
 
 /* News of a node. */
@@ -41,7 +41,7 @@
 		p->state = r->state;
 		p->since = now;
 		p->incarnation = r->incarnation;
-		p->tell = member_tell_count(m);
+		p->tell = members_tell_count(m);
 		p->suspect_until = now + MEMBER_SUSPECT_MS;
 		return;
 	}
@@ -66,7 +66,7 @@
 
 	m->state = MEMBER_LEFT;
 	m->incarnation++;
-	m->tell_self = member_tell_count(m);
+	m->tell_self = members_tell_count(m);
 	at = n > 0 ? g_rand_int_range(m->rand, 0, n) : 0;
 	for (i = 0; i < n && told < TELL_ON_LEAVE; i++) {
 		at = (at + 1) % n;
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -161,11 +161,16 @@
 };
 
 /* What a node remembers of versions. */
+#define VERSION_REASON_LEN 256
+
 struct version_state {
 	struct version held;	 /* in force */
 	struct version rejected; /* newest one rejected, number 0 if none */
-	char reason[256];	 /* why it was rejected */
+	char reason[VERSION_REASON_LEN]; /* why it was rejected */
 	struct version conflict; /* the losing side of a conflict seen */
+	struct version told;	 /* newest one that another node rejected */
+	char told_reason[VERSION_REASON_LEN];
+	char told_by[MESH_NAME_MAX + 1];
 };
 
 enum offer_verdict
@@ -175,6 +180,18 @@
 /* Remembers a rejected version. */
 void version_reject(
     struct version_state *, const struct version *, const char *reason);
+/*
+ * Remembers what another node rejected, for the status alone: whether this
+ * node rejects it as well is for its own check, whose rules may be others.
+ */
+void version_told(struct version_state *, const struct version *,
+    const char *reason, const char *by);
+/*
+ * The newest version that is known to be rejected and is newer than what is
+ * held, or NULL; reason and by point into the state, by is "" for this node.
+ */
+const struct version *version_rejected(
+    const struct version_state *, const char **reason, const char **by);
 
 /* ---- choice of a target ---- */
 
--- a/mesh/version.c
+++ b/mesh/version.c
@@ -101,3 +101,28 @@
 	st->rejected = *v;
 	g_strlcpy(st->reason, reason, sizeof(st->reason));
 }
+
+/* Remembers the newest version that another node rejected. */
+void
+version_told(struct version_state *st, const struct version *v,
+    const char *reason, const char *by)
+{
+	if (v->number <= st->held.number || version_cmp(v, &st->told) <= 0)
+		return;
+	st->told = *v;
+	g_strlcpy(st->told_reason, reason, sizeof(st->told_reason));
+	g_strlcpy(st->told_by, by, sizeof(st->told_by));
+}
+
+/* This node's own rejection, or a newer one it was told of. */
+const struct version *
+version_rejected(
+    const struct version_state *st, const char **reason, const char **by)
+{
+	int own = version_cmp(&st->rejected, &st->told) >= 0;
+	const struct version *v = own ? &st->rejected : &st->told;
+
+	*reason = own ? st->reason : st->told_reason;
+	*by = own ? "" : st->told_by;
+	return v->number > st->held.number ? v : NULL;
+}
--- a/node/config.c
+++ b/node/config.c
@@ -136,6 +136,16 @@
 	pthread_mutex_unlock(&s->lock);
 }
 
+/* Remembers another node's rejection. */
+void
+config_told(struct config_store *s, const struct version *v, const char *reason,
+    const char *by)
+{
+	pthread_mutex_lock(&s->lock);
+	version_told(&s->versions, v, reason, by);
+	pthread_mutex_unlock(&s->lock);
+}
+
 /* Decides over an offer. */
 enum offer_verdict
 config_offer(struct config_store *s, const struct version *v)
@@ -451,6 +461,8 @@
 {
 	const struct config *c;
 	struct version_state v;
+	const struct version *rejected;
+	const char *reason, *by;
 	char name[VERSION_STR_LEN], hex[HASH_HEX_LEN], failure[128];
 	int skipped;
 
@@ -470,11 +482,13 @@
 	config_unlock();
 	g_string_append_printf(
 	    out, ", \"skips\": %s", skipped ? "true" : "false");
-	if (v.rejected.number > v.held.number) {
-		g_string_append_printf(out, ", \"rejected\": \"%s\"",
-		    version_str(&v.rejected, name));
+	if ((rejected = version_rejected(&v, &reason, &by)) != NULL) {
+		g_string_append_printf(
+		    out, ", \"rejected\": \"%s\"", version_str(rejected, name));
 		g_string_append(out, ", \"reason\": ");
-		json_quote(out, v.reason);
+		json_quote(out, reason);
+		g_string_append(out, ", \"rejected_by\": ");
+		json_quote(out, by);
 	}
 	if (v.conflict.number > 0 && v.conflict.number == v.held.number)
 		g_string_append_printf(out, ", \"conflict\": \"%s\"",
--- a/node/config.h
+++ b/node/config.h
@@ -44,6 +44,9 @@
 const struct config *config_get(const struct config_store *);
 /* Copies what is remembered of versions. */
 void config_versions(struct config_store *, struct version_state *);
+/* Another node says that it rejected a version. */
+void config_told(struct config_store *, const struct version *,
+    const char *reason, const char *by);
 /* Decides over an offer, remembering conflicts. */
 enum offer_verdict config_offer(struct config_store *, const struct version *);
 /* Hands a text that came from the platform to the store's thread. */
--- a/node/gossip.c
+++ b/node/gossip.c
@@ -14,12 +14,15 @@
 #define HASH_SENT     8		    /* bytes of a hash in a datagram */
 
 static void fill(struct node *, const struct member_send *, Wire__Datagram *);
+static int fill_rejection(struct node *, const struct version_state *,
+    Wire__Rejection *, Wire__Version *);
 static int fill_rumours(struct node *, Wire__Datagram *, Wire__Rumour *,
     Wire__Rumour **, char names[][MESH_NAME_MAX + 1]);
 static void transmit(struct node *, const char *, const Wire__Datagram *, int);
 static void received(struct node *, const unsigned char *, size_t);
 static int is_replay(struct node *, const Wire__Datagram *);
 static void learn(struct node *, const Wire__Datagram *, int, int64_t);
+static void learn_rejection(struct node *, const Wire__Rejection *);
 static void react(struct node *, const Wire__Datagram *, int, int64_t);
 static void flush(struct node *);
 static void watch_dead(struct node *);
@@ -101,6 +104,25 @@
 	return count;
 }
 
+/* Tells of a version that a check refused; all points into the state. */
+static int
+fill_rejection(struct node *n, const struct version_state *st,
+    Wire__Rejection *r, Wire__Version *w)
+{
+	const struct version *v;
+	const char *reason, *by;
+
+	if (!spread_rejection(n, st, &v, &reason, &by))
+		return 0;
+	w->number = v->number;
+	w->hash.data = (uint8_t *)v->hash;
+	w->hash.len = VERSION_HASH_LEN;
+	r->set = w;
+	r->reason = (char *)reason;
+	r->by = (char *)by;
+	return 1;
+}
+
 /* Packs, seals and sends; rumours and a payload that do not fit stay out. */
 static void
 transmit(struct node *n, const char *addr, const Wire__Datagram *d, int spread)
@@ -138,9 +160,15 @@
 	Wire__Version v = WIRE__VERSION__INIT;
 	Wire__Rumour listed = WIRE__RUMOUR__INIT, *one = &listed;
 	char names[MEMBER_RUMOURS][MESH_NAME_MAX + 1];
+	Wire__Rejection rejection = WIRE__REJECTION__INIT;
+	Wire__Version refused = WIRE__VERSION__INIT;
+	struct version_state held;
 	const struct member *to = member_at(n->members, s->to);
 
+	config_versions(n->config, &held);
 	fill(n, s, &d);
+	if (delta == NULL && fill_rejection(n, &held, &rejection, &refused))
+		d.rejection = &rejection;
 	if (s->kind == KIND_LISTED) {
 		listed.name = (char *)to->name;
 		listed.state = s->about ? MEMBER_LEAVING : MEMBER_ALIVE;
@@ -189,6 +217,22 @@
 	return !replay_fresh(r, d->boot, d->count);
 }
 
+/* Takes in that some node's check refused a version. */
+static void
+learn_rejection(struct node *n, const Wire__Rejection *r)
+{
+	struct version v;
+
+	if (r == NULL || r->set == NULL ||
+	    r->set->hash.len != VERSION_HASH_LEN ||
+	    !name_valid(r->by, MESH_NAME_MAX) ||
+	    !name_valid(r->reason, VERSION_REASON_LEN - 1))
+		return;
+	v.number = r->set->number;
+	memcpy(v.hash, r->set->hash.data, VERSION_HASH_LEN);
+	config_told(n->config, &v, r->reason, r->by);
+}
+
 /* Takes in what a datagram says of its sender and of others. */
 static void
 learn(struct node *n, const Wire__Datagram *d, int from, int64_t now)
@@ -214,6 +258,7 @@
 			.index = w->index };
 		members_rumour(n->members, &r, now);
 	}
+	learn_rejection(n, d->rejection);
 	for (i = 0; i < d->n_suspects && n->guard.guard != NULL; i++) {
 		if (d->suspects[i]->released)
 			record_release(n, d->suspects[i]->fingerprint);
--- a/node/node_int.h
+++ b/node/node_int.h
@@ -211,8 +211,10 @@
 	int pushed_by;	     /* member whose push is being applied, or -1 */
 	int64_t fetch_until; /* a fetch is under way until then */
 	char fetch_from[MESH_NAME_MAX + 1];
-	int asked;    /* peers asked since the start */
-	int answered; /* of these, answered */
+	struct version rejected; /* last told to others */
+	int tells;		 /* datagrams that still carry it */
+	int asked;		 /* peers asked since the start */
+	int answered;		 /* of these, answered */
 };
 
 struct node {
@@ -328,6 +330,9 @@
 spread_pack(const struct config_delta *, Wire__SetReply *, Wire__Version *);
 void spread_reply(struct node *, const char *peer, const Wire__SetReply *);
 void spread_tick(struct node *, int64_t now);
+/* A rejection that the next datagram should carry: 1, and where it is. */
+int spread_rejection(struct node *, const struct version_state *,
+    const struct version **, const char **reason, const char **by);
 /* Rank of this node among those alive in its data centre. */
 int spread_rank(struct node *);
 
--- a/node/spread.c
+++ b/node/spread.c
@@ -407,3 +407,22 @@
 			push_to(n, p, now);
 	}
 }
+
+/* Tells of the newest rejection as of a rumour: often enough for nearly all. */
+int
+spread_rejection(struct node *n, const struct version_state *st,
+    const struct version **v, const char **reason, const char **by)
+{
+	if ((*v = version_rejected(st, reason, by)) == NULL)
+		return 0;
+	if (version_cmp(*v, &n->spread.rejected) != 0) {
+		n->spread.rejected = **v;
+		n->spread.tells = members_tell_count(n->members);
+	}
+	if (n->spread.tells == 0)
+		return 0;
+	n->spread.tells--;
+	if (**by == '\0')
+		*by = n->settings.name;
+	return 1;
+}
--- a/node/wire.pb-c.c
+++ b/node/wire.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &wire__suspect__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__rejection__init
+                     (Wire__Rejection         *message)
+{
+  static const Wire__Rejection init_value = WIRE__REJECTION__INIT;
+  *message = init_value;
+}
+size_t wire__rejection__get_packed_size
+                     (const Wire__Rejection *message)
+{
+  assert(message->base.descriptor == &wire__rejection__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__rejection__pack
+                     (const Wire__Rejection *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__rejection__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__rejection__pack_to_buffer
+                     (const Wire__Rejection *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__rejection__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Rejection *
+       wire__rejection__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Rejection *)
+     protobuf_c_message_unpack (&wire__rejection__descriptor,
+                                allocator, len, data);
+}
+void   wire__rejection__free_unpacked
+                     (Wire__Rejection *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__rejection__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__datagram__init
                      (Wire__Datagram         *message)
 {
@@ -1704,7 +1749,71 @@
   (ProtobufCMessageInit) wire__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__datagram__field_descriptors[16] =
+static const ProtobufCFieldDescriptor wire__rejection__field_descriptors[3] =
+{
+  {
+    "set",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Rejection, set),
+    &wire__version__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Rejection, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "by",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Rejection, by),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__rejection__field_indices_by_name[] = {
+  2,   /* field[2] = by */
+  1,   /* field[1] = reason */
+  0,   /* field[0] = set */
+};
+static const ProtobufCIntRange wire__rejection__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__rejection__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Rejection",
+  "Rejection",
+  "Wire__Rejection",
+  "wire",
+  sizeof(Wire__Rejection),
+  3,
+  wire__rejection__field_descriptors,
+  wire__rejection__field_indices_by_name,
+  1,  wire__rejection__number_ranges,
+  (ProtobufCMessageInit) wire__rejection__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__datagram__field_descriptors[17] =
 {
   {
     "kind",
@@ -1898,6 +2007,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rejection",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Datagram, rejection),
+    &wire__rejection__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__datagram__field_indices_by_name[] = {
   9,   /* field[9] = about */
@@ -1913,6 +2034,7 @@
   5,   /* field[5] = number */
   4,   /* field[4] = probe */
   12,   /* field[12] = push */
+  16,   /* field[16] = rejection */
   10,   /* field[10] = rumours */
   13,   /* field[13] = state */
   11,   /* field[11] = suspects */
@@ -1920,7 +2042,7 @@
 static const ProtobufCIntRange wire__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor wire__datagram__descriptor =
 {
@@ -1930,7 +2052,7 @@
   "Wire__Datagram",
   "wire",
   sizeof(Wire__Datagram),
-  16,
+  17,
   wire__datagram__field_descriptors,
   wire__datagram__field_indices_by_name,
   1,  wire__datagram__number_ranges,
--- a/node/wire.pb-c.h
+++ b/node/wire.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct Wire__Envelope Wire__Envelope;
 typedef struct Wire__Rumour Wire__Rumour;
 typedef struct Wire__Suspect Wire__Suspect;
+typedef struct Wire__Rejection Wire__Rejection;
 typedef struct Wire__Datagram Wire__Datagram;
 
 
@@ -299,6 +300,21 @@
     , 0, 0, 0 }
 
 
+/*
+ * A version that the check of a node refused.
+ */
+struct  Wire__Rejection
+{
+  ProtobufCMessage base;
+  Wire__Version *set;
+  char *reason;
+  char *by;
+};
+#define WIRE__REJECTION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__rejection__descriptor) \
+    , NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
 /*
  * One sealed datagram.
  */
@@ -350,10 +366,11 @@
    */
   char *address;
   char *data_centre;
+  Wire__Rejection *rejection;
 };
 #define WIRE__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__datagram__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL }
 
 
 /* Wire__Version methods */
@@ -584,6 +601,25 @@
 void   wire__suspect__free_unpacked
                      (Wire__Suspect *message,
                       ProtobufCAllocator *allocator);
+/* Wire__Rejection methods */
+void   wire__rejection__init
+                     (Wire__Rejection         *message);
+size_t wire__rejection__get_packed_size
+                     (const Wire__Rejection   *message);
+size_t wire__rejection__pack
+                     (const Wire__Rejection   *message,
+                      uint8_t             *out);
+size_t wire__rejection__pack_to_buffer
+                     (const Wire__Rejection   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Rejection *
+       wire__rejection__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__rejection__free_unpacked
+                     (Wire__Rejection *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__Datagram methods */
 void   wire__datagram__init
                      (Wire__Datagram         *message);
@@ -641,6 +677,9 @@
 typedef void (*Wire__Suspect_Closure)
                  (const Wire__Suspect *message,
                   void *closure_data);
+typedef void (*Wire__Rejection_Closure)
+                 (const Wire__Rejection *message,
+                  void *closure_data);
 typedef void (*Wire__Datagram_Closure)
                  (const Wire__Datagram *message,
                   void *closure_data);
@@ -662,6 +701,7 @@
 extern const ProtobufCMessageDescriptor wire__envelope__descriptor;
 extern const ProtobufCMessageDescriptor wire__rumour__descriptor;
 extern const ProtobufCMessageDescriptor wire__suspect__descriptor;
+extern const ProtobufCMessageDescriptor wire__rejection__descriptor;
 extern const ProtobufCMessageDescriptor wire__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/operator/ctl_node.c
+++ b/operator/ctl_node.c
@@ -22,6 +22,7 @@
 	const struct json *guard = json_get(j, "guard");
 	const struct json *peers = json_get(j, "peers");
 	const char *why = json_str(j, "reason", NULL);
+	const char *by = json_str(j, "rejected_by", "");
 	const struct json *ready = json_get(j, "ready");
 	const struct json *out = json_get(j, "out");
 
@@ -39,8 +40,9 @@
 	    out != NULL && out->num ? "out" : "in", json_int(peers, "alive", 0),
 	    json_int(guard, "running", 0), json_int(guard, "limit", 0));
 	if (why != NULL)
-		printf("%21s rejected %s: %s\n", "",
-		    json_str(j, "rejected", ""), why);
+		printf("%21s rejected %s%s%s: %s\n", "",
+		    json_str(j, "rejected", ""), *by != '\0' ? " by " : "", by,
+		    why);
 	if (json_get(j, "conflict") != NULL)
 		printf("%21s conflict: %s was published under the same "
 		       "number\n",
--- a/test/races.sh
+++ b/test/races.sh
@@ -46,6 +46,9 @@
 	sleep 0.3
 done
 grep -q '"rejected": "7-[0-9a-f]*", "reason": ".*rules.* is 2' "$1/status"
+# Not the readers alone: any node tells what was rejected, why and by whom.
+rejected=$(sed -n 's/.*"rejected": "\(7-[0-9a-f]*\)".*/\1/p' "$1/status" | head -n 1)
+wait_status rejected "$rejected" "${!VM_IP[@]}"
 wait_status version 6 "${!VM_IP[@]}"
 
 # The mended set takes the same number.
--- a/test/test_version.c
+++ b/test/test_version.c
@@ -53,11 +53,33 @@
 	CU_ASSERT_STRING_EQUAL(st.reason, "why");
 }
 
+/* What another node rejected is told on, but decides nothing here. */
+static void
+told_rejection_is_shown_alone(void)
+{
+	struct version_state st = { .held = make(4, 0) };
+	struct version bad = make(5, 1), older = make(4, 9);
+	const char *reason, *by;
+
+	version_told(&st, &older, "old", "vm-02");
+	CU_ASSERT_PTR_NULL(version_rejected(&st, &reason, &by));
+	version_told(&st, &bad, "why", "vm-02");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(version_rejected(&st, &reason, &by));
+	CU_ASSERT_STRING_EQUAL(by, "vm-02");
+	CU_ASSERT_EQUAL(version_offer(&st, &bad), OFFER_FETCH);
+	version_reject(&st, &bad, "my own");
+	version_rejected(&st, &reason, &by);
+	CU_ASSERT_STRING_EQUAL(reason, "my own");
+	version_take(&st, &bad);
+	CU_ASSERT_PTR_NULL(version_rejected(&st, &reason, &by));
+}
+
 static const struct test tests[] = {
 	{ "older and equal are ignored", older_and_equal_are_ignored },
 	{ "conflict ends alike in both orders",
 	    conflict_ends_alike_in_both_orders },
 	{ "rejected is not fetched again", rejected_is_not_fetched_again },
+	{ "told rejection is shown alone", told_rejection_is_shown_alone },
 };
 
 TEST_MAIN("version", tests)
