--- a/replay/walk.c
+++ b/replay/walk.c
@@ -43,7 +43,8 @@
 	int call, guard;
 	uint64_t boot;
 	enum call_outcome outcome;
-	int sending; /* of the call, that this is about */
+	int sending;		   /* of the call, that this is about */
+	char id[GUARD_ID_MAX + 1]; /* of a forward or a fence */
 };
 
 /* A request held by a guard. */
@@ -85,6 +86,7 @@
 post(struct world *, enum message_kind, int, int, uint64_t, enum call_outcome);
 static void act(struct world *, int, enum call_action);
 static void send_call(struct world *, int, int);
+static void mint(struct world *, int);
 static void refused(struct world *, int);
 static void new_call(struct world *, int, int);
 static void deliver(struct world *, int);
@@ -92,7 +94,7 @@
 static void on_forward(struct world *, const struct message *);
 static void on_fence(struct world *, const struct message *);
 static void on_duplicate(struct world *, const struct message *);
-static struct walk_held *find_held(struct world *, int, int);
+static struct walk_held *find_held(struct world *, int, const char *);
 static void tell_all(struct world *, struct walk_held *, enum call_outcome);
 static void release(struct world *, struct walk_held *);
 static void ran(struct world *, const struct walk_held *);
@@ -125,6 +127,8 @@
 		.sending = kind == MESSAGE_FORWARD || kind == MESSAGE_FENCE
 			       ? w->calls[call].call.tries
 			       : w->about };
+	g_strlcpy(w->flight[w->nflight - 1].id, w->calls[call].call.id,
+	    GUARD_ID_MAX + 1);
 }
 
 /* A refusal ends a call; "not run" must be true now. */
@@ -178,7 +182,11 @@
 	struct walk_call *k = &w->calls[c];
 	int home;
 
-	if (!same) {
+	if (!same && k->call.minted) {
+		/* As an entry does: any target, under an id made for it. */
+		k->guard = (c + k->call.tries) % GUARDS;
+		mint(w, c);
+	} else if (!same) {
 		home =
 		    home_at(k->call.id, target_names, GUARDS, k->call.walked);
 		if (home < 0) {
@@ -193,6 +201,19 @@
 	post(w, MESSAGE_FORWARD, c, k->guard, k->boot, OUTCOME_ANSWERED);
 }
 
+/* Makes the id of a sending, with the guard that was chosen as its home. */
+static void
+mint(struct world *w, int c)
+{
+	unsigned char random[REQID_RANDOM] = { 0 };
+	struct walk_call *k = &w->calls[c];
+
+	memcpy(random, &c, sizeof(c));
+	random[sizeof(c)] = (unsigned char)k->call.tries;
+	reqid_make(k->call.id, k->call.born_wall_ms,
+	    pick_tag(target_names[k->guard]), random);
+}
+
 /* A caller calls: anew, or again under the id of an earlier call. */
 static void
 new_call(struct world *w, int again, int minted)
@@ -215,19 +236,16 @@
 		k->id = w->calls[again].id;
 		k->call.born_wall_ms = w->calls[k->id].call.born_wall_ms;
 		memcpy(k->call.id, w->calls[k->id].call.id, sizeof(k->call.id));
-	} else {
+	} else if (!minted) {
 		memcpy(random, &c, sizeof(c));
-		reqid_make(k->call.id, wall(w),
-		    minted ? pick_tag(target_names[c % GUARDS])
-			   : (uint16_t)(c * 7919),
-		    random);
+		reqid_make(k->call.id, wall(w), (uint16_t)(c * 7919), random);
 	}
 	act(w, c, call_start(&k->call, w->now));
 }
 
 /* The request that a guard holds under an id. */
 static struct walk_held *
-find_held(struct world *w, int guard, int id)
+find_held(struct world *w, int guard, const char *id)
 {
 	struct walk_held *h;
 	guint i;
@@ -235,7 +253,7 @@
 	for (i = 0; i < w->held->len; i++) {
 		h = g_ptr_array_index(w->held, i);
 		if (h->guard == guard && h->boot == w->guards[guard].boot &&
-		    w->calls[h->call].id == id)
+		    strcmp(h->req.id, id) == 0)
 			return h;
 	}
 	return NULL;
@@ -249,7 +267,7 @@
 	struct walk_held *h;
 	int id = w->calls[m->call].id;
 
-	if ((h = find_held(w, m->guard, id)) != NULL) {
+	if ((h = find_held(w, m->guard, m->id)) != NULL) {
 		h->sendings[h->nwaiters] = m->sending;
 		h->waiters[h->nwaiters++] = m->call;
 		post(w, MESSAGE_ACK, m->call, m->guard, g->boot,
@@ -302,7 +320,7 @@
 		return;
 	}
 	h = g_new0(struct walk_held, 1);
-	g_strlcpy(h->req.id, k->call.id, sizeof(h->req.id));
+	g_strlcpy(h->req.id, m->id, sizeof(h->req.id));
 	h->req.once = 1;
 	h->req.fresh = k->call.minted;
 	h->req.born_wall_ms = k->call.born_wall_ms;
@@ -338,8 +356,8 @@
 		    OUTCOME_UNKNOWN);
 		return;
 	}
-	v = guard_fence(g->guard, k->call.id, k->call.minted,
-	    k->call.born_wall_ms, w->now, wall(w));
+	v = guard_fence(g->guard, m->id, k->call.minted, k->call.born_wall_ms,
+	    w->now, wall(w));
 	answer(w, m, v);
 }
 
