Links are dropped when idle; an entry uses a bounded subset of guards

Cause: a link, once opened, was kept for ever. Ruled out: freeing memory alone (heartbeats stay); forwarding over one link a data centre (a hop more for each call). Change: link_idle_ms (30 s); an entry uses up to 16 usable local targets of a service and 8 others, where it used up to 64, usable or not. Status shows links. Conclusion: memory and heartbeats follow use, not the size of the fleet.

--- a/base/base.h
+++ b/base/base.h
@@ -83,6 +83,7 @@
 	CTR_PUSHES,	      /* versions pushed to a peer */
 	CTR_FETCHES,	      /* versions fetched from a peer */
 	CTR_FULL_SETS,	      /* of the versions sent, without a shared base */
+	CTR_LINKS_RELEASED,   /* connections to nodes dropped as idle */
 	CTR_DATAGRAMS_SENT,
 	CTR_DATAGRAMS_RECEIVED,
 	CTR_DATAGRAMS_REFUSED,	/* not sealed by the fleet, or replayed */
--- a/base/counter.c
+++ b/base/counter.c
@@ -34,6 +34,7 @@
 	[CTR_PUSHES] = "config_pushes_total",
 	[CTR_FETCHES] = "config_fetches_total",
 	[CTR_FULL_SETS] = "config_full_sets_total",
+	[CTR_LINKS_RELEASED] = "links_released_total",
 	[CTR_DATAGRAMS_SENT] = "datagrams_sent_total",
 	[CTR_DATAGRAMS_RECEIVED] = "datagrams_received_total",
 	[CTR_DATAGRAMS_REFUSED] = "datagrams_refused_total",
--- a/node/choose.c
+++ b/node/choose.c
@@ -7,9 +7,14 @@
 #include "entry_int.h"
 
 #define LOAD_PER_CALL  10 /* percent that each call sent adds to a load */
-#define CANDIDATES_MAX 64 /* guards that an entry uses of a service */
+#define LOCAL_MAX      16 /* guards of a service that an entry uses, here */
+#define REMOTE_MAX     8  /* and in other data centres */
+#define CANDIDATES_MAX (LOCAL_MAX + REMOTE_MAX)
 
-static int candidate_targets(struct node *, const struct set *, int, int *);
+static int subset(struct node *, const struct set *, int, int, int64_t,
+    struct candidate *, int);
+static int
+candidates(struct node *, const struct set *, int, int64_t, struct candidate *);
 static void
 describe(struct node *, const struct set *, int, struct candidate *, int64_t);
 static int choose_any(struct node *, const struct set *, int, int64_t);
@@ -17,6 +22,7 @@
 static int choose_home(
     struct node *, struct entry_call *, const struct set *, int, int64_t);
 static void mint(struct entry_call *, const char *);
+static int is_among(const struct candidate *, int, int);
 
 /* What is known of a target; made on first use. */
 struct view *
@@ -31,34 +37,6 @@
 	return v;
 }
 
-/*
- * The targets of a service that this entry uses: all of a small service, of a
- * large one a bounded number by rendezvous hashing over this node's name.
- */
-static int
-candidate_targets(
-    struct node *n, const struct set *s, int service, int *targets)
-{
-	const struct set_service *v = &s->services[service];
-	const char **names;
-	int i, got;
-
-	if (v->ntargets <= CANDIDATES_MAX) {
-		memcpy(targets, v->targets,
-		    (size_t)v->ntargets * sizeof(targets[0]));
-		return v->ntargets;
-	}
-	names = g_new(const char *, v->ntargets);
-	for (i = 0; i < v->ntargets; i++)
-		names[i] = s->targets[v->targets[i]].name;
-	got = pick_rendezvous(
-	    n->settings.name, names, v->ntargets, targets, CANDIDATES_MAX);
-	for (i = 0; i < got; i++)
-		targets[i] = v->targets[targets[i]];
-	g_free(names);
-	return got;
-}
-
 /* Fills in what is known of a target. */
 static void
 describe(struct node *n, const struct set *s, int target, struct candidate *c,
@@ -81,16 +59,53 @@
 	c->avoid_until = v->avoid_until;
 }
 
+/*
+ * The usable targets of a service, here or elsewhere, that this entry uses: a
+ * bounded number by rendezvous hashing over this node's name, so that links
+ * stay few and one that dies is replaced by one other.
+ */
+static int
+subset(struct node *n, const struct set *s, int service, int local, int64_t now,
+    struct candidate *out, int max)
+{
+	const struct set_service *v = &s->services[service];
+	struct candidate *all = g_new(struct candidate, v->ntargets);
+	const char **names = g_new(const char *, v->ntargets);
+	int chosen[CANDIDATES_MAX], i, got, count = 0;
+
+	for (i = 0; i < v->ntargets; i++) {
+		describe(n, s, v->targets[i], &all[count], now);
+		if (!all[count].usable || all[count].local != local)
+			continue;
+		names[count++] = s->targets[v->targets[i]].name;
+	}
+	got = pick_rendezvous(n->settings.name, names, count, chosen, max);
+	for (i = 0; i < got; i++)
+		out[i] = all[chosen[i]];
+	g_free(names);
+	g_free(all);
+	return got;
+}
+
+/* The targets of a service that this entry uses now. */
+static int
+candidates(struct node *n, const struct set *s, int service, int64_t now,
+    struct candidate *out)
+{
+	int count;
+
+	count = subset(n, s, service, 1, now, out, LOCAL_MAX);
+	return count + subset(n, s, service, 0, now, out + count, REMOTE_MAX);
+}
+
 /* Chooses freely; when all are avoided, avoidance is given up. */
 static int
 choose_any(struct node *n, const struct set *s, int service, int64_t now)
 {
 	struct candidate c[CANDIDATES_MAX];
-	int targets[CANDIDATES_MAX], i, k, count;
+	int i, k, count;
 
-	count = candidate_targets(n, s, service, targets);
-	for (i = 0; i < count; i++)
-		describe(n, s, targets[i], &c[i], now);
+	count = candidates(n, s, service, now, c);
 	k = pick_target(
 	    c, count, g_rand_int(n->rand), g_rand_int(n->rand), now);
 	if (k < 0) {
@@ -185,6 +200,18 @@
 	return t;
 }
 
+/* Whether a target is one of some candidates. */
+static int
+is_among(const struct candidate *c, int n, int target)
+{
+	int i;
+
+	for (i = 0; i < n; i++)
+		if (c[i].target == target)
+			return 1;
+	return 0;
+}
+
 /* Appends what a request would meet, with the reason for each target. */
 void
 entry_explain(
@@ -194,8 +221,10 @@
 	const struct set_route *r;
 	const struct set_target *t;
 	struct candidate c;
+	struct candidate used[CANDIDATES_MAX] = { { 0 } };
+	const struct set_service *v;
 	const char *why, *sep = "";
-	int targets[CANDIDATES_MAX], i, k, count;
+	int i, k, count;
 	int64_t now = base_now_ms();
 
 	if (cfg == NULL || (i = set_route(cfg->set, method, path)) < 0) {
@@ -214,10 +243,11 @@
 	    "\"targets\": [",
 	    r->repeatable ? "true" : "false", r->deadline_ms,
 	    set_from_names[r->from]);
-	count = candidate_targets(n, cfg->set, r->service, targets);
-	for (k = 0; k < count; k++) {
-		t = &cfg->set->targets[targets[k]];
-		describe(n, cfg->set, targets[k], &c, now);
+	v = &cfg->set->services[r->service];
+	count = candidates(n, cfg->set, r->service, now, used);
+	for (k = 0; k < v->ntargets; k++) {
+		t = &cfg->set->targets[v->targets[k]];
+		describe(n, cfg->set, v->targets[k], &c, now);
 		why = "usable";
 		if (cfg->set->dcs[t->dc].state == SET_OUT)
 			why = "its data centre is out";
@@ -227,6 +257,8 @@
 			why = "its node is not there";
 		else if (c.avoid_until > now)
 			why = "it refused lately";
+		else if (!is_among(used, count, v->targets[k]))
+			why = "usable, but this entry uses others";
 		g_string_append_printf(out, "%s{\"target\": ", sep);
 		json_quote(out, t->name);
 		g_string_append_printf(out,
--- a/node/link.c
+++ b/node/link.c
@@ -33,6 +33,7 @@
 struct out {
 	char id[LINK_ROUTE_MAX]; /* routing id: changes with each connection */
 	char endpoint[ENDPOINT_MAX];
+	int64_t used_at; /* something was last sent */
 };
 
 struct link {
@@ -197,6 +198,32 @@
 	g_hash_table_remove(l->outs, peer);
 }
 
+/* Drops connections that are idle: each costs memory and heartbeats. */
+void
+link_release(struct link *l, int64_t now, int idle_ms)
+{
+	GHashTableIter it;
+	gpointer peer, val;
+	GPtrArray *idle = g_ptr_array_new();
+	guint i;
+
+	g_hash_table_iter_init(&it, l->outs);
+	while (g_hash_table_iter_next(&it, &peer, &val))
+		if (now - ((struct out *)val)->used_at >= idle_ms)
+			g_ptr_array_add(idle, peer);
+	for (i = 0; i < idle->len; i++)
+		link_reset(l, g_ptr_array_index(idle, i));
+	counter_add(CTR_LINKS_RELEASED, (int64_t)idle->len);
+	g_ptr_array_free(idle, TRUE);
+}
+
+/* Connections made from here. */
+int
+link_count(const struct link *l)
+{
+	return (int)g_hash_table_size(l->outs);
+}
+
 /* Packs and sends one message to a routing id. */
 static int
 send_frames(void *sock, const void *id, size_t len, const Wire__Envelope *env)
@@ -225,6 +252,7 @@
 
 	if ((o = connect_peer(l, peer, addr)) == NULL)
 		return NODE_EUNREACHABLE;
+	o->used_at = base_now_ms();
 	return send_frames(l->out, o->id, strlen(o->id), env);
 }
 
--- a/node/link.h
+++ b/node/link.h
@@ -35,6 +35,14 @@
 link_reply(struct link *, const struct link_route *, const Wire__Envelope *);
 /* Drops the connection to a node, so that the next sending opens a new one. */
 void link_reset(struct link *, const char *peer);
+/*
+ * Drops connections that nothing was sent over for idle_ms.  Whoever waits for
+ * an answer asks again more often than that, so nobody waits over a dropped
+ * one.
+ */
+void link_release(struct link *, int64_t now, int idle_ms);
+/* Connections made from here. */
+int link_count(const struct link *);
 /* ZeroMQ sockets to poll, at most LINK_SOCKETS; returns how many. */
 #define LINK_SOCKETS 3
 int link_sockets(struct link *, void **sockets);
--- a/node/loop.c
+++ b/node/loop.c
@@ -6,10 +6,11 @@
 
 #include "node_int.h"
 
-#define EVENTS_BATCH	512  /* events handled before others get a turn */
-#define READY_WAIT_MS	3000 /* for answers of those asked at the start */
-#define LEAVE_LINGER_MS 2500 /* until all have heard, and last answers left */
-#define DUTY_EVERY_MS	1000
+#define EVENTS_BATCH	 512  /* events handled before others get a turn */
+#define READY_WAIT_MS	 3000 /* for answers of those asked at the start */
+#define LEAVE_LINGER_MS	 2500 /* until all have heard, and last answers left */
+#define DUTY_EVERY_MS	 1000
+#define RELEASE_EVERY_MS 1000
 
 static void on_message(
     void *, const char *, const struct link_route *, Wire__Envelope *, size_t);
@@ -18,6 +19,7 @@
 static void tick(struct node *, int64_t);
 static void notice_pause(struct node *, int64_t);
 static void update_ready(struct node *, int64_t);
+static void release_links(struct node *, int64_t);
 static void update_duty(struct node *, int64_t);
 static void begin_leaving(struct node *);
 static int is_idle(const struct node *);
@@ -162,6 +164,16 @@
 			       spread_rank(n) < n->settings.readers));
 }
 
+/* Links that were not used for a while are dropped. */
+static void
+release_links(struct node *n, int64_t now)
+{
+	if (now < n->release_at)
+		return;
+	n->release_at = now + RELEASE_EVERY_MS;
+	link_release(n->link, now, n->settings.link_idle_ms);
+}
+
 /* Leaves: no new work from this moment on. */
 static void
 begin_leaving(struct node *n)
@@ -211,6 +223,7 @@
 	serve_tick(n, now);
 	update_ready(n, now);
 	update_duty(n, now);
+	release_links(n, now);
 }
 
 /* Runs until the node may end. */
--- a/node/node.h
+++ b/node/node.h
@@ -39,6 +39,7 @@
 	int calls_max;	     /* calls in flight at the entry */
 	int body_max;	     /* bytes of a caller's body */
 	int drain_ms;	     /* a stop waits so long for what runs */
+	int link_idle_ms;    /* an unused link to a node is dropped after */
 	/* baselines to measure against */
 	int every_node_reads;
 	int full_sets;
--- a/node/node_int.h
+++ b/node/node_int.h
@@ -248,8 +248,9 @@
 	int out;     /* by the set, the VM list or a signal */
 	int leaving; /* stopping */
 	int64_t leave_by;
-	int64_t idle_at; /* a leaving node has been idle since, or 0 */
-	int64_t duty_at; /* when the reader's duty is looked at next */
+	int64_t idle_at;    /* a leaving node has been idle since, or 0 */
+	int64_t duty_at;    /* when the reader's duty is looked at next */
+	int64_t release_at; /* when idle links are looked for next */
 	int64_t ticked_at;
 };
 
--- a/node/settings.c
+++ b/node/settings.c
@@ -53,6 +53,7 @@
 	INT(calls_max, 1, 100000),
 	INT(body_max, 0, 16 * 1024 * 1024),
 	INT(drain_ms, 0, 600000),
+	INT(link_idle_ms, 2000, 600000),
 	BOOL(every_node_reads),
 	BOOL(full_sets),
 	BOOL(no_slow_start),
@@ -102,7 +103,8 @@
 		.start_spread_ms = 1000,
 		.calls_max = 2000,
 		.body_max = 1024 * 1024,
-		.drain_ms = 35000 };
+		.drain_ms = 35000,
+		.link_idle_ms = 30000 };
 	if (base_read_file(path, BASE_SET_MAX, &text, &len) != BASE_OK) {
 		report_error(rep, 0, "file", "", "cannot be read");
 		return NODE_ESETTINGS;
--- a/node/status.c
+++ b/node/status.c
@@ -126,13 +126,14 @@
 	g_string_append_printf(out,
 	    ", \"boot\": %" PRIu64 ", \"ready\": %s, \"out\": %s, "
 	    "\"leaving\": %s, \"isolated\": %s, \"reader\": %s, "
-	    "\"platform\": \"%s\", \"calls\": %d, \"rules\": %d, ",
+	    "\"platform\": \"%s\", \"calls\": %d, \"links\": %d, "
+	    "\"rules\": %d, ",
 	    n->boot, n->ready ? "true" : "false", n->out ? "true" : "false",
 	    n->leaving ? "true" : "false",
 	    members_isolated(n->members, base_now_ms()) ? "true" : "false",
 	    reader_on_duty(n->reader) ? "true" : "false",
 	    platform_strerror(err), g_atomic_int_get(&n->entry.inflight),
-	    MESH_RULES);
+	    link_count(n->link), MESH_RULES);
 	config_status(n->config, out);
 	print_counts(n, out);
 	print_guard(n, out);
--- a/standin/fault.c
+++ b/standin/fault.c
@@ -4,6 +4,7 @@
 #include "fault.h"
 
 #define SCRIPT_MAX 1048576 /* bytes */
+#define US_PER_MS  1000
 
 static void
 read_node(struct fault_table *, const struct json *, struct report *);
@@ -12,7 +13,7 @@
 static int name_matches(const struct fault_table *, const char *, int);
 
 const char *const rule_names[] = { "cut", "loss", "duplicate", "delay",
-	"reorder", "silent", "reset", "truncate", "heal", NULL };
+	"distance", "reorder", "silent", "reset", "truncate", "heal", NULL };
 
 /* Finds a kind. */
 int
@@ -150,15 +151,16 @@
 				strcmp(name, t->nodes[node].group) == 0);
 }
 
-/* A cut of a group from all others does not cut within the group. */
+/* A cut of a group from all others does not cut within the group, and there
+ * is no distance within one. */
 int
 fault_matches(
     const struct fault_table *t, const struct fault_rule *r, int from, int to)
 {
 	if (!name_matches(t, r->from, from) || !name_matches(t, r->to, to))
 		return 0;
-	return r->kind != RULE_CUT || from < 0 || to < 0 ||
-	       strcmp(t->nodes[from].group, t->nodes[to].group) != 0;
+	return (r->kind != RULE_CUT && r->kind != RULE_DISTANCE) || from < 0 ||
+	       to < 0 || strcmp(t->nodes[from].group, t->nodes[to].group) != 0;
 }
 
 /* Finds the value in force. */
@@ -174,6 +176,14 @@
 	return 0;
 }
 
+/* Sums up what delays a direction. */
+int
+fault_delay_us(const struct fault_table *t, int from, int to)
+{
+	return fault_value(t, RULE_DELAY, from, to) * US_PER_MS +
+	       fault_value(t, RULE_DISTANCE, from, to);
+}
+
 /* Throws the dice. */
 int
 fault_chance(struct fault_table *t, int percent)
--- a/standin/fault.h
+++ b/standin/fault.h
@@ -14,6 +14,7 @@
 	RULE_LOSS,	/* value: percent of datagrams dropped */
 	RULE_DUPLICATE, /* value: percent of datagrams sent twice */
 	RULE_DELAY,	/* value: ms added in each direction */
+	RULE_DISTANCE,	/* value: us added between nodes of different groups */
 	RULE_REORDER,	/* value: percent of datagrams held back a while */
 	RULE_SILENT,	/* connections open now carry nothing more */
 	RULE_RESET,	/* connections open now are reset */
@@ -78,6 +79,8 @@
     const struct fault_table *, const struct fault_rule *, int from, int to);
 /* Value of the first rule of a kind for a direction, or 0. */
 int fault_value(const struct fault_table *, enum rule_kind, int from, int to);
+/* Time by which traffic in a direction is held back, us. */
+int fault_delay_us(const struct fault_table *, int from, int to);
 /* Throws the dice: 1 with the given percentage. */
 int fault_chance(struct fault_table *, int percent);
 /* Rule kind by name, or -1. */
--- a/standin/teaselfault.c
+++ b/standin/teaselfault.c
@@ -23,8 +23,9 @@
 
 #define BLOCK	     65536 /* bytes read at a time */
 #define EVENTS	     256
-#define POLL_MS	     5
-#define REORDER_MS   20 /* a datagram that is overtaken waits so long */
+#define POLL_NS	     5000000 /* between two looks at the script */
+#define POLL_BUSY_NS 100000  /* and while something is held back */
+#define REORDER_US   20000   /* a datagram that is overtaken waits so long */
 #define BACKLOG	     512
 #define CONTROL_CONN 16
 
@@ -45,7 +46,7 @@
 
 /* Bytes on their way. */
 struct block {
-	int64_t due;
+	int64_t due; /* us */
 	size_t len;
 	int fd;	  /* UDP: the socket to send from */
 	int node; /* UDP: the receiver */
@@ -77,7 +78,7 @@
 static void flush_side(struct pipe_pair *, int, int64_t);
 static void close_pair(struct pipe_pair *, int);
 static void apply_once(void);
-static void flush_due(int64_t);
+static int flush_due(int64_t);
 static enum MHD_Result control(void *, struct visit *);
 static void loop(void);
 
@@ -172,15 +173,15 @@
 		if (fault_chance(&table,
 			fault_value(&table, RULE_DUPLICATE, from, e->node)))
 			send_datagram(b);
-		delay = fault_value(&table, RULE_DELAY, from, e->node);
+		delay = fault_delay_us(&table, from, e->node);
 		if (fault_chance(&table,
 			fault_value(&table, RULE_REORDER, from, e->node)))
-			delay += REORDER_MS;
+			delay += REORDER_US;
 		if (delay == 0) {
 			send_datagram(b);
 			g_free(b);
 		} else {
-			b->due = base_now_ms() + delay;
+			b->due = base_now_us() + delay;
 			g_queue_push_tail(held, b);
 		}
 	}
@@ -276,11 +277,11 @@
 	}
 	b = g_malloc(sizeof(*b) + (size_t)n);
 	b->len = p->truncate ? (size_t)n / 2 : (size_t)n;
-	b->due = base_now_ms() + fault_value(&table, RULE_DELAY, src, dst);
+	b->due = base_now_us() + fault_delay_us(&table, src, dst);
 	memcpy(b->data, buf, b->len);
 	g_queue_push_tail(p->out[1 - e->side], b);
 	table.passed++;
-	flush_side(p, 1 - e->side, base_now_ms());
+	flush_side(p, 1 - e->side, base_now_us());
 	if (p->truncate)
 		close_pair(p, 0);
 }
@@ -336,13 +337,17 @@
 	table.nonce = 0;
 }
 
-/* Sends everything whose time has come, and forgets closed pairs. */
-static void
+/*
+ * Sends everything whose time has come, and forgets closed pairs.  Returns
+ * whether anything is still held back.
+ */
+static int
 flush_due(int64_t now)
 {
 	struct pipe_pair *p;
 	struct block *b;
 	guint i, n = g_queue_get_length(held);
+	int waits = 0;
 
 	while (n-- > 0) {
 		b = g_queue_pop_head(held);
@@ -360,8 +365,11 @@
 		if (p->closed) {
 			g_ptr_array_remove_index_fast(pairs, i--);
 			g_free(p);
+			continue;
 		}
+		waits |= p->out[0]->length > 0 || p->out[1]->length > 0;
 	}
+	return waits || held->length > 0;
 }
 
 /* One request of the driver. */
@@ -392,12 +400,13 @@
 loop(void)
 {
 	struct epoll_event events[EVENTS];
+	struct timespec pause = { .tv_nsec = POLL_NS };
 	struct end *e;
 	int64_t began = base_now_ms();
 	int i, n;
 
 	for (;;) {
-		n = epoll_wait(ep, events, EVENTS, POLL_MS);
+		n = epoll_pwait2(ep, events, EVENTS, &pause, NULL);
 		pthread_mutex_lock(&table.lock);
 		fault_script(&table, base_now_ms() - began);
 		apply_once();
@@ -410,7 +419,8 @@
 			else
 				on_readable(e);
 		}
-		flush_due(base_now_ms());
+		pause.tv_nsec =
+		    flush_due(base_now_us()) ? POLL_BUSY_NS : POLL_NS;
 		pthread_mutex_unlock(&table.lock);
 	}
 }
--- a/test/path.sh
+++ b/test/path.sh
@@ -4,7 +4,7 @@
 trap fleet_down EXIT
 set -e
 
-FLEET_WARM=0
+FLEET_WARM=0 FLEET_EXTRA='"link_idle_ms": 2000,'
 fleet_up examples/tema.json "$1"
 calls 5 100 > "$1/calls"
 cat "$1/calls"
@@ -23,6 +23,12 @@
 grep -q '^  guard ' "$1/trace"
 grep -q '^    queue ' "$1/trace"
 
+# Links that are idle are dropped, and opened again when needed.
+wait_status links 0 "${!VM_IP[@]}"
+[[ $(counter_sum links_released_total) -gt 0 ]]
+calls 1 100 > "$1/calls"
+grep -q '"calls": 100, "answered": 100,' "$1/calls"
+
 # A planned stop ends by itself, with exit 0.
 kill -TERM "${NODE_PID[vm-01]}"
 wait "${NODE_PID[vm-01]}"
--- a/tools/bench-calls.sh
+++ b/tools/bench-calls.sh
@@ -12,6 +12,7 @@
 export FLEET_WARM=0 FLEET_WORK=${FLEET_WORK:-0}
 fleet_up "$set" "$dir" || exit 1
 commit=$(git rev-parse --short HEAD)
+name=$(basename "$set" .json)
 # Sum of processor time of all nodes, in ticks of 10 ms.
 ticks() {
 	local vm
@@ -22,7 +23,7 @@
 run() {
 	"$FLEET_BIN/teaselcalls" -e "$2" -s "$set" -r "$rate" -t "$3" -j 64 \
 	    ${only:+--only "$only"} > "$dir/out"
-	sed "s/^{/{\"bench\": \"calls\", \"path\": \"$1\", \"commit\": \"$commit\", \"rate\": $rate, /" "$dir/out"
+	sed "s/^{/{\"bench\": \"calls\", \"path\": \"$1\", \"set\": \"$name\", \"commit\": \"$commit\", \"rate\": $rate, /" "$dir/out"
 }
 # The limits grow first.
 run warm "$(addresses $CALLER_PORT)" 12 > /dev/null
@@ -30,4 +31,4 @@
 t0=$(ticks)
 run mesh "$(addresses $CALLER_PORT)" "$seconds"
 t1=$(ticks)
-echo "{\"bench\": \"calls\", \"path\": \"processor\", \"commit\": \"$commit\", \"rate\": $rate, \"us_per_call\": $(((t1 - t0) * 10000 / (rate * seconds)))}"
+echo "{\"bench\": \"calls\", \"path\": \"processor\", \"set\": \"$name\", \"commit\": \"$commit\", \"rate\": $rate, \"us_per_call\": $(((t1 - t0) * 10000 / (rate * seconds)))}"
--- /dev/null
+++ b/tools/bench-move.sh
@@ -0,0 +1,77 @@
+#!/usr/bin/env bash
+# Measures service while a data centre leaves by the set and returns, then dies
+# without a word and returns: bench-move.sh SET DATA_CENTRE DISTANCE_US RATE
+# [TIMELINE].  One JSON line a phase on standard output; the timeline, by half
+# seconds, goes to a file for tools/plot.sh.
+set -u
+cd "$(dirname "$0")/.."
+. tools/fleet.sh
+
+set=$1 dc=$2 distance=$3 rate=$4 timeline=${5:-/dev/null}
+name=${BENCH_NAME:-as_it_is}
+dir=$(mktemp -d)
+trap 'fleet_down; rm -rf "$dir"' EXIT
+export FLEET_FAULT=1 FLEET_WORK=50 FLEET_WARM=4000
+fleet_up "$set" "$dir/fleet" || exit 1
+inject distance '*' '*' "$distance"
+commit=$(git rev-parse --short HEAD)
+inside=$(vms_of "$dc")
+# Callers of the data centre leave with it: the others' entries are measured.
+entries=
+for vm in "${!VM_IP[@]}"; do
+	[[ ${VM_DC[$vm]} == "$dc" ]] ||
+	    entries+="${entries:+,}${VM_IP[$vm]}:$CALLER_PORT"
+done
+"$FLEET_BIN/teaselctl" out data-centre "$dc" "$set" > "$dir/out.json"
+load() {
+	"$FLEET_BIN/teaselcalls" -e "$entries" -s "$set" -r "$rate" -t "$1" \
+	    -j 256 --timeline "$dir/calls" > "$dir/sum"
+}
+load 8
+
+# Starts of the phases, in seconds since the load began.
+phases="before:2 out:6 back:14 dead:22 returned:30 end:40"
+at() {
+	local left
+	left=$(($1 * 1000 - ($(date +%s%3N) - began)))
+	[[ $left -le 0 ]] || sleep "$(printf '%d.%03d' $((left / 1000)) $((left % 1000)))"
+}
+began=$(date +%s%3N)
+load 40 &
+running=$!
+at 6
+publish "$dir/out.json"
+at 14
+publish "$set"
+at 22
+for vm in $inside; do
+	kill -KILL "${NODE_PID[$vm]}" "${TARGET_PID[$vm]}"
+done
+at 30
+for vm in $inside; do
+	target_start "$vm"
+	node_start "$vm"
+done
+wait "$running"
+
+# at_ms, outcome, latency_us of each call.
+sed 's/[{},:"]/ /g' "$dir/calls" | awk '{ print $2, $4, $6 }' > "$dir/flat"
+previous=
+for phase in $phases; do
+	if [[ -n $previous ]]; then
+		awk -v a=$((${previous#*:} * 1000)) -v b=$((${phase#*:} * 1000)) \
+		    '$1 >= a && $1 < b' "$dir/flat" | sort -n -k 3 > "$dir/phase"
+		awk -v n="$(wc -l < "$dir/phase")" -v head="\"bench\": \"move\", \"set\": \"$(basename "$set" .json)\", \"name\": \"$name\", \"commit\": \"$commit\", \"phase\": \"${previous%:*}\"" '
+		    { got[$2]++ }
+		    NR == int(n / 2) { p50 = $3 }
+		    NR == int(n * 0.99) { p99 = $3 }
+		    END { printf "{%s, \"calls\": %d, \"answered\": %d, \"not_run\": %d, \"unknown\": %d, \"nothing\": %d, \"p50_us\": %d, \"p99_us\": %d}\n",
+			head, n, got["answered"], got["not_run"], got["unknown"], got["nothing"], p50, p99 }' "$dir/phase"
+	fi
+	previous=$phase
+done
+awk '{ b = int($1 / 500); n[b]++; if ($2 == "answered") ok[b]++
+	if ($3 > max[b]) max[b] = $3; if (b > last) last = b }
+    END { for (b = 0; b <= last; b++)
+	print b / 2, ok[b] * 2 + 0, (n[b] - ok[b]) * 2, max[b] / 1000 }' \
+    "$dir/flat" > "$timeline"
