libFuzzer targets; rumours of nodes that cannot be are not kept

Cause: the fuzz target of messages (input Z 0 : 0 : 0 : 0, now in the corpus) showed that a rumour with an empty name makes a member; one with a name over the bound is cut when kept, is never found again, and makes a new member with each datagram. Only a holder of the fleet's key can send it, yet one node with a fault would grow the tables of all. Ruled out: the decoder (protobuf-c refuses what is malformed); datagrams of outsiders (they do not open). Change: a rumour must name a valid node, data centre and address; so must a stranger's datagram.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 TESTS = $(patsubst test/%.c,$(BIN)/%,$(wildcard test/test_*.c))
 SRC = $(filter-out node/wire.pb-c.c,$(LIB)) $(CTL) $(STANDIN) \
 	$(REPLAY) replay/teaselreplay.c node/teaselnode.c $(wildcard standin/teasel*.c) $(wildcard test/*.c) \
-	$(wildcard bench/*.c)
+	$(wildcard bench/*.c) $(wildcard fuzz/*.c)
 HDR = $(filter-out node/wire.pb-c.h,$(wildcard */*.h))
 
 all: $(PROGS)
@@ -126,6 +126,24 @@
 	    CFLAGS="-O1 -g -fsanitize=thread" bin-tsan/test_config
 	bin-tsan/test_config
 
+# Parsers of input from outside, under coverage-guided fuzzing.  FUZZ_RUNS
+# inputs each, from a fixed seed.
+FUZZERS = $(patsubst fuzz/%.c,$(BIN)/%,$(wildcard fuzz/fuzz_*.c))
+FUZZ_RUNS = 20000
+$(BIN)/fuzz_%: $(OBJ)/fuzz/fuzz_%.o $(REPLAY_OBJ) $(OBJ)/libteaselstep.a
+	@mkdir -p $(@D)
+	@echo "  LD $@"
+	@$(CC) $(ALL_CFLAGS) -fsanitize=fuzzer -o $@ $(filter %.o,$^) \
+	    $(filter %.a,$^) $(LIBS)
+
+fuzzers: $(FUZZERS)
+
+fuzz:
+	@$(MAKE) --no-print-directory CC=clang OBJ=obj-fuzz BIN=bin-fuzz \
+	    CFLAGS="-O1 -g -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all" \
+	    fuzzers
+	@tools/fuzz.sh $(FUZZ_RUNS)
+
 # Tests with real processes.
 integration: all
 	@FLEET_BIN=$(BIN) tools/integration.sh
@@ -161,4 +179,5 @@
 -include $(shell find $(OBJ) -name '*.d' 2>/dev/null)
 
 
-.PHONY: all bench clean deps unit sanitize check integration demo format format-check lint
+
+.PHONY: all bench clean deps fuzz fuzzers unit sanitize check integration demo format format-check lint
--- a/mesh/member_tell.c
+++ b/mesh/member_tell.c
@@ -5,6 +5,7 @@
 
 #define TELL_ON_LEAVE 8 /* members told at once by one that leaves */
 
+static int is_usable(const struct rumour *);
 static void refute(struct members *m, const struct rumour *r);
 static struct rumour as_rumour(const struct member *);
 static int picked(const struct rumour *out, int n, const char *name);
@@ -20,6 +21,18 @@
 	m->tell_self = members_tell_count(m);
 }
 
+/* Whether a rumour names a node that can be kept and reached. */
+static int
+is_usable(const struct rumour *r)
+{
+	char host[ADDRESS_MAX];
+	int port;
+
+	return name_valid(r->name, MESH_NAME_MAX) &&
+	       name_valid(r->dc, MESH_NAME_MAX) &&
+	       address_split(r->addr, host, &port) == BASE_OK;
+}
+
 /* News of a node. */
 void
 members_rumour(struct members *m, const struct rumour *r, int64_t now)
@@ -34,7 +47,7 @@
 			refute(m, r);
 		return;
 	}
-	if (r->index > 0)
+	if (r->index > 0 || !is_usable(r))
 		return;
 	if ((i = member_find(m, r->name)) < 0) {
 		p = member_add(m, r->name, r->addr, r->dc);
--- a/node/gossip.c
+++ b/node/gossip.c
@@ -313,7 +313,8 @@
 	struct rumour sender;
 	const struct member *p;
 	int64_t now = base_now_ms();
-	int from, size;
+	char host[ADDRESS_MAX];
+	int from, size, port;
 
 	size = unseal(n->key, n->settings.advertise, sealed, len, plain);
 	if (size >= 0)
@@ -337,7 +338,8 @@
 		    d->state, MEMBER_ALIVE, MEMBER_LEFT),
 		.incarnation = d->boot + d->incarnation };
 	/* A stranger that does not say where it is cannot be answered. */
-	if (sender.addr[0] != '\0') {
+	if (address_split(sender.addr, host, &port) == BASE_OK &&
+	    (p != NULL || name_valid(sender.dc, MESH_NAME_MAX))) {
 		from = members_heard(n->members, &sender, d->boot, now);
 		learn(n, d, from, now);
 		react(n, d, from, now);
--- a/tools/bench-move.sh
+++ b/tools/bench-move.sh
@@ -44,6 +44,8 @@
 at 14
 publish "$set"
 at 22
+# What runs now would have ended in the phase before.
+sleep 0.2
 for vm in $inside; do
 	kill -KILL "${NODE_PID[$vm]}" "${TARGET_PID[$vm]}"
 done
--- a/tools/deps.sh
+++ b/tools/deps.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs what the build, the tests and the demo need, if it is missing.
 set -eu
-packages="build-essential pkg-config clang-format clang-tidy
+packages="build-essential pkg-config clang clang-format clang-tidy
 	libglib2.0-dev libmicrohttpd-dev libneon27-gnutls-dev libzmq3-dev
 	libsodium-dev liburcu-dev libyajl-dev libprotobuf-c-dev libzstd-dev
 	libxxhash-dev libcunit1-dev mandoc curl gnuplot-nox"
