--- a/test/test_member.c
+++ b/test/test_member.c
@@ -1,4 +1,6 @@
 /* Membership: suspicion, refutation, self-suspicion, bounded datagrams. */
+#include <string.h>
+
 #include "../mesh/member.h"
 #include "test.h"
 
@@ -108,7 +110,7 @@
 older_news_changes_nothing(void)
 {
 	struct rumour r = { .name = "vm-0",
-		.addr = "a",
+		.addr = "127.0.0.1:2",
 		.dc = "dc",
 		.state = MEMBER_ALIVE,
 		.incarnation = 7 };
@@ -128,6 +130,31 @@
 	end();
 }
 
+/* A node that could not be found again or reached is not kept. */
+static void
+impossible_nodes_are_not_kept(void)
+{
+	char longest[2 * MESH_NAME_MAX];
+	struct rumour r = {
+		.name = longest, .addr = "127.0.0.1:2", .dc = "dc"
+	};
+
+	memset(longest, 'v', sizeof(longest));
+	longest[sizeof(longest) - 1] = '\0';
+	begin(1);
+	members_rumour(m, &r, now);
+	r.name = "";
+	members_rumour(m, &r, now);
+	r.name = "vm-9";
+	r.addr = "nowhere";
+	members_rumour(m, &r, now);
+	CU_ASSERT_EQUAL(members_count(m), 1);
+	r.addr = "127.0.0.1:2";
+	members_rumour(m, &r, now);
+	CU_ASSERT_EQUAL(members_count(m), 2);
+	end();
+}
+
 static void
 leaving_is_told_at_once(void)
 {
@@ -209,6 +236,7 @@
 	    who_hears_nobody_suspects_itself },
 	{ "suspicion of oneself is refuted", suspicion_of_oneself_is_refuted },
 	{ "older news changes nothing", older_news_changes_nothing },
+	{ "impossible nodes are not kept", impossible_nodes_are_not_kept },
 	{ "leaving is told at once", leaving_is_told_at_once },
 	{ "VM list is told to the node", vm_list_is_told_to_the_node },
 	{ "datagrams do not grow with members",
