The fleet's key is replaced without an outage; leaving is told to all

Cause: nodes had one key, so a new one parted the fleet until the last restart. Change: a key file may hold two keys, the first used, both accepted. A stopping node told 8 members, some of which were stopping too; it now tells 16 every 200 ms until it ends (test_member: all of 100 are told before it ends, 8 before).

--- a/mesh/member.c
+++ b/mesh/member.c
@@ -61,6 +61,13 @@
 	return i < 0 ? MESH_ENOTFOUND : i;
 }
 
+/* Sets what is told of the key. */
+void
+members_use_key(struct members *m, uint32_t key)
+{
+	m->key = key;
+}
+
 /* Incarnation that this node tells of itself. */
 uint64_t
 members_incarnation(const struct members *m)
@@ -222,6 +229,7 @@
 		member_set_state(m, p, from->state, now);
 		p->incarnation = from->incarnation;
 	}
+	p->key = from->key;
 	p->boot = boot;
 	return i;
 }
--- a/mesh/member.h
+++ b/mesh/member.h
@@ -48,6 +48,7 @@
 	int heard;  /* something came from it since this node began */
 	uint64_t incarnation;
 	uint64_t boot;	 /* of its last datagram */
+	uint32_t key;	 /* fingerprint of the key it uses, 0 if not known */
 	uint64_t number; /* of the version it holds, 0 if not known */
 	unsigned char hash[8];
 	int load; /* percent, as last told */
@@ -70,6 +71,7 @@
 	enum member_state state;
 	uint64_t incarnation;
 	uint64_t index; /* of the VM list it was read from, else 0 */
+	uint32_t key;	/* fingerprint of the key it uses, 0 if not known */
 };
 
 struct members; /* opaque: see member.c */
@@ -82,6 +84,8 @@
 struct member *member_at(struct members *, int);
 /* Handle by name, or MESH_ENOTFOUND. */
 int member_find(struct members *, const char *name);
+/* Fingerprint of the key that this node uses, told with its rumours. */
+void members_use_key(struct members *, uint32_t key);
 /* This node's own incarnation now. */
 uint64_t members_incarnation(const struct members *);
 /* What this node says of itself: alive, leaving or left. */
--- a/mesh/member_int.h
+++ b/mesh/member_int.h
@@ -23,6 +23,7 @@
 	char dc[MESH_NAME_MAX + 1];
 	enum member_state state; /* of this node, as it tells */
 	uint64_t incarnation;
+	uint32_t key;	/* that this node uses */
 	uint64_t index; /* of the VM list that last spoke of this node */
 	int tell_self;
 	uint32_t probes; /* begun */
@@ -31,6 +32,7 @@
 	int indirect; /* helpers were asked */
 	int64_t probe_until;
 	int64_t next_probe;
+	int64_t next_tell; /* of a node that leaves */
 	int64_t heard_at;
 	int doubted; /* handle to probe next, or -1 */
 	int cursor;  /* of the round through all members */
@@ -47,6 +49,8 @@
 void member_set_state(
     struct members *m, struct member *p, enum member_state s, int64_t now);
 
+/* A node that leaves tells some others, now and then. */
+void member_tell_leaving(struct members *m, int64_t now);
 /* What the VM list says of this node itself. */
 void member_listed_state(struct members *m, const struct rumour *r);
 
--- a/mesh/member_probe.c
+++ b/mesh/member_probe.c
@@ -110,6 +110,7 @@
 {
 	struct member *p;
 
+	member_tell_leaving(m, now);
 	if (m->heard_at == 0)
 		m->heard_at = now;
 	if (m->probed >= 0 && now >= m->probe_until) {
--- a/mesh/member_tell.c
+++ b/mesh/member_tell.c
@@ -3,7 +3,8 @@
 
 #include "member_int.h"
 
-#define TELL_ON_LEAVE 8 /* members told at once by one that leaves */
+#define TELL_ON_LEAVE 16  /* members told at a time by one that leaves */
+#define TELL_EVERY_MS 200 /* and how often it tells others, until it ends */
 
 static int is_usable(const struct rumour *);
 static void refute(struct members *m, const struct rumour *r);
@@ -54,6 +55,7 @@
 		p->state = r->state;
 		p->since = now;
 		p->incarnation = r->incarnation;
+		p->key = r->key;
 		p->tell = members_tell_count(m);
 		p->suspect_until = now + MEMBER_SUSPECT_MS;
 		return;
@@ -64,28 +66,47 @@
 	if (!newer && (r->incarnation < p->incarnation || r->state <= p->state))
 		return;
 	p->incarnation = r->incarnation;
-	if (newer)
+	if (newer) {
 		g_strlcpy(p->addr, r->addr, sizeof(p->addr));
+		p->key = r->key;
+	}
 	member_set_state(m, p, r->state, now);
 	if (r->state == MEMBER_SUSPECT)
 		p->suspect_until = now + MEMBER_SUSPECT_MS;
 }
 
-/* Tells some members at once; rumours carry it to the others. */
+/* Begins to leave; rumours carry it beyond those who are told. */
 void
 members_leave(struct members *m)
 {
-	int i, at, n = members_count(m), told = 0;
-
 	m->state = MEMBER_LEFT;
 	m->incarnation++;
 	m->tell_self = members_tell_count(m);
-	at = n > 0 ? g_rand_int_range(m->rand, 0, n) : 0;
+	m->next_tell = 0;
+	m->cursor = m->all->len > 0
+			? g_rand_int_range(m->rand, 0, (int)m->all->len)
+			: 0;
+	member_tell_leaving(m, m->next_tell);
+}
+
+/*
+ * Tells the next members in turn.  Those told first may be leaving as well, so
+ * a node that leaves goes on telling for as long as it is there.
+ */
+void
+member_tell_leaving(struct members *m, int64_t now)
+{
+	int i, n = members_count(m), told = 0;
+
+	if (m->state != MEMBER_LEFT || now < m->next_tell)
+		return;
+	m->next_tell = now + TELL_EVERY_MS;
+	m->tell_self = members_tell_count(m);
 	for (i = 0; i < n && told < TELL_ON_LEAVE; i++) {
-		at = (at + 1) % n;
-		if (member_at(m, at)->state != MEMBER_ALIVE)
+		m->cursor = (m->cursor + 1) % n;
+		if (member_at(m, m->cursor)->state > MEMBER_SUSPECT)
 			continue;
-		member_push(m, KIND_TELL, at, -1, 0);
+		member_push(m, KIND_TELL, m->cursor, -1, 0);
 		told++;
 	}
 }
@@ -110,7 +131,8 @@
 		.addr = p->addr,
 		.dc = p->dc,
 		.state = p->state,
-		.incarnation = p->incarnation };
+		.incarnation = p->incarnation,
+		.key = p->key };
 }
 
 /* Picks rumours: this node's own first, then those told least often. */
@@ -126,7 +148,8 @@
 			.addr = m->addr,
 			.dc = m->dc,
 			.state = m->state,
-			.incarnation = m->incarnation };
+			.incarnation = m->incarnation,
+			.key = m->key };
 	}
 	while (n < max) {
 		best = NULL;
--- a/node/gossip.c
+++ b/node/gossip.c
@@ -23,6 +23,7 @@
 static int is_replay(struct node *, const Wire__Datagram *);
 static void learn(struct node *, const Wire__Datagram *, int, int64_t);
 static void learn_rejection(struct node *, const Wire__Rejection *);
+static void use_key(struct node *, const char *);
 static void react(struct node *, const Wire__Datagram *, int, int64_t);
 static void flush(struct node *);
 static void watch_dead(struct node *);
@@ -97,6 +98,7 @@
 		out[i].data_centre = (char *)r[i].dc;
 		out[i].state = r[i].state;
 		out[i].incarnation = r[i].incarnation;
+		out[i].key = r[i].key;
 		ptrs[i] = &out[i];
 	}
 	d->rumours = ptrs;
@@ -139,7 +141,7 @@
 	if (address_resolve(addr, &sin) != BASE_OK)
 		return;
 	len = (int)wire__datagram__pack(&small, plain);
-	len = seal(n->key, addr, plain, (size_t)len, sealed);
+	len = seal(n->keys.key[0], addr, plain, (size_t)len, sealed);
 	if (len < 0 || sendto(n->udp, sealed, (size_t)len, MSG_DONTWAIT,
 			   (struct sockaddr *)&sin, sizeof(sin)) < 0)
 		return;
@@ -217,6 +219,18 @@
 	return !replay_fresh(r, d->boot, d->count);
 }
 
+/* Connections to a node are opened with the key that it is known to use. */
+static void
+use_key(struct node *n, const char *name)
+{
+	int i, at = member_find(n->members, name);
+	uint32_t key = at >= 0 ? member_at(n->members, at)->key : 0;
+
+	for (i = 0; key != 0 && i < n->keys.count; i++)
+		if (n->prints[i] == key)
+			link_key(n->link, name, i);
+}
+
 /* Takes in that some node's check refused a version. */
 static void
 learn_rejection(struct node *n, const Wire__Rejection *r)
@@ -255,8 +269,10 @@
 			.state = (enum member_state)CLAMP(
 			    w->state, MEMBER_ALIVE, MEMBER_LEFT),
 			.incarnation = w->incarnation,
-			.index = w->index };
+			.index = w->index,
+			.key = w->key };
 		members_rumour(n->members, &r, now);
+		use_key(n, w->name);
 	}
 	learn_rejection(n, d->rejection);
 	for (i = 0; i < d->n_suspects && n->guard.guard != NULL; i++) {
@@ -314,9 +330,10 @@
 	const struct member *p;
 	int64_t now = base_now_ms();
 	char host[ADDRESS_MAX];
-	int from, size, port;
+	int from, size, port, key;
 
-	size = unseal(n->key, n->settings.advertise, sealed, len, plain);
+	size = unseal_any(
+	    &n->keys, n->settings.advertise, sealed, len, plain, &key);
 	if (size >= 0)
 		d = wire__datagram__unpack(NULL, (size_t)size, plain);
 	if (d == NULL || !name_valid(d->from, MESH_NAME_MAX) ||
@@ -336,11 +353,13 @@
 		.dc = d->data_centre,
 		.state = (enum member_state)CLAMP(
 		    d->state, MEMBER_ALIVE, MEMBER_LEFT),
-		.incarnation = d->boot + d->incarnation };
+		.incarnation = d->boot + d->incarnation,
+		.key = n->prints[key] };
 	/* A stranger that does not say where it is cannot be answered. */
 	if (address_split(sender.addr, host, &port) == BASE_OK &&
 	    (p != NULL || name_valid(sender.dc, MESH_NAME_MAX))) {
 		from = members_heard(n->members, &sender, d->boot, now);
+		use_key(n, d->from);
 		learn(n, d, from, now);
 		react(n, d, from, now);
 		spread_heard(n, from);
--- a/node/link.c
+++ b/node/link.c
@@ -23,8 +23,8 @@
 #define ZAP_FRAMES    8
 #define ZAP_ENDPOINT  "inproc://zeromq.zap.01"
 
-/* The fleet's two key pairs, both made from its key. */
-struct keys {
+/* Two key pairs, both made from a key of the fleet. */
+struct pairs {
 	char server_public[KEY_TEXT], server_secret[KEY_TEXT];
 	char client_public[KEY_TEXT], client_secret[KEY_TEXT];
 };
@@ -34,6 +34,7 @@
 	char id[LINK_ROUTE_MAX]; /* routing id: changes with each connection */
 	char endpoint[ENDPOINT_MAX];
 	int64_t used_at; /* something was last sent */
+	int key;	 /* of the peer, that it was opened with */
 };
 
 struct link {
@@ -41,8 +42,10 @@
 	void *in;  /* others connect to it */
 	void *out; /* connects to others */
 	void *zap; /* asked by the library who may connect */
-	struct keys keys;
-	GHashTable *outs;	     /* peer's name to struct out, owned */
+	struct pairs pairs[NODE_KEYS]; /* the first is this node's */
+	int npairs;
+	GHashTable *keys; /* peer's name, owned, to the key it uses, if not 0 */
+	GHashTable *outs; /* peer's name to struct out, owned */
 	GHashTable *peers;	     /* routing id to peer's name, owned */
 	char source[LINK_ROUTE_MAX]; /* address that connections come from */
 	unsigned int generation;
@@ -51,10 +54,12 @@
 };
 
 static void derive(const unsigned char *, const char *, char *, char *);
+static void derive_pairs(const unsigned char *, struct pairs *);
 static void set_int(void *, int, int);
 static void common_options(void *);
 static struct out *connect_peer(struct link *, const char *, const char *);
 static int send_frames(void *, const void *, size_t, const Wire__Envelope *);
+
 static void receive_from(struct link *, void *);
 static void
 handle(struct link *, void *, const unsigned char *, size_t, zmq_msg_t *);
@@ -74,6 +79,14 @@
 	sodium_memzero(raw, sizeof(raw));
 }
 
+/* Makes both pairs of a key. */
+static void
+derive_pairs(const unsigned char *key, struct pairs *p)
+{
+	derive(key, "server", p->server_public, p->server_secret);
+	derive(key, "client", p->client_public, p->client_secret);
+}
+
 /* Sets an integer option. */
 static void
 set_int(void *sock, int option, int value)
@@ -99,9 +112,10 @@
 
 /* Opens both sockets. */
 int
-link_open(struct link **out, const char *listen, const unsigned char *key,
+link_open(struct link **out, const char *listen, const struct fleet_keys *keys,
     link_handler handler, void *arg)
 {
+	struct pairs *own;
 	struct link *l;
 	char endpoint[ENDPOINT_MAX];
 
@@ -114,8 +128,10 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	l->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	derive(key, "server", l->keys.server_public, l->keys.server_secret);
-	derive(key, "client", l->keys.client_public, l->keys.client_secret);
+	l->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (l->npairs = 0; l->npairs < keys->count; l->npairs++)
+		derive_pairs(keys->key[l->npairs], &l->pairs[l->npairs]);
+	own = &l->pairs[0];
 	l->ctx = zmq_ctx_new();
 	l->zap = zmq_socket(l->ctx, ZMQ_REP);
 	zmq_bind(l->zap, ZAP_ENDPOINT);
@@ -124,18 +140,16 @@
 	set_int(l->in, ZMQ_BACKLOG, BACKLOG);
 	set_int(l->in, ZMQ_CURVE_SERVER, 1);
 	zmq_setsockopt(
-	    l->in, ZMQ_CURVE_SECRETKEY, l->keys.server_secret, KEY_TEXT);
+	    l->in, ZMQ_CURVE_SECRETKEY, own->server_secret, KEY_TEXT);
 	l->out = zmq_socket(l->ctx, ZMQ_ROUTER);
 	common_options(l->out);
 	set_int(l->out, ZMQ_ROUTER_MANDATORY, 1);
 	set_int(l->out, ZMQ_RECONNECT_IVL, RECONNECT_MS);
 	set_int(l->out, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX);
 	zmq_setsockopt(
-	    l->out, ZMQ_CURVE_SERVERKEY, l->keys.server_public, KEY_TEXT);
-	zmq_setsockopt(
-	    l->out, ZMQ_CURVE_PUBLICKEY, l->keys.client_public, KEY_TEXT);
+	    l->out, ZMQ_CURVE_PUBLICKEY, own->client_public, KEY_TEXT);
 	zmq_setsockopt(
-	    l->out, ZMQ_CURVE_SECRETKEY, l->keys.client_secret, KEY_TEXT);
+	    l->out, ZMQ_CURVE_SECRETKEY, own->client_secret, KEY_TEXT);
 	snprintf(endpoint, sizeof(endpoint), "tcp://%s", listen);
 	if (zmq_bind(l->in, endpoint) != 0) {
 		link_close(l);
@@ -155,7 +169,8 @@
 	zmq_ctx_term(l->ctx);
 	g_hash_table_destroy(l->outs);
 	g_hash_table_destroy(l->peers);
-	sodium_memzero(&l->keys, sizeof(l->keys));
+	g_hash_table_destroy(l->keys);
+	sodium_memzero(l->pairs, sizeof(l->pairs));
 	g_free(l);
 }
 
@@ -175,6 +190,9 @@
 	o = g_new0(struct out, 1);
 	g_strlcpy(o->endpoint, endpoint, sizeof(o->endpoint));
 	snprintf(o->id, sizeof(o->id), "c%u", ++l->generation);
+	o->key = GPOINTER_TO_INT(g_hash_table_lookup(l->keys, peer));
+	zmq_setsockopt(l->out, ZMQ_CURVE_SERVERKEY,
+	    l->pairs[o->key].server_public, KEY_TEXT);
 	zmq_setsockopt(l->out, ZMQ_CONNECT_ROUTING_ID, o->id, strlen(o->id));
 	if (zmq_connect(l->out, endpoint) != 0) {
 		g_free(o);
@@ -185,6 +203,21 @@
 	return o;
 }
 
+/* Takes the key in use; a connection opened with another cannot come about. */
+void
+link_key(struct link *l, const char *peer, int key)
+{
+	struct out *o = g_hash_table_lookup(l->outs, peer);
+
+	if (o != NULL && o->key != key)
+		link_reset(l, peer);
+	if (key != 0)
+		g_hash_table_insert(
+		    l->keys, g_strdup(peer), GINT_TO_POINTER(key));
+	else
+		g_hash_table_remove(l->keys, peer);
+}
+
 /* Drops a connection. */
 void
 link_reset(struct link *l, const char *peer)
@@ -193,6 +226,7 @@
 
 	if ((o = g_hash_table_lookup(l->outs, peer)) == NULL)
 		return;
+
 	zmq_disconnect(l->out, o->endpoint);
 	g_hash_table_remove(l->peers, o->id);
 	g_hash_table_remove(l->outs, peer);
@@ -324,13 +358,14 @@
 }
 
 /*
- * ZAP (ZeroMQ RFC 27): lets in only who proves to hold the fleet's client key.
+ * ZAP (ZeroMQ RFC 27): lets in only who proves to hold a client key of the
+ * fleet.
  */
 static void
 answer_zap(struct link *l)
 {
 	char frames[ZAP_FRAMES][256], key[KEY_TEXT] = "";
-	int n = 0, len, more = 1, ok, lens[ZAP_FRAMES] = { 0 };
+	int n = 0, i, len, more = 1, ok = 0, lens[ZAP_FRAMES] = { 0 };
 	size_t size = sizeof(more);
 	const char *code;
 
@@ -344,7 +379,8 @@
 	}
 	if (n >= 7 && lens[6] == RAW_KEY)
 		zmq_z85_encode(key, (unsigned char *)frames[6], RAW_KEY);
-	ok = strcmp(key, l->keys.client_public) == 0;
+	for (i = 0; i < l->npairs; i++)
+		ok |= strcmp(key, l->pairs[i].client_public) == 0;
 	code = ok ? "200" : "400";
 	zmq_send(l->zap, "1.0", 3, ZMQ_SNDMORE);
 	zmq_send(l->zap, frames[1], (size_t)lens[1], ZMQ_SNDMORE);
--- a/node/link.h
+++ b/node/link.h
@@ -24,7 +24,7 @@
 typedef void (*link_handler)(void *arg, const char *peer,
     const struct link_route *from, Wire__Envelope *, size_t bytes);
 
-int link_open(struct link **, const char *listen, const unsigned char *key,
+int link_open(struct link **, const char *listen, const struct fleet_keys *,
     link_handler, void *arg);
 void link_close(struct link *);
 /* Sends to a node by name and address; bytes sent or an error. */
@@ -33,6 +33,11 @@
 /* Sends back over a route; bytes sent or an error. */
 int
 link_reply(struct link *, const struct link_route *, const Wire__Envelope *);
+/*
+ * Which of the fleet's keys a node uses, as its datagrams show: a connection
+ * to it is opened with that one.
+ */
+void link_key(struct link *, const char *peer, int key);
 /* Drops the connection to a node, so that the next sending opens a new one. */
 void link_reset(struct link *, const char *peer);
 /*
--- a/node/loop.c
+++ b/node/loop.c
@@ -272,5 +272,5 @@
 int
 loop_open_link(struct node *n)
 {
-	return link_open(&n->link, n->settings.listen, n->key, on_message, n);
+	return link_open(&n->link, n->settings.listen, &n->keys, on_message, n);
 }
--- a/node/node.c
+++ b/node/node.c
@@ -205,7 +205,7 @@
 	mailbox_destroy(&n->mailbox);
 	g_rand_free(n->rand);
 	settings_free(&n->settings);
-	sodium_memzero(n->key, sizeof(n->key));
+	sodium_memzero(&n->keys, sizeof(n->keys));
 	g_free(n);
 }
 
@@ -220,14 +220,14 @@
 /* Starts a node. */
 int
 node_start(
-    struct node **out, const struct settings *s, const unsigned char *key)
+    struct node **out, const struct settings *s, const struct fleet_keys *keys)
 {
 	struct node *n;
-	int err;
+	int i, err;
 
 	n = g_new0(struct node, 1);
 	n->settings = *s;
-	memcpy(n->key, key, sizeof(n->key));
+	n->keys = *keys;
 	n->boot = (uint64_t)base_wall_ms();
 	n->started_at = base_now_ms();
 	n->rand = g_rand_new();
@@ -238,6 +238,9 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	n->members = members_new(s->name, s->advertise, s->data_centre, n->boot,
 	    g_rand_int(n->rand));
+	for (i = 0; i < keys->count; i++)
+		n->prints[i] = key_print(keys->key[i]);
+	members_use_key(n->members, n->prints[0]);
 	n->config = config_store_new(s->full_sets, on_config, n);
 	entry_init(n);
 	serve_init(n);
--- a/node/node.h
+++ b/node/node.h
@@ -51,10 +51,17 @@
 int settings_read(const char *path, struct settings *, struct report *);
 void settings_free(struct settings *);
 
-#define NODE_KEY_LEN 32 /* bytes of the fleet's key */
+#define NODE_KEY_LEN 32 /* bytes of a key of the fleet */
+#define NODE_KEYS    2	/* while one is replaced by another */
 
-/* Reads the fleet's key: 64 hexadecimal digits. */
-int node_key_read(const char *path, unsigned char *key);
+/* Keys of the fleet: the first is used, all are accepted. */
+struct fleet_keys {
+	unsigned char key[NODE_KEYS][NODE_KEY_LEN];
+	int count;
+};
+
+/* Reads the fleet's keys: one or two lines of 64 hexadecimal digits. */
+int node_keys_read(const char *path, struct fleet_keys *);
 
 struct node; /* opaque: see node_int.h */
 
@@ -63,7 +70,7 @@
  * running, and the settings are released.
  */
 int
-node_start(struct node **, const struct settings *, const unsigned char *key);
+node_start(struct node **, const struct settings *, const struct fleet_keys *);
 /* Stops gracefully: refuses new work, finishes what runs, tells peers. */
 void node_stop(struct node *);
 
--- a/node/node_int.h
+++ b/node/node_int.h
@@ -219,8 +219,9 @@
 
 struct node {
 	struct settings settings;
-	unsigned char key[NODE_KEY_LEN];
-	uint64_t boot; /* incarnation of this process: wall ms */
+	struct fleet_keys keys;
+	uint32_t prints[NODE_KEYS]; /* fingerprints of the keys */
+	uint64_t boot;		    /* incarnation of this process: wall ms */
 	struct mailbox mailbox;
 	pthread_t thread;
 	struct config_store *config;
--- a/node/seal.c
+++ b/node/seal.c
@@ -41,6 +41,34 @@
 	return (int)n;
 }
 
+/* Tries one key after the other. */
+int
+unseal_any(const struct fleet_keys *keys, const char *self,
+    const unsigned char *sealed, size_t len, unsigned char *plain, int *used)
+{
+	int size = NODE_EGARBLED;
+
+	for (*used = 0; *used < keys->count; (*used)++) {
+		size = unseal(keys->key[*used], self, sealed, len, plain);
+		if (size >= 0)
+			break;
+	}
+	return size;
+}
+
+/* Fingerprint of a key. */
+uint32_t
+key_print(const unsigned char *key)
+{
+	unsigned char hash[crypto_generichash_BYTES_MIN];
+	uint32_t print;
+
+	crypto_generichash(hash, sizeof(hash), (const unsigned char *)"print",
+	    5, key, NODE_KEY_LEN);
+	memcpy(&print, hash, sizeof(print));
+	return print | 1;
+}
+
 /* A sliding window over counts, as IPsec's (RFC 4303, 3.4.3). */
 int
 replay_fresh(struct replay *r, uint64_t boot, uint64_t count)
--- a/node/seal.h
+++ b/node/seal.h
@@ -18,6 +18,14 @@
 int unseal(const unsigned char *key, const char *self,
     const unsigned char *sealed, size_t len, unsigned char *plain);
 
+/* Opens with any of the fleet's keys; *used is the index of the one that fits.
+ */
+int unseal_any(const struct fleet_keys *, const char *self,
+    const unsigned char *sealed, size_t len, unsigned char *plain, int *used);
+
+/* Tells keys apart without telling them; never 0. */
+uint32_t key_print(const unsigned char *key);
+
 /* Counts seen from one sender. */
 struct replay {
 	uint64_t boot;
--- a/node/settings.c
+++ b/node/settings.c
@@ -147,22 +147,34 @@
 	g_strfreev(s->peers);
 }
 
-/* Reads the fleet's key. */
+/* Reads the fleet's keys. */
 int
-node_key_read(const char *path, unsigned char *key)
+node_keys_read(const char *path, struct fleet_keys *keys)
 {
-	char *text;
-	size_t len, got = 0;
-	int err = NODE_EKEY;
+	char *text, **lines;
+	size_t len, got;
+	int i, err = NODE_OK;
 
+	memset(keys, 0, sizeof(*keys));
 	if (base_read_file(path, KEY_FILE_MAX, &text, &len) != BASE_OK)
 		return NODE_EKEY;
 	g_strchomp(text);
-	if (sodium_hex2bin(
-		key, NODE_KEY_LEN, text, strlen(text), NULL, &got, NULL) == 0 &&
-	    got == NODE_KEY_LEN)
-		err = NODE_OK;
+	lines = g_strsplit(text, "\n", -1);
+	for (i = 0; lines[i] != NULL && err == NODE_OK; i++) {
+		if (i == NODE_KEYS ||
+		    sodium_hex2bin(keys->key[i], NODE_KEY_LEN, lines[i],
+			strlen(lines[i]), NULL, &got, NULL) != 0 ||
+		    got != NODE_KEY_LEN)
+			err = NODE_EKEY;
+		else
+			keys->count++;
+	}
+	for (i = 0; lines[i] != NULL; i++)
+		sodium_memzero(lines[i], strlen(lines[i]));
+	g_strfreev(lines);
 	sodium_memzero(text, len);
 	g_free(text);
+	if (keys->count == 0)
+		return NODE_EKEY;
 	return err;
 }
--- a/node/teaselnode.c
+++ b/node/teaselnode.c
@@ -18,7 +18,7 @@
 static int
 start(const char *path, const char *level, struct node **out)
 {
-	unsigned char key[NODE_KEY_LEN];
+	struct fleet_keys keys;
 	struct settings s;
 	struct report *rep;
 	GString *text;
@@ -43,11 +43,11 @@
 	base_log(G_LOG_LEVEL_DEBUG, "starting",
 	    "name=%s data_centre=%s listen=%s", s.name, s.data_centre,
 	    s.listen);
-	if ((err = node_key_read(s.key_file, key)) == NODE_OK)
-		err = node_start(out, &s, key);
+	if ((err = node_keys_read(s.key_file, &keys)) == NODE_OK)
+		err = node_start(out, &s, &keys);
 	else
 		settings_free(&s);
-	sodium_memzero(key, sizeof(key));
+	sodium_memzero(&keys, sizeof(keys));
 	if (err == NODE_OK)
 		return 0;
 	fprintf(stderr, "teaselnode: %s\n", base_strerror(err));
--- a/node/wire.pb-c.c
+++ b/node/wire.pb-c.c
@@ -1582,7 +1582,7 @@
   (ProtobufCMessageInit) wire__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__rumour__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wire__rumour__field_descriptors[7] =
 {
   {
     "name",
@@ -1656,19 +1656,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "key",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Rumour, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__rumour__field_indices_by_name[] = {
   1,   /* field[1] = address */
   2,   /* field[2] = data_centre */
   4,   /* field[4] = incarnation */
   5,   /* field[5] = index */
+  6,   /* field[6] = key */
   0,   /* field[0] = name */
   3,   /* field[3] = state */
 };
 static const ProtobufCIntRange wire__rumour__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wire__rumour__descriptor =
 {
@@ -1678,7 +1691,7 @@
   "Wire__Rumour",
   "wire",
   sizeof(Wire__Rumour),
-  6,
+  7,
   wire__rumour__field_descriptors,
   wire__rumour__field_indices_by_name,
   1,  wire__rumour__number_ranges,
--- a/node/wire.pb-c.h
+++ b/node/wire.pb-c.h
@@ -279,10 +279,14 @@
    * of the VM list it was read from
    */
   uint64_t index;
+  /*
+   * fingerprint of the key it uses
+   */
+  uint32_t key;
 };
 #define WIRE__RUMOUR__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__rumour__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/test/test_member.c
+++ b/test/test_member.c
@@ -229,6 +229,27 @@
 	end();
 }
 
+/* While it lingers it tells everybody, as those told first may leave too. */
+static void
+leaving_is_told_to_all(void)
+{
+	struct member_send s;
+	int told[100] = { 0 }, i, count = 0;
+
+	begin(100);
+	members_leave(m);
+	for (; now < 1000 + 2500; now += 50) {
+		members_tick(m, now);
+		while (members_send(m, &s))
+			if (s.kind == KIND_TELL)
+				told[s.to] = 1;
+	}
+	for (i = 0; i < 100; i++)
+		count += told[i];
+	CU_ASSERT_EQUAL(count, 100);
+	end();
+}
+
 static const struct test tests[] = {
 	{ "silent member is suspected, then held dead",
 	    silent_member_is_suspected_then_held_dead },
@@ -237,6 +258,7 @@
 	{ "suspicion of oneself is refuted", suspicion_of_oneself_is_refuted },
 	{ "older news changes nothing", older_news_changes_nothing },
 	{ "impossible nodes are not kept", impossible_nodes_are_not_kept },
+	{ "leaving is told to all", leaving_is_told_to_all },
 	{ "leaving is told at once", leaving_is_told_at_once },
 	{ "VM list is told to the node", vm_list_is_told_to_the_node },
 	{ "datagrams do not grow with members",
--- a/test/test_seal.c
+++ b/test/test_seal.c
@@ -57,7 +57,25 @@
 	CU_ASSERT_FALSE(replay_fresh(&r, 5, 300));
 }
 
+/* While one key replaces another, both open; which one fits is told. */
+static void
+either_key_opens(void)
+{
+	unsigned char out[SEAL_MAX], plain[SEAL_MAX];
+	struct fleet_keys keys = { .key = { { 1 }, { 2 } }, .count = 2 };
+	int len, used;
+
+	len = seal(other_key, SELF, "hello", 5, out);
+	CU_ASSERT_EQUAL(
+	    unseal_any(&keys, SELF, out, (size_t)len, plain, &used), 5);
+	CU_ASSERT_EQUAL(used, 1);
+	keys.count = 1;
+	CU_ASSERT_EQUAL(unseal_any(&keys, SELF, out, (size_t)len, plain, &used),
+	    NODE_EGARBLED);
+}
+
 static const struct test tests[] = {
+	{ "either key opens", either_key_opens },
 	{ "only the receiver meant opens", only_the_receiver_meant_opens },
 	{ "changed or cut is refused", changed_or_cut_is_refused },
 	{ "replay is noticed", replay_is_noticed },
--- a/tools/bench-move.sh
+++ b/tools/bench-move.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Measures service while a data centre leaves by the set and returns, then dies
+# Measures service from a cold start, and while a data centre leaves by the set and returns, then dies
 # without a word and returns: bench-move.sh SET DATA_CENTRE DISTANCE_US RATE
 # [TIMELINE].  One JSON line a phase on standard output; the timeline, by half
 # seconds, goes to a file for tools/plot.sh.
@@ -23,11 +23,25 @@
 	    entries+="${entries:+,}${VM_IP[$vm]}:$CALLER_PORT"
 done
 "$FLEET_BIN/teaselctl" out data-centre "$dc" "$set" > "$dir/out.json"
+# One line for the calls that began in a phase: phase_line NAME FROM_S TO_S MORE.
+phase_line() {
+	sed 's/[{},:"]/ /g' "$dir/calls" | awk -v a=$(($2 * 1000)) -v b=$(($3 * 1000)) \
+	    '$2 >= a && $2 < b { print $2, $4, $6 }' | sort -n -k 3 > "$dir/phase"
+	awk -v n="$(wc -l < "$dir/phase")" -v more="$4" -v head="\"bench\": \"move\", \"set\": \"$(basename "$set" .json)\", \"name\": \"$name\", \"commit\": \"$commit\", \"rate\": $rate, \"phase\": \"$1\"" '
+	    { got[$2]++ }
+	    NR == int(n / 2) { p50 = $3 }
+	    NR == int(n * 0.99) { p99 = $3 }
+	    END { printf "{%s, \"calls\": %d, \"answered\": %d, \"not_run\": %d, \"unknown\": %d, \"nothing\": %d, \"p50_us\": %d, \"p99_us\": %d%s}\n",
+		head, n, got["answered"], got["not_run"], got["unknown"], got["nothing"], p50, p99, more }' "$dir/phase"
+}
 load() {
 	"$FLEET_BIN/teaselcalls" -e "$entries" -s "$set" -r "$rate" -t "$1" \
 	    -j 256 --timeline "$dir/calls" > "$dir/sum"
 }
 load 8
+# Every target is cold at the start: what they shed, and whether any fell over.
+phase_line cold 0 8 ", \"shed\": $(target_sum shed "${!VM_IP[@]}"), \"falls\": $(target_sum falls "${!VM_IP[@]}")"
+[[ -z ${BENCH_COLD_ONLY:-} ]] || exit 0
 
 # Starts of the phases, in seconds since the load began.
 phases="before:2 out:6 back:14 dead:22 returned:30 end:40"
@@ -56,24 +70,15 @@
 done
 wait "$running"
 
-# at_ms, outcome, latency_us of each call.
-sed 's/[{},:"]/ /g' "$dir/calls" | awk '{ print $2, $4, $6 }' > "$dir/flat"
 previous=
 for phase in $phases; do
-	if [[ -n $previous ]]; then
-		awk -v a=$((${previous#*:} * 1000)) -v b=$((${phase#*:} * 1000)) \
-		    '$1 >= a && $1 < b' "$dir/flat" | sort -n -k 3 > "$dir/phase"
-		awk -v n="$(wc -l < "$dir/phase")" -v head="\"bench\": \"move\", \"set\": \"$(basename "$set" .json)\", \"name\": \"$name\", \"commit\": \"$commit\", \"phase\": \"${previous%:*}\"" '
-		    { got[$2]++ }
-		    NR == int(n / 2) { p50 = $3 }
-		    NR == int(n * 0.99) { p99 = $3 }
-		    END { printf "{%s, \"calls\": %d, \"answered\": %d, \"not_run\": %d, \"unknown\": %d, \"nothing\": %d, \"p50_us\": %d, \"p99_us\": %d}\n",
-			head, n, got["answered"], got["not_run"], got["unknown"], got["nothing"], p50, p99 }' "$dir/phase"
-	fi
+	[[ -z $previous ]] ||
+	    phase_line "${previous%:*}" "${previous#*:}" "${phase#*:}" ""
 	previous=$phase
 done
-awk '{ b = int($1 / 500); n[b]++; if ($2 == "answered") ok[b]++
+sed 's/[{},:"]/ /g' "$dir/calls" | awk '{ print $2, $4, $6 }' |
+    awk '{ b = int($1 / 500); n[b]++; if ($2 == "answered") ok[b]++
 	if ($3 > max[b]) max[b] = $3; if (b > last) last = b }
     END { for (b = 0; b <= last; b++)
 	print b / 2, ok[b] * 2 + 0, (n[b] - ok[b]) * 2, max[b] / 1000 }' \
-    "$dir/flat" > "$timeline"
+    > "$timeline"
--- a/tools/report.sh
+++ b/tools/report.sh
@@ -90,7 +90,7 @@
 		name=$(basename "$file" .tsv)
 		printf '![%s](%s.svg)\n\n' "$name" "$name"
 	done
-	table "$results/move.jsonl" set name phase calls answered not_run unknown \
+	table "$results/move.jsonl" set name phase rate calls answered not_run unknown \
 	    p50_us p99_us commit
 } > "$out/README.md"
 echo "$out/README.md"
