--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 TARGET = target/exchange.c target/pool.c
 CALLER = caller/refusal.c caller/server.c
 NODE = node/choose.c node/config.c node/delta.c node/entry.c node/gossip.c node/intake.c node/join.c node/kept.c node/link.c \
-	node/loop.c node/mailbox.c node/node.c node/record.c node/role.c node/seal.c node/serve.c \
+	node/loop.c node/mailbox.c node/node.c node/record.c node/role.c node/seal.c node/reply.c node/serve.c node/served.c \
 	node/settings.c node/span.c node/spread.c node/status.c \
 	node/wire.pb-c.c
 LIB = $(BASE) $(MESH) $(PLATFORM) $(TARGET) $(CALLER) $(NODE)
@@ -32,7 +32,8 @@
 CTL_OBJ = $(CTL:%.c=$(OBJ)/%.o)
 
 REPLAY = replay/replay.c replay/replay_call.c replay/replay_guard.c \
-	replay/replay_version.c replay/walk.c replay/walk_steps.c
+	replay/replay_version.c replay/walk.c replay/walk_guard.c \
+	replay/walk_steps.c
 REPLAY_OBJ = $(REPLAY:%.c=$(OBJ)/%.o)
 
 STANDIN = standin/fault.c standin/http.c standin/ledger.c
--- /dev/null
+++ b/node/reply.c
@@ -0,0 +1,99 @@
+/* What a guard tells entries. */
+#include "serve_int.h"
+
+/* Tells an entry that its request is held. */
+void
+reply_ack(struct node *n, const struct link_route *r, uint64_t call)
+{
+	Wire__Envelope env = WIRE__ENVELOPE__INIT;
+	Wire__Ack a = WIRE__ACK__INIT;
+
+	a.load = guard_load(n->guard.guard);
+	if (r->len == 0) {
+		entry_ack(n, call, a.load);
+		return;
+	}
+	env.call = call;
+	env.body_case = WIRE__ENVELOPE__BODY_ACK;
+	env.ack = &a;
+	link_reply(n->link, r, &env);
+}
+
+/* Sends an answer its way. */
+void
+reply_answer(
+    struct node *n, const struct link_route *r, uint64_t call, Wire__Answer *a)
+{
+	Wire__Envelope env = WIRE__ENVELOPE__INIT;
+
+	if (r->len == 0) {
+		entry_answer(n, call, a);
+		return;
+	}
+	env.call = call;
+	env.body_case = WIRE__ENVELOPE__BODY_ANSWER;
+	env.answer = a;
+	link_reply(n->link, r, &env);
+}
+
+/* Sends an outcome without an answer of the target. */
+void
+reply_outcome(struct node *n, const struct link_route *r, uint64_t call,
+    enum call_outcome out, int crashes)
+{
+	Wire__Answer a = WIRE__ANSWER__INIT;
+
+	a.outcome = out;
+	a.crashes = crashes;
+	a.boot = n->boot;
+	if (n->guard.guard != NULL) {
+		a.load = guard_load(n->guard.guard);
+		a.retry_after_ms = guard_retry_after(n->guard.guard);
+	}
+	if (outcomes[out].not_run)
+		counter_add(CTR_GUARD_REFUSED, 1);
+	reply_answer(n, r, call, &a);
+}
+
+/* Gives all who wait the same answer. */
+void
+reply_all(struct node *n, struct served *s, Wire__Answer *a)
+{
+	int i;
+
+	spans_add(&n->spans, &s->trace, "guard", n->guard.target,
+	    outcomes[a->outcome].code, base_now_us() - s->began_us);
+	for (i = 0; i < s->nwaiters; i++)
+		reply_answer(n, &s->waiters[i].route, s->waiters[i].call, a);
+	s->nwaiters = 0;
+}
+
+/* Gives all who wait an outcome without an answer. */
+void
+reply_all_outcome(struct node *n, struct served *s, enum call_outcome out)
+{
+	Wire__Answer a = WIRE__ANSWER__INIT;
+
+	a.outcome = out;
+	a.load = guard_load(n->guard.guard);
+	a.retry_after_ms = guard_retry_after(n->guard.guard);
+	a.crashes =
+	    guard_crashes(n->guard.guard, s->req.fingerprint, base_now_ms());
+	if (outcomes[out].not_run)
+		counter_add(CTR_GUARD_REFUSED, 1);
+	reply_all(n, s, &a);
+}
+
+/* Sends the answer kept under an id; 0 when there is none. */
+int
+reply_kept(struct node *n, const struct kept_store *from,
+    const struct link_route *r, uint64_t call, const char *id)
+{
+	Wire__Answer *a;
+
+	if ((a = kept_find(from, id)) == NULL)
+		return 0;
+	reply_answer(n, r, call, a);
+	wire__answer__free_unpacked(a, NULL);
+	return 1;
+}
--- a/node/serve.c
+++ b/node/serve.c
@@ -4,37 +4,22 @@
  */
 #include <string.h>
 
-#include "record.h"
+#include "serve_int.h"
 
-static struct served *
-held_find(struct node *, const char *, const struct link_route *, uint64_t);
-static struct served *held_by_id(struct node *, const char *);
-static int same_route(const struct link_route *, const struct link_route *);
-static enum call_outcome reachable(struct node *, const Wire__Forward *);
-static void admit(
-    struct node *, const struct link_route *, uint64_t, const Wire__Forward *);
-static struct served *served_new(
-    struct node *, const struct link_route *, uint64_t, const Wire__Forward *);
-static void served_free(gpointer);
-static void
-duplicate(struct node *, const struct link_route *, uint64_t, const char *);
-static int send_kept(struct node *, const struct kept_store *,
-    const struct link_route *, uint64_t, const char *);
-static int add_waiter(struct served *, const struct link_route *, uint64_t);
-static void ack(struct node *, const struct link_route *, uint64_t);
-static void
-send_answer(struct node *, const struct link_route *, uint64_t, Wire__Answer *);
-static void send_outcome(
-    struct node *, const struct link_route *, uint64_t, enum call_outcome, int);
-static void answer_all(struct node *, struct served *, Wire__Answer *);
-static void outcome_all(struct node *, struct served *, enum call_outcome);
-static void pump(struct node *);
-static void hand_out(struct node *, struct served *, int64_t);
+static void exchange_done(void *arg, struct exchange_job *job);
+static void duplicate(
+    struct node *n, const struct link_route *r, uint64_t call, const char *id);
+static enum call_outcome reachable(struct node *n, const Wire__Forward *f);
 static void copy_headers(
-    struct exchange_job *, const Wire__Forward *, const struct trace *);
+    struct exchange_job *j, const Wire__Forward *f, const struct trace *t);
+static struct served *served_new(struct node *n, const struct link_route *r,
+    uint64_t call, const Wire__Forward *f);
+static void admit(struct node *n, const struct link_route *r, uint64_t call,
+    const Wire__Forward *f);
+static void hand_out(struct node *n, struct served *s, int64_t now_us);
+static void pump(struct node *n);
 static void
-answer_exchange(struct node *, struct served *, const struct exchange_job *);
-static void exchange_done(void *, struct exchange_job *);
+answer_exchange(struct node *n, struct served *s, const struct exchange_job *j);
 
 /* What an entry is told of the guard's verdict. */
 static const enum call_outcome by_verdict[] = {
@@ -99,172 +84,6 @@
 	mailbox_post(&n->mailbox, EVENT_EXCHANGE, job);
 }
 
-/* ---- what is held ---- */
-
-/* Whether two answers would go the same way. */
-static int
-same_route(const struct link_route *a, const struct link_route *b)
-{
-	return a->len == b->len && memcmp(a->id, b->id, a->len) == 0;
-}
-
-/* The request that an entry knows by a number; id NULL matches any. */
-static struct served *
-held_find(
-    struct node *n, const char *id, const struct link_route *r, uint64_t call)
-{
-	struct served *s;
-	guint i;
-	int k;
-
-	for (i = 0; i < n->guard.held->len; i++) {
-		s = g_ptr_array_index(n->guard.held, i);
-		if (id != NULL && strcmp(s->req.id, id) != 0)
-			continue;
-		for (k = 0; k < s->nwaiters; k++)
-			if (s->waiters[k].call == call &&
-			    (r == NULL || same_route(&s->waiters[k].route, r)))
-				return s;
-	}
-	return NULL;
-}
-
-/* The request held under an id that runs once. */
-static struct served *
-held_by_id(struct node *n, const char *id)
-{
-	struct served *s;
-	guint i;
-
-	for (i = 0; i < n->guard.held->len; i++) {
-		s = g_ptr_array_index(n->guard.held, i);
-		if (s->req.once && strcmp(s->req.id, id) == 0)
-			return s;
-	}
-	return NULL;
-}
-
-/* Releases a request. */
-static void
-served_free(gpointer p)
-{
-	struct served *s = p;
-
-	exchange_job_free(s->job);
-	g_free(s);
-}
-
-/* Lets somebody wait for a held request; 0 when too many do. */
-static int
-add_waiter(struct served *s, const struct link_route *r, uint64_t call)
-{
-	if (s->nwaiters == WAITERS_MAX)
-		return 0;
-	s->waiters[s->nwaiters].route = *r;
-	s->waiters[s->nwaiters].call = call;
-	s->nwaiters++;
-	return 1;
-}
-
-/* ---- answers ---- */
-
-/* Tells an entry that its request is held. */
-static void
-ack(struct node *n, const struct link_route *r, uint64_t call)
-{
-	Wire__Envelope env = WIRE__ENVELOPE__INIT;
-	Wire__Ack a = WIRE__ACK__INIT;
-
-	a.load = guard_load(n->guard.guard);
-	if (r->len == 0) {
-		entry_ack(n, call, a.load);
-		return;
-	}
-	env.call = call;
-	env.body_case = WIRE__ENVELOPE__BODY_ACK;
-	env.ack = &a;
-	link_reply(n->link, r, &env);
-}
-
-/* Sends an answer its way. */
-static void
-send_answer(
-    struct node *n, const struct link_route *r, uint64_t call, Wire__Answer *a)
-{
-	Wire__Envelope env = WIRE__ENVELOPE__INIT;
-
-	if (r->len == 0) {
-		entry_answer(n, call, a);
-		return;
-	}
-	env.call = call;
-	env.body_case = WIRE__ENVELOPE__BODY_ANSWER;
-	env.answer = a;
-	link_reply(n->link, r, &env);
-}
-
-/* Sends an outcome without an answer of the target. */
-static void
-send_outcome(struct node *n, const struct link_route *r, uint64_t call,
-    enum call_outcome out, int crashes)
-{
-	Wire__Answer a = WIRE__ANSWER__INIT;
-
-	a.outcome = out;
-	a.crashes = crashes;
-	a.boot = n->boot;
-	if (n->guard.guard != NULL) {
-		a.load = guard_load(n->guard.guard);
-		a.retry_after_ms = guard_retry_after(n->guard.guard);
-	}
-	if (outcomes[out].not_run)
-		counter_add(CTR_GUARD_REFUSED, 1);
-	send_answer(n, r, call, &a);
-}
-
-/* Gives all who wait the same answer. */
-static void
-answer_all(struct node *n, struct served *s, Wire__Answer *a)
-{
-	int i;
-
-	spans_add(&n->spans, &s->trace, "guard", n->guard.target,
-	    outcomes[a->outcome].code, base_now_us() - s->began_us);
-	for (i = 0; i < s->nwaiters; i++)
-		send_answer(n, &s->waiters[i].route, s->waiters[i].call, a);
-	s->nwaiters = 0;
-}
-
-/* Gives all who wait an outcome without an answer. */
-static void
-outcome_all(struct node *n, struct served *s, enum call_outcome out)
-{
-	Wire__Answer a = WIRE__ANSWER__INIT;
-
-	a.outcome = out;
-	a.load = guard_load(n->guard.guard);
-	a.retry_after_ms = guard_retry_after(n->guard.guard);
-	a.crashes =
-	    guard_crashes(n->guard.guard, s->req.fingerprint, base_now_ms());
-	if (outcomes[out].not_run)
-		counter_add(CTR_GUARD_REFUSED, 1);
-	answer_all(n, s, &a);
-}
-
-/* Sends the answer kept under an id; 0 when there is none. */
-static int
-send_kept(struct node *n, const struct kept_store *from,
-    const struct link_route *r, uint64_t call, const char *id)
-{
-	Wire__Answer *a;
-
-	if ((a = kept_find(from, id)) == NULL)
-		return 0;
-	send_answer(n, r, call, a);
-	wire__answer__free_unpacked(a, NULL);
-	return 1;
-}
-
 /*
  * An id that is known here came again: its sender waits for the same outcome,
  * or gets the answer that was kept, or is told that there is none any more.
@@ -276,21 +95,19 @@
 	struct served *s;
 
 	counter_add(CTR_GUARD_DUPLICATES, 1);
-	if ((s = held_by_id(n, id)) != NULL && !s->answered) {
-		if (add_waiter(s, r, call))
-			ack(n, r, call);
+	if ((s = served_by_id(n, id)) != NULL && !s->answered) {
+		if (served_wait(s, r, call))
+			reply_ack(n, r, call);
 		else
-			send_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
+			reply_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
 		return;
 	}
-	if (send_kept(n, &n->guard.kept_once, r, call, id))
+	if (reply_kept(n, &n->guard.kept_once, r, call, id))
 		return;
 	/* It ran, or it runs past its deadline; how it ended is not known. */
-	send_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
+	reply_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
 }
 
-/* ---- requests ---- */
-
 /* Whether a request has come to the right place. */
 static enum call_outcome
 reachable(struct node *n, const Wire__Forward *f)
@@ -350,7 +167,7 @@
 
 	(void)n;
 	s = g_new0(struct served, 1);
-	add_waiter(s, r, call);
+	served_wait(s, r, call);
 	g_strlcpy(s->req.id, f->id, sizeof(s->req.id));
 	s->req.once = f->once;
 	s->req.fresh = f->fresh;
@@ -386,13 +203,13 @@
 	if (v == GUARD_QUEUE) {
 		g_ptr_array_add(n->guard.held, s);
 		counter_add(CTR_GUARD_QUEUED, 1);
-		ack(n, r, call);
+		reply_ack(n, r, call);
 		return;
 	}
 	if (v == GUARD_DUPLICATE)
 		duplicate(n, r, call, f->id);
 	else
-		send_outcome(n, r, call, by_verdict[v],
+		reply_outcome(n, r, call, by_verdict[v],
 		    guard_crashes(
 			n->guard.guard, s->req.fingerprint, base_now_ms()));
 	served_free(s);
@@ -409,7 +226,7 @@
 		return;
 	out = reachable(n, f);
 	if (out != OUTCOME_ANSWERED) {
-		send_outcome(n, r, call, out, 0);
+		reply_outcome(n, r, call, out, 0);
 		return;
 	}
 	admit(n, r, call, f);
@@ -455,7 +272,7 @@
 		if (v == GUARD_POISON)
 			counter_add(CTR_QUARANTINED, 1);
 		g_ptr_array_remove_fast(n->guard.held, s);
-		outcome_all(n, s, by_verdict[v]);
+		reply_all_outcome(n, s, by_verdict[v]);
 		served_free(s);
 	}
 }
@@ -470,11 +287,11 @@
 	size_t i;
 
 	if (j->too_large) {
-		outcome_all(n, s, OUTCOME_TOO_LARGE);
+		reply_all_outcome(n, s, OUTCOME_TOO_LARGE);
 		return;
 	}
 	if (j->result != EXCHANGE_OK) {
-		outcome_all(n, s, by_exchange[j->result]);
+		reply_all_outcome(n, s, by_exchange[j->result]);
 		return;
 	}
 	headers = g_new(Wire__Header, j->nout + 1);
@@ -497,7 +314,7 @@
 		kept_add(&n->guard.kept_once, s->req.id, &a, base_now_ms());
 	else if (s->req.fresh)
 		kept_add(&n->guard.kept_short, s->req.id, &a, base_now_ms());
-	answer_all(n, s, &a);
+	reply_all(n, s, &a);
 	g_free(a.headers);
 	g_free(headers);
 }
@@ -543,33 +360,33 @@
 
 	/* What was meant for no incarnation that there is cannot have run. */
 	if (f->guard_boot == 0) {
-		send_outcome(n, r, call, OUTCOME_RESTARTED, 0);
+		reply_outcome(n, r, call, OUTCOME_RESTARTED, 0);
 		return;
 	}
 	if (f->guard_boot != n->boot) {
-		send_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
+		reply_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
 		return;
 	}
-	if ((s = held_find(n, f->id, NULL, call)) != NULL) {
+	if ((s = served_find(n, f->id, NULL, call)) != NULL) {
 		for (i = 0; i < s->nwaiters; i++)
 			if (s->waiters[i].call == call)
 				s->waiters[i].route = *r;
-		ack(n, r, call);
+		reply_ack(n, r, call);
 		return;
 	}
 	if (!f->once && f->fresh &&
-	    send_kept(n, &n->guard.kept_short, r, call, f->id))
+	    reply_kept(n, &n->guard.kept_short, r, call, f->id))
 		return;
 	/* What may be repeated is not remembered: it may have run and gone. */
 	if (!f->once || n->guard.guard == NULL) {
-		send_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
+		reply_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
 		return;
 	}
 	v = record_fence(n, f->id, f->fresh, f->born_wall_ms);
 	if (v == GUARD_DUPLICATE)
 		duplicate(n, r, call, f->id);
 	else
-		send_outcome(n, r, call, by_verdict[v], 0);
+		reply_outcome(n, r, call, by_verdict[v], 0);
 }
 
 /* Nobody waits any more: a request still in the queue leaves it. */
@@ -579,7 +396,7 @@
 	struct served *s;
 	int i;
 
-	if ((s = held_find(n, NULL, r, call)) == NULL)
+	if ((s = served_find(n, NULL, r, call)) == NULL)
 		return;
 	for (i = 0; i < s->nwaiters; i++)
 		if (s->waiters[i].call == call)
@@ -606,7 +423,7 @@
 		if (!s->running || s->answered || s->req.deadline > now)
 			continue;
 		s->answered = 1;
-		outcome_all(n, s, OUTCOME_EXPIRED);
+		reply_all_outcome(n, s, OUTCOME_EXPIRED);
 	}
 	pump(n);
 	kept_expire(&n->guard.kept_once, now);
