A joining node greets until it has a VM list; gossip reads plainer

Cause: found on reading as a newcomer. A starting node gave up after 60 greetings, 15 s when nobody answered, while the source may be out for hours and the peers of its settings may start later; and once it knew somebody it greeted the known alone, who may all be as new. Change: it goes on, every 2 s after the first 40, and every fourth greeting goes by the settings. The cost while the source is out is one datagram and its answer in 2 s. received() is parted into opening, the sender, and what follows. Not shown by a test: an outage in which all listed peers are dead for longer than 15 s.

--- a/node/gossip.c
+++ b/node/gossip.c
@@ -19,6 +19,10 @@
 static int fill_rumours(struct node *, Wire__Datagram *, Wire__Rumour *,
     Wire__Rumour **, char names[][MESH_NAME_MAX + 1]);
 static void transmit(struct node *, const char *, const Wire__Datagram *, int);
+static Wire__Datagram *
+open_datagram(struct node *, const unsigned char *, size_t, int *);
+static int
+sender_of(struct node *, const Wire__Datagram *, int, struct rumour *);
 static void received(struct node *, const unsigned char *, size_t);
 static int is_replay(struct node *, const Wire__Datagram *);
 static void learn(struct node *, const Wire__Datagram *, int, int64_t);
@@ -320,44 +324,65 @@
 	}
 }
 
-/* One datagram, still sealed. */
-static void
-received(struct node *n, const unsigned char *sealed, size_t len)
+/* Opens a datagram; NULL when it is of no known key, garbled or replayed. */
+static Wire__Datagram *
+open_datagram(struct node *n, const unsigned char *sealed, size_t len, int *key)
 {
 	unsigned char plain[SEAL_MAX];
 	Wire__Datagram *d = NULL;
-	struct rumour sender;
-	const struct member *p;
-	int64_t now = base_now_ms();
-	char host[ADDRESS_MAX];
-	int from, size, port, key;
+	int size;
 
 	size = unseal_any(
-	    &n->keys, n->settings.advertise, sealed, len, plain, &key);
+	    &n->keys, n->settings.advertise, sealed, len, plain, key);
 	if (size >= 0)
 		d = wire__datagram__unpack(NULL, (size_t)size, plain);
-	if (d == NULL || !name_valid(d->from, MESH_NAME_MAX) ||
-	    strcmp(d->from, n->settings.name) == 0 || is_replay(n, d)) {
-		counter_add(CTR_DATAGRAMS_REFUSED, 1);
-		if (d != NULL)
-			wire__datagram__free_unpacked(d, NULL);
-		return;
+	if (d != NULL && name_valid(d->from, MESH_NAME_MAX) &&
+	    strcmp(d->from, n->settings.name) != 0 && !is_replay(n, d)) {
+		counter_add(CTR_DATAGRAMS_RECEIVED, 1);
+		counter_add(CTR_CONTROL_BYTES_RECEIVED, (int64_t)len);
+		return d;
 	}
-	counter_add(CTR_DATAGRAMS_RECEIVED, 1);
-	counter_add(CTR_CONTROL_BYTES_RECEIVED, (int64_t)len);
-	from = member_find(n->members, d->from);
-	p = from >= 0 ? member_at(n->members, from) : NULL;
-	sender = (struct rumour){ .name = d->from,
-		.addr =
-		    d->address[0] != '\0' || p == NULL ? d->address : p->addr,
+	counter_add(CTR_DATAGRAMS_REFUSED, 1);
+	if (d != NULL)
+		wire__datagram__free_unpacked(d, NULL);
+	return NULL;
+}
+
+/*
+ * What a datagram says of its sender; 0 for a stranger that does not say where
+ * it is, as it cannot be answered.
+ */
+static int
+sender_of(struct node *n, const Wire__Datagram *d, int key, struct rumour *out)
+{
+	char host[ADDRESS_MAX];
+	int port, known = member_find(n->members, d->from);
+
+	*out = (struct rumour){ .name = d->from,
+		.addr = d->address,
 		.dc = d->data_centre,
 		.state = (enum member_state)CLAMP(
 		    d->state, MEMBER_ALIVE, MEMBER_LEFT),
 		.incarnation = d->boot + d->incarnation,
 		.key = n->prints[key] };
-	/* A stranger that does not say where it is cannot be answered. */
-	if (address_split(sender.addr, host, &port) == BASE_OK &&
-	    (p != NULL || name_valid(sender.dc, MESH_NAME_MAX))) {
+	if (known >= 0 && d->address[0] == '\0')
+		out->addr = member_at(n->members, known)->addr;
+	return address_split(out->addr, host, &port) == BASE_OK &&
+	       (known >= 0 || name_valid(out->dc, MESH_NAME_MAX));
+}
+
+/* One datagram, still sealed. */
+static void
+received(struct node *n, const unsigned char *sealed, size_t len)
+{
+	struct rumour sender;
+	Wire__Datagram *d;
+	int64_t now = base_now_ms();
+	int from, key;
+
+	if ((d = open_datagram(n, sealed, len, &key)) == NULL)
+		return;
+	if (sender_of(n, d, key, &sender)) {
 		from = members_heard(n->members, &sender, d->boot, now);
 		use_key(n, d->from);
 		learn(n, d, from, now);
--- a/node/join.c
+++ b/node/join.c
@@ -6,10 +6,10 @@
 
 #include "node_int.h"
 
-#define JOIN_EVERY_MS 250 /* between two greetings while nobody is known */
-#define JOIN_LATER_MS \
-	2000	       /* and then: the more are known, the less it hurries */
-#define JOIN_ROUNDS 60 /* greetings at most */
+#define JOIN_FAST_MS 250  /* between the first greetings */
+#define JOIN_SLOW_MS 2000 /* and between later ones */
+#define JOIN_FAST    40	  /* greetings while nobody has answered */
+#define JOIN_KNOWN   4	  /* each n-th greeting goes by the settings */
 
 static const char *whom(struct node *);
 
@@ -20,26 +20,30 @@
 	guint count = g_strv_length(n->settings.peers);
 	int known = members_count(n->members);
 
-	if (known > 0)
+	/* Those known may all be as new as this node: not them alone. */
+	if (known > 0 && n->joins % JOIN_KNOWN != 0)
 		return member_at(
 		    n->members, g_rand_int_range(n->rand, 0, known))
 		    ->addr;
 	return n->settings.peers[g_rand_int_range(n->rand, 0, (int)count)];
 }
 
-/* Time passes. */
+/*
+ * Time passes.  A node greets for as long as it has no VM list: the source may
+ * be out for hours, and the peers of the settings may start after this one.
+ */
 void
 join_tick(struct node *n, int64_t now)
 {
 	const char *addr;
+	int hurry;
 
 	if (n->listed || n->settings.peers == NULL ||
-	    n->settings.peers[0] == NULL || n->joins >= JOIN_ROUNDS ||
-	    now < n->join_at)
+	    n->settings.peers[0] == NULL || now < n->join_at)
 		return;
+	hurry = members_count(n->members) == 0 && n->joins < JOIN_FAST;
 	n->joins++;
-	n->join_at = now + (members_count(n->members) > 0 ? JOIN_LATER_MS
-							  : JOIN_EVERY_MS);
+	n->join_at = now + (hurry ? JOIN_FAST_MS : JOIN_SLOW_MS);
 	addr = whom(n);
 	if (strcmp(addr, n->settings.advertise) != 0)
 		gossip_greet(n, addr);
