--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -19,11 +19,10 @@
 done
 tools/bench-calls.sh 3000 8
 # Service while a data centre leaves and returns, as it is and without the slow
-# start; many calls through many failures; a data centre of a large fleet.
+# start; many calls through many failures.
 tools/bench-move.sh examples/tema.json slip-south 500 600
 tools/bench-move.sh examples/great-lakes.json erie 1000 200
 BENCH_COLD_ONLY=1 tools/bench-move.sh examples/tema.json slip-south 500 1000
 BENCH_COLD_ONLY=1 BENCH_NAME=no_slow_start FLEET_EXTRA='"no_slow_start": true,' \
     tools/bench-move.sh examples/tema.json slip-south 500 1000
 tools/soak.sh
-tools/bench-storm.sh 100
