What stood twice stands once: outcomes of verdicts, starting a server

Cause: the random walk had its own copy of what an entry is told of a guard's verdict and of an exchange, so a mistake in the node's table could not be seen by it; the three servers of a node were started by the same lines. Change: both tables stand beside the outcomes in mesh/call.c, used by the guard side and by the walk; one function starts a server. No check was changed. Ruled out: sharing the sending of a call between the walk and entry.c (alike in shape only) and the sides of the stand-ins' main (boilerplate of options). Conclusion: the walk now goes through the tables that run.

--- a/mesh/call.c
+++ b/mesh/call.c
@@ -37,6 +37,28 @@
 	[OUTCOME_CANCELLED] = { "cancelled", 499, 0, 0, 0, 1, 0 },
 };
 
+/* What an entry is told of the guard's verdict. */
+const enum call_outcome outcome_by_verdict[] = {
+	[GUARD_RUN] = OUTCOME_ANSWERED,
+	[GUARD_QUEUE] = OUTCOME_ANSWERED,
+	[GUARD_BUSY] = OUTCOME_BUSY,
+	[GUARD_OUT] = OUTCOME_OUT,
+	[GUARD_LATE] = OUTCOME_LATE,
+	[GUARD_FENCED] = OUTCOME_FENCED,
+	[GUARD_POISON] = OUTCOME_POISON,
+	[GUARD_DUPLICATE] = OUTCOME_DUPLICATE,
+	[GUARD_UNKNOWN] = OUTCOME_UNKNOWN,
+};
+
+/* And of an exchange that brought no answer. */
+const enum call_outcome outcome_by_exchange[] = {
+	[EXCHANGE_OK] = OUTCOME_ANSWERED,
+	[EXCHANGE_SHED] = OUTCOME_SHED,
+	[EXCHANGE_SLOW] = OUTCOME_EXPIRED,
+	[EXCHANGE_REFUSED] = OUTCOME_REFUSED,
+	[EXCHANGE_BROKEN] = OUTCOME_BROKEN,
+};
+
 /* A time after now, but no later than the deadline. */
 static int64_t
 wake_at(const struct call *c, int64_t now, int64_t ms)
--- a/mesh/call.h
+++ b/mesh/call.h
@@ -52,6 +52,9 @@
 };
 
 extern const struct outcome_info outcomes[OUTCOME_COUNT];
+/* What an entry is told of a guard's verdict, and of an exchange. */
+extern const enum call_outcome outcome_by_verdict[];
+extern const enum call_outcome outcome_by_exchange[];
 
 #define CALL_ACK_MS   100  /* silence after which an entry asks */
 #define CALL_ASK_MS   250  /* between two questions */
--- a/node/node.c
+++ b/node/node.c
@@ -17,6 +17,8 @@
 static void on_vms(void *, const struct json *, uint64_t);
 static void on_first(void *, int);
 static void start_reader(struct node *);
+static int listen_http(struct node *, struct server **, const char *, int,
+    void (*)(void *, struct server_request *));
 static int listen_operators(struct node *);
 static int listen_callers(struct node *);
 static int listen_services(struct node *);
@@ -118,37 +120,39 @@
 	    n->settings.source_reads_per_min, n->settings.start_spread_ms, &ev);
 }
 
-/* Starts to listen for operators. */
+/* Starts a server; its error becomes one of this package. */
 static int
-listen_operators(struct node *n)
+listen_http(struct node *n, struct server **out, const char *addr, int body,
+    void (*handler)(void *, struct server_request *))
 {
 	int err;
 
-	err = server_start(
-	    &n->operators, n->settings.operators, 0, operator_request, n);
+	err = server_start(out, addr, (size_t)body, handler, n);
 	return err == CALLER_OK ? NODE_OK : NODE_ELISTEN;
 }
 
+/* Starts to listen for operators. */
+static int
+listen_operators(struct node *n)
+{
+	return listen_http(
+	    n, &n->operators, n->settings.operators, 0, operator_request);
+}
+
 /* Starts to listen for callers from outside. */
 static int
 listen_callers(struct node *n)
 {
-	int err;
-
-	err = server_start(&n->callers, n->settings.callers,
-	    (size_t)n->settings.body_max, entry_from_callers, n);
-	return err == CALLER_OK ? NODE_OK : NODE_ELISTEN;
+	return listen_http(n, &n->callers, n->settings.callers,
+	    n->settings.body_max, entry_from_callers);
 }
 
 /* Starts to listen for the target beside the node. */
 static int
 listen_services(struct node *n)
 {
-	int err;
-
-	err = server_start(&n->services, n->settings.services,
-	    (size_t)n->settings.body_max, entry_from_services, n);
-	return err == CALLER_OK ? NODE_OK : NODE_ELISTEN;
+	return listen_http(n, &n->services, n->settings.services,
+	    n->settings.body_max, entry_from_services);
 }
 
 /*
--- a/node/serve.c
+++ b/node/serve.c
@@ -21,28 +21,6 @@
 static void
 answer_exchange(struct node *n, struct served *s, const struct exchange_job *j);
 
-/* What an entry is told of the guard's verdict. */
-static const enum call_outcome by_verdict[] = {
-	[GUARD_RUN] = OUTCOME_ANSWERED,
-	[GUARD_QUEUE] = OUTCOME_ANSWERED,
-	[GUARD_BUSY] = OUTCOME_BUSY,
-	[GUARD_OUT] = OUTCOME_OUT,
-	[GUARD_LATE] = OUTCOME_LATE,
-	[GUARD_FENCED] = OUTCOME_FENCED,
-	[GUARD_POISON] = OUTCOME_POISON,
-	[GUARD_DUPLICATE] = OUTCOME_DUPLICATE,
-	[GUARD_UNKNOWN] = OUTCOME_UNKNOWN,
-};
-
-/* And of an exchange that brought no answer. */
-static const enum call_outcome by_exchange[] = {
-	[EXCHANGE_OK] = OUTCOME_ANSWERED,
-	[EXCHANGE_SHED] = OUTCOME_SHED,
-	[EXCHANGE_SLOW] = OUTCOME_EXPIRED,
-	[EXCHANGE_REFUSED] = OUTCOME_REFUSED,
-	[EXCHANGE_BROKEN] = OUTCOME_BROKEN,
-};
-
 /* Prepares the guard's side; there is no guard before a set names one. */
 void
 serve_init(struct node *n)
@@ -209,7 +187,7 @@
 	if (v == GUARD_DUPLICATE)
 		duplicate(n, r, call, f->id);
 	else
-		reply_outcome(n, r, call, by_verdict[v],
+		reply_outcome(n, r, call, outcome_by_verdict[v],
 		    guard_crashes(
 			n->guard.guard, s->req.fingerprint, base_now_ms()));
 	served_free(s);
@@ -272,7 +250,7 @@
 		if (v == GUARD_POISON)
 			counter_add(CTR_QUARANTINED, 1);
 		g_ptr_array_remove_fast(n->guard.held, s);
-		reply_all_outcome(n, s, by_verdict[v]);
+		reply_all_outcome(n, s, outcome_by_verdict[v]);
 		served_free(s);
 	}
 }
@@ -291,7 +269,7 @@
 		return;
 	}
 	if (j->result != EXCHANGE_OK) {
-		reply_all_outcome(n, s, by_exchange[j->result]);
+		reply_all_outcome(n, s, outcome_by_exchange[j->result]);
 		return;
 	}
 	headers = g_new(Wire__Header, j->nout + 1);
@@ -386,7 +364,7 @@
 	if (v == GUARD_DUPLICATE)
 		duplicate(n, r, call, f->id);
 	else
-		reply_outcome(n, r, call, by_verdict[v], 0);
+		reply_outcome(n, r, call, outcome_by_verdict[v], 0);
 }
 
 /* Nobody waits any more: a request still in the queue leaves it. */
--- a/replay/walk_guard.c
+++ b/replay/walk_guard.c
@@ -5,7 +5,6 @@
 
 static struct walk_held *find_held(struct world *w, int guard, const char *id);
 static void on_duplicate(struct world *w, const struct message *m);
-static enum call_outcome outcome_of(enum guard_verdict v);
 static void
 answer(struct world *w, const struct message *m, enum guard_verdict v);
 static void
@@ -47,22 +46,6 @@
 	}
 }
 
-/* What entries are told of a verdict. */
-static enum call_outcome
-outcome_of(enum guard_verdict v)
-{
-	static const enum call_outcome by_verdict[] = {
-		[GUARD_BUSY] = OUTCOME_BUSY,
-		[GUARD_OUT] = OUTCOME_OUT,
-		[GUARD_LATE] = OUTCOME_LATE,
-		[GUARD_FENCED] = OUTCOME_FENCED,
-		[GUARD_POISON] = OUTCOME_POISON,
-		[GUARD_UNKNOWN] = OUTCOME_UNKNOWN,
-	};
-
-	return by_verdict[v];
-}
-
 /* Tells an entry at once what its guard said. */
 static void
 answer(struct world *w, const struct message *m, enum guard_verdict v)
@@ -71,7 +54,7 @@
 		on_duplicate(w, m);
 	else
 		walk_post(w, MESSAGE_OUTCOME, m->call, m->guard,
-		    w->guards[m->guard].boot, outcome_of(v));
+		    w->guards[m->guard].boot, outcome_by_verdict[v]);
 }
 
 /* A request reaches a guard. */
@@ -187,7 +170,7 @@
 			    guard_running(g->guard));
 		return;
 	}
-	tell_all(w, h, outcome_of(v));
+	tell_all(w, h, outcome_by_verdict[v]);
 	walk_release(w, h);
 }
 
@@ -198,13 +181,6 @@
 	static const enum exchange results[] = { EXCHANGE_OK, EXCHANGE_OK,
 		EXCHANGE_OK, EXCHANGE_OK, EXCHANGE_OK, EXCHANGE_SHED,
 		EXCHANGE_REFUSED, EXCHANGE_SLOW, EXCHANGE_BROKEN };
-	static const enum call_outcome outs[] = {
-		[EXCHANGE_OK] = OUTCOME_ANSWERED,
-		[EXCHANGE_SHED] = OUTCOME_SHED,
-		[EXCHANGE_SLOW] = OUTCOME_EXPIRED,
-		[EXCHANGE_REFUSED] = OUTCOME_REFUSED,
-		[EXCHANGE_BROKEN] = OUTCOME_BROKEN,
-	};
 	struct walk_held *h;
 	enum exchange e = results[b % G_N_ELEMENTS(results)];
 	guint i, n = w->held->len;
@@ -222,7 +198,7 @@
 			if (e == EXCHANGE_OK)
 				w->guards[h->guard]
 				    .answered[w->calls[h->call].id] = 1;
-			tell_all(w, h, outs[e]);
+			tell_all(w, h, outcome_by_exchange[e]);
 		}
 		walk_release(w, h);
 		return;
