--- a/Makefile
+++ b/Makefile
@@ -3,28 +3,35 @@
 OBJ = obj
 BIN = bin
 PKGS = glib-2.0 libmicrohttpd neon libzmq libsodium liburcu-bp yajl \
-	libprotobuf-c libzstd libxxhash
+	libprotobuf-c libzstd libxxhash libevent_core libevent_extra
 WARN = -Wall -Wextra -Wstrict-prototypes -Wmissing-prototypes -Wshadow \
 	-Wno-unused-parameter -Werror
 CFLAGS = -O2 -g
 ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE $(WARN) -pthread $(shell pkg-config --cflags $(PKGS)) \
 	$(CFLAGS)
-LIBS = $(shell pkg-config --libs $(PKGS)) -pthread
+LIBS = $(shell pkg-config --libs $(PKGS)) -lhttp_parser -pthread
 
 BASE = base/address.c base/clock.c base/counter.c base/error.c base/field.c base/file.c \
 	base/json.c base/log.c base/queue.c base/report.c
-MESH = mesh/budget.c mesh/call.c mesh/guard.c mesh/home.c mesh/limit.c mesh/member.c mesh/member_probe.c mesh/member_tell.c \
+HTTP = http/client.c http/connect.c http/message.c http/parse.c http/server.c http/write.c
+MESH = mesh/admit.c mesh/budget.c mesh/call.c mesh/guard.c mesh/home.c mesh/limit.c mesh/member.c mesh/member_probe.c mesh/member_tell.c \
 	mesh/memory.c mesh/names.c mesh/pick.c mesh/poison.c mesh/reqid.c mesh/set.c \
-	mesh/set_check.c mesh/set_diff.c mesh/set_edit.c mesh/set_read.c mesh/version.c
-PLATFORM = platform/budget.c platform/http.c platform/manifest.c \
-	platform/reader.c
-TARGET = target/exchange.c target/pool.c
+	mesh/set_check.c mesh/set_diff.c mesh/set_edit.c mesh/set_read.c mesh/spend.c mesh/version.c
+VIEW = view/config.c view/view.c
+PLATFORM = platform/config.c platform/names.c platform/page.c platform/store.c platform/target.c
+PROXY = proxy/choose.c proxy/entry.c proxy/gate.c proxy/link_frame.c proxy/link_serve.c proxy/links.c proxy/probe.c \
+	proxy/proxy.c proxy/upstream.c proxy/link.pb-c.c
+SIDE = side/follow.c side/settings.c
+SOURCE = source/budget.c source/http.c source/manifest.c \
+	source/reader.c
+UPSTREAM = upstream/exchange.c upstream/pool.c
 CALLER = caller/refusal.c caller/server.c
 NODE = node/choose.c node/config.c node/delta.c node/entry.c node/gossip.c node/intake.c node/join.c node/kept.c node/link.c \
 	node/loop.c node/mailbox.c node/node.c node/record.c node/role.c node/seal.c node/reply.c node/serve.c node/served.c \
 	node/settings.c node/span.c node/spread.c node/status.c \
 	node/wire.pb-c.c
-LIB = $(BASE) $(MESH) $(PLATFORM) $(TARGET) $(CALLER) $(NODE)
+GENERATED = node/wire.pb-c.c proxy/link.pb-c.c
+LIB = $(BASE) $(HTTP) $(MESH) $(VIEW) $(PLATFORM) $(PROXY) $(SIDE) $(SOURCE) $(UPSTREAM) $(CALLER) $(NODE)
 LIB_OBJ = $(LIB:%.c=$(OBJ)/%.o)
 
 CTL = operator/ctl_common.c operator/ctl_node.c operator/ctl_set.c \
@@ -39,14 +46,14 @@
 STANDIN = standin/fault.c standin/http.c standin/ledger.c
 STANDIN_OBJ = $(STANDIN:%.c=$(OBJ)/%.o)
 
-PROGS = $(BIN)/teaselnode $(BIN)/teaselctl $(BIN)/teaselplatform $(BIN)/teaseltarget \
+PROGS = $(BIN)/teaselnode $(BIN)/teaselside $(BIN)/teaselctl $(BIN)/teaselplatform $(BIN)/teaseltarget \
 	$(BIN)/teaselcalls $(BIN)/teaselfault $(BIN)/teaselreplay
 
 TESTS = $(patsubst test/%.c,$(BIN)/%,$(wildcard test/test_*.c))
-SRC = $(filter-out node/wire.pb-c.c,$(LIB)) $(CTL) $(STANDIN) \
-	$(REPLAY) replay/teaselreplay.c node/teaselnode.c $(wildcard standin/teasel*.c) $(wildcard test/*.c) \
+SRC = $(filter-out $(GENERATED),$(LIB)) $(CTL) $(STANDIN) \
+	$(REPLAY) replay/teaselreplay.c node/teaselnode.c side/teaselside.c $(wildcard standin/teasel*.c) $(wildcard test/*.c) \
 	$(wildcard bench/*.c) $(wildcard fuzz/*.c)
-HDR = $(filter-out node/wire.pb-c.h,$(wildcard */*.h))
+HDR = $(filter-out %.pb-c.h,$(wildcard */*.h))
 
 all: $(PROGS)
 
@@ -55,7 +62,7 @@
 	@echo "  CC $<"
 	@$(CC) $(ALL_CFLAGS) -MMD -c -o $@ $<
 
-$(OBJ)/node/wire.pb-c.o: ALL_CFLAGS += -Wno-error
+$(GENERATED:%.c=$(OBJ)/%.o): ALL_CFLAGS += -Wno-error
 
 $(OBJ)/libteaselstep.a: $(LIB_OBJ)
 	@rm -f $@
@@ -66,6 +73,11 @@
 	@echo "  LD $@"
 	@$(CC) $(ALL_CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS)
 
+$(BIN)/teaselside: $(OBJ)/side/teaselside.o $(OBJ)/libteaselstep.a
+	@mkdir -p $(@D)
+	@echo "  LD $@"
+	@$(CC) $(ALL_CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS)
+
 $(BIN)/teaselctl: $(CTL_OBJ) $(OBJ)/libteaselstep.a
 	@mkdir -p $(@D)
 	@echo "  LD $@"
--- a/base/base.h
+++ b/base/base.h
@@ -91,6 +91,8 @@
 	CTR_CONTROL_BYTES_RECEIVED,
 	CTR_SPREAD_BYTES_SENT, /* of these, for configuration changes */
 	CTR_SUSPECTED,	       /* peers that became suspect */
+	CTR_LINK_BYTES,	       /* sent on links of the data path */
+	CTR_PROBES,	       /* status checks of the target */
 	CTR_PAUSES,	       /* gaps between two ticks of the node */
 	CTR_COUNT
 };
@@ -184,6 +186,7 @@
 	FIELD_NAME, /* char *, printable, 1 to max bytes */
 	FIELD_LIST, /* char **, ends with NULL, of at most max strings */
 	FIELD_INT,  /* int, min to max */
+	FIELD_REAL, /* double, min to max */
 	FIELD_BOOL, /* int, 0 or 1 */
 	FIELD_ENUM, /* int, index into names */
 };
--- a/base/field.c
+++ b/base/field.c
@@ -162,12 +162,15 @@
 		[FIELD_NAME] = JSON_STRING,
 		[FIELD_LIST] = JSON_ARRAY,
 		[FIELD_INT] = JSON_INT,
+		[FIELD_REAL] = JSON_REAL,
 		[FIELD_BOOL] = JSON_BOOL,
 		[FIELD_ENUM] = JSON_STRING,
 	};
 	char *at = (char *)out + f->offset;
+	double real = j->type == JSON_INT ? (double)j->num : j->real;
 
-	if (j->type != wanted[f->type]) {
+	if (j->type != wanted[f->type] &&
+	    !(f->type == FIELD_REAL && j->type == JSON_INT)) {
 		report_error(rep, j->line, kind, name,
 		    "\"%s\" must be %s, not %s", f->key,
 		    json_type_name(wanted[f->type]), json_type_name(j->type));
@@ -195,6 +198,14 @@
 		else
 			*(int *)at = (int)j->num;
 		break;
+	case FIELD_REAL:
+		if (real < (double)f->min || real > (double)f->max)
+			report_error(rep, j->line, kind, name,
+			    "\"%s\" is %g, not %" PRId64 " to %" PRId64, f->key,
+			    real, f->min, f->max);
+		else
+			*(double *)(void *)at = real;
+		break;
 	case FIELD_BOOL:
 		*(int *)at = (int)j->num;
 		break;
--- a/caller/caller.h
+++ b/caller/caller.h
@@ -7,7 +7,7 @@
 
 #include "../base/base.h"
 #include "../mesh/call.h"
-#include "../target/target.h"
+#include "../upstream/target.h"
 
 /* Errors of this package. */
 enum caller_err {
--- /dev/null
+++ b/http/client.c
@@ -0,0 +1,177 @@
+/* A client that makes one request at a time on a kept connection. */
+#include <string.h>
+
+#include "http.h"
+
+#define HEAD_MAX 16384		    /* bytes */
+#define BODY_MAX (4 * 1024 * 1024) /* bytes: a page of a list is 1 MB, base64 */
+
+struct http_client {
+	struct event_base *base;
+	char *addr;
+	struct bufferevent *bev;
+	struct http_parse parse;
+	struct event *timer;
+	http_client_done done;
+	void *arg;
+	char *path; /* of the request under way, or NULL */
+	int fresh;  /* the connection was opened for it */
+};
+
+static void drop(struct http_client *);
+static void finish(struct http_client *, int, const struct http_message *);
+static void send_request(struct http_client *);
+static void on_read(struct bufferevent *, void *);
+static void on_event(struct bufferevent *, short, void *);
+static void on_timeout(evutil_socket_t, short, void *);
+
+/* Creates a client of one address; it connects with the first request. */
+struct http_client *
+http_client_new(struct event_base *base, const char *addr)
+{
+	struct http_client *c;
+
+	c = g_new0(struct http_client, 1);
+	c->base = base;
+	c->addr = g_strdup(addr);
+	http_parse_init(&c->parse, HTTP_RESPONSE, HEAD_MAX, BODY_MAX);
+	c->timer = evtimer_new(base, on_timeout, c);
+	return c;
+}
+
+/* Releases a client. */
+void
+http_client_free(struct http_client *c)
+{
+	if (c == NULL)
+		return;
+	drop(c);
+	event_free(c->timer);
+	http_parse_free(&c->parse);
+	g_free(c->addr);
+	g_free(c->path);
+	g_free(c);
+}
+
+/* Whether a request is under way. */
+int
+http_client_busy(const struct http_client *c)
+{
+	return c->path != NULL;
+}
+
+/* Closes the connection. */
+static void
+drop(struct http_client *c)
+{
+	if (c->bev != NULL)
+		http_reset(c->bev);
+	c->bev = NULL;
+}
+
+/* Ends the request; the callback may begin the next one. */
+static void
+finish(struct http_client *c, int err, const struct http_message *m)
+{
+	evtimer_del(c->timer);
+	g_clear_pointer(&c->path, g_free);
+	if (err != HTTP_OK)
+		drop(c);
+	c->done(c->arg, err, m);
+}
+
+/* Writes the request, on a new connection when there is none. */
+static void
+send_request(struct http_client *c)
+{
+	struct timeval soon = { 0, 1 };
+
+	c->fresh = c->bev == NULL;
+	if (c->fresh) {
+		if ((c->bev = http_connect(c->base, c->addr)) == NULL) {
+			/* Reported by the timer, so never from within get. */
+			evtimer_add(c->timer, &soon);
+			return;
+		}
+		bufferevent_setcb(c->bev, on_read, NULL, on_event, c);
+		bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+	}
+	http_parse_next(&c->parse, HTTP_RESPONSE);
+	evbuffer_add_printf(bufferevent_get_output(c->bev),
+	    "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", c->path, c->addr);
+}
+
+/* Begins a GET. */
+void
+http_client_get(struct http_client *c, const char *path, int timeout_ms,
+    http_client_done done, void *arg)
+{
+	struct timeval tv = { timeout_ms / BASE_MS_PER_S,
+		timeout_ms % BASE_MS_PER_S * 1000L };
+
+	if (c->path != NULL)
+		drop(c);
+	g_free(c->path);
+	c->path = g_strdup(path);
+	c->done = done;
+	c->arg = arg;
+	evtimer_add(c->timer, &tv);
+	send_request(c);
+}
+
+/* Bytes of the answer; any that nobody asked for end the connection. */
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+	struct http_client *c = arg;
+	struct http_message *m;
+	int err;
+
+	if (c->path == NULL) {
+		drop(c);
+		return;
+	}
+	err = http_parse_feed(&c->parse, bufferevent_get_input(bev));
+	if (err == HTTP_ENOMESSAGE)
+		return;
+	if (err != HTTP_OK) {
+		finish(c, err, NULL);
+		return;
+	}
+	m = http_parse_take(&c->parse);
+	if (!m->keep_alive)
+		drop(c);
+	finish(c, HTTP_OK, m);
+	http_message_free(m);
+}
+
+/* The connection opened or ended; a kept one may have been closed idle. */
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct http_client *c = arg;
+	int unread = !c->parse.begun, was_fresh = c->fresh;
+
+	(void)bev;
+	if (what & BEV_EVENT_CONNECTED)
+		return;
+	drop(c);
+	if (c->path == NULL)
+		return;
+	if (unread && !was_fresh)
+		send_request(c);
+	else
+		finish(c, unread ? HTTP_ECONNECT : HTTP_ECUT, NULL);
+}
+
+/* No answer in time. */
+static void
+on_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	struct http_client *c = arg;
+
+	(void)fd;
+	(void)what;
+	if (c->path != NULL)
+		finish(c, c->bev == NULL ? HTTP_ECONNECT : HTTP_ETIMEOUT, NULL);
+}
--- /dev/null
+++ b/http/message.c
@@ -0,0 +1,146 @@
+/* Messages and their headers. */
+#include <string.h>
+
+#include "http.h"
+
+/* Releases an array of headers that owns its strings. */
+void
+http_headers_free(struct http_header *h, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		g_free(h[i].name);
+		g_free(h[i].value);
+	}
+	g_free(h);
+}
+
+/* Headers of one connection, and those that are written from other facts. */
+int
+http_header_hop(const char *name)
+{
+	static const char *const hop[] = { "Connection", "Keep-Alive", "TE",
+		"Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection",
+		"Proxy-Authenticate", "Proxy-Authorization", "Content-Length",
+		"Host", "Expect" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(hop); i++)
+		if (g_ascii_strcasecmp(name, hop[i]) == 0)
+			return 1;
+	return 0;
+}
+
+/* Creates an empty message. */
+struct http_message *
+http_message_new(void)
+{
+	struct http_message *m;
+
+	m = g_new0(struct http_message, 1);
+	m->headers = g_array_new(FALSE, FALSE, sizeof(struct http_header));
+	m->body = g_byte_array_new();
+	return m;
+}
+
+/* Releases a message; NULL is none. */
+void
+http_message_free(struct http_message *m)
+{
+	guint n;
+
+	if (m == NULL)
+		return;
+	n = m->headers->len;
+	http_headers_free(
+	    (struct http_header *)(void *)g_array_free(m->headers, FALSE), n);
+	g_byte_array_free(m->body, TRUE);
+	g_free(m->method);
+	g_free(m->path);
+	g_free(m);
+}
+
+/* Finds a header by name. */
+const char *
+http_find(const struct http_message *m, const char *name)
+{
+	const struct http_header *h;
+	guint i;
+
+	for (i = 0; i < m->headers->len; i++) {
+		h = &g_array_index(m->headers, struct http_header, i);
+		if (g_ascii_strcasecmp(h->name, name) == 0)
+			return h->value;
+	}
+	return NULL;
+}
+
+/* Reads a header that holds a whole number. */
+int64_t
+http_find_int(const struct http_message *m, const char *name, int64_t dflt)
+{
+	const char *v = http_find(m, name);
+	gint64 n;
+
+	if (v == NULL ||
+	    !g_ascii_string_to_signed(v, 10, 0, G_MAXINT32, &n, NULL))
+		return dflt;
+	return n;
+}
+
+/* Appends a header. */
+void
+http_add(struct http_message *m, const char *name, const char *value)
+{
+	struct http_header h = { g_strdup(name), g_strdup(value) };
+
+	g_array_append_val(m->headers, h);
+}
+
+/* Removes every header of a name. */
+void
+http_remove(struct http_message *m, const char *name)
+{
+	struct http_header *h;
+	guint i = 0;
+
+	while (i < m->headers->len) {
+		h = &g_array_index(m->headers, struct http_header, i);
+		if (g_ascii_strcasecmp(h->name, name) != 0) {
+			i++;
+			continue;
+		}
+		g_free(h->name);
+		g_free(h->value);
+		g_array_remove_index(m->headers, i);
+	}
+}
+
+/* Removes the headers of one connection; Host names what is asked for. */
+void
+http_strip_hop(struct http_message *m)
+{
+	const struct http_header *h;
+	const char *listed;
+	char **names;
+	guint i;
+
+	if ((listed = http_find(m, "Connection")) != NULL) {
+		names = g_strsplit(listed, ",", -1);
+		for (i = 0; names[i] != NULL; i++)
+			if (g_ascii_strcasecmp(g_strstrip(names[i]), "Host") !=
+			    0)
+				http_remove(m, names[i]);
+		g_strfreev(names);
+	}
+	i = 0;
+	while (i < m->headers->len) {
+		h = &g_array_index(m->headers, struct http_header, i);
+		if (http_header_hop(h->name) &&
+		    g_ascii_strcasecmp(h->name, "Host") != 0)
+			http_remove(m, h->name);
+		else
+			i++;
+	}
+}
--- /dev/null
+++ b/http/parse.c
@@ -0,0 +1,264 @@
+/* Parsing of messages as bytes arrive. */
+#include <string.h>
+
+#include "http.h"
+
+#define STATUS_CONTINUE 100
+#define STATUS_FINAL	200
+#define HEADER_EXTRA	4 /* bytes a header takes beside name and value */
+
+static int on_begin(http_parser *);
+static int on_url(http_parser *, const char *, size_t);
+static int on_field(http_parser *, const char *, size_t);
+static int on_value(http_parser *, const char *, size_t);
+static int on_headers(http_parser *);
+static int on_body(http_parser *, const char *, size_t);
+static int on_complete(http_parser *);
+static int grow_head(struct http_parse *, size_t);
+static void end_header(struct http_parse *);
+static int name_is_token(const char *);
+
+static const http_parser_settings callbacks = {
+	.on_message_begin = on_begin,
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+/* Prepares a parser. */
+void
+http_parse_init(struct http_parse *p, enum http_parser_type type,
+    size_t head_max, size_t body_max)
+{
+	memset(p, 0, sizeof(*p));
+	p->head_max = head_max;
+	p->body_max = body_max;
+	p->name = g_string_new(NULL);
+	p->value = g_string_new(NULL);
+	p->path = g_string_new(NULL);
+	http_parse_next(p, type);
+}
+
+/* Releases a parser. */
+void
+http_parse_free(struct http_parse *p)
+{
+	http_message_free(p->msg);
+	g_string_free(p->name, TRUE);
+	g_string_free(p->value, TRUE);
+	g_string_free(p->path, TRUE);
+}
+
+/* Begins anew. */
+void
+http_parse_next(struct http_parse *p, enum http_parser_type type)
+{
+	http_message_free(p->msg);
+	p->msg = http_message_new();
+	g_string_truncate(p->name, 0);
+	g_string_truncate(p->value, 0);
+	g_string_truncate(p->path, 0);
+	p->head = 0;
+	p->in_value = p->begun = p->complete = 0;
+	p->err = HTTP_OK;
+	http_parser_init(&p->parser, type);
+	p->parser.data = p;
+}
+
+static int
+on_begin(http_parser *parser)
+{
+	struct http_parse *p = parser->data;
+
+	p->begun = 1;
+	return 0;
+}
+
+/* Counts bytes of the head against their bound. */
+static int
+grow_head(struct http_parse *p, size_t len)
+{
+	p->head += len;
+	if (p->head <= p->head_max)
+		return 0;
+	p->err = HTTP_EHEAD;
+	return -1;
+}
+
+static int
+on_url(http_parser *parser, const char *at, size_t len)
+{
+	struct http_parse *p = parser->data;
+
+	g_string_append_len(p->path, at, (gssize)len);
+	return grow_head(p, len);
+}
+
+/* Whether a header's name has only the characters of a token. */
+static int
+name_is_token(const char *s)
+{
+	static const char others[] = "!#$%&'*+-.^_`|~";
+
+	if (*s == '\0')
+		return 0;
+	for (; *s != '\0'; s++)
+		if (!g_ascii_isalnum(*s) && strchr(others, *s) == NULL)
+			return 0;
+	return 1;
+}
+
+/* Stores the header that was read. */
+static void
+end_header(struct http_parse *p)
+{
+	if (p->name->len == 0)
+		return;
+	if (!name_is_token(p->name->str) ||
+	    strlen(p->value->str) != p->value->len)
+		p->err = HTTP_EGARBLED;
+	else
+		http_add(p->msg, p->name->str, g_strstrip(p->value->str));
+	g_string_truncate(p->name, 0);
+	g_string_truncate(p->value, 0);
+	p->in_value = 0;
+}
+
+static int
+on_field(http_parser *parser, const char *at, size_t len)
+{
+	struct http_parse *p = parser->data;
+
+	if (p->in_value)
+		end_header(p);
+	g_string_append_len(p->name, at, (gssize)len);
+	return p->err != HTTP_OK || grow_head(p, len + HEADER_EXTRA);
+}
+
+static int
+on_value(http_parser *parser, const char *at, size_t len)
+{
+	struct http_parse *p = parser->data;
+
+	p->in_value = 1;
+	g_string_append_len(p->value, at, (gssize)len);
+	return grow_head(p, len);
+}
+
+/* The head is whole; 1 tells the library that no body follows. */
+static int
+on_headers(http_parser *parser)
+{
+	struct http_parse *p = parser->data;
+
+	end_header(p);
+	if (p->err != HTTP_OK)
+		return -1;
+	if (parser->type == HTTP_REQUEST) {
+		p->msg->method = g_strdup(
+		    http_method_str((enum http_method)parser->method));
+		p->msg->path = g_strdup(p->path->str);
+		if (parser->method == HTTP_CONNECT) {
+			p->err = HTTP_EGARBLED;
+			return -1;
+		}
+	} else {
+		p->msg->status = parser->status_code;
+	}
+	if ((parser->flags & F_CONTENTLENGTH) &&
+	    parser->content_length > p->body_max) {
+		p->err = HTTP_EBODY;
+		return -1;
+	}
+	p->msg->to_end = parser->type == HTTP_RESPONSE && !p->no_body &&
+			 !(parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) &&
+			 parser->status_code != HTTP_STATUS_NO_CONTENT &&
+			 parser->status_code != HTTP_STATUS_NOT_MODIFIED;
+	/* An upgrade is not taken: the message is read as any other. */
+	parser->upgrade = 0;
+	return p->no_body ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t len)
+{
+	struct http_parse *p = parser->data;
+
+	if (p->msg->body->len + len > p->body_max) {
+		p->err = HTTP_EBODY;
+		return -1;
+	}
+	g_byte_array_append(p->msg->body, (const guint8 *)at, (guint)len);
+	return 0;
+}
+
+static int
+on_complete(http_parser *parser)
+{
+	struct http_parse *p = parser->data;
+
+	p->msg->keep_alive = http_should_keep_alive(parser);
+	p->complete = 1;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+/* Takes bytes up to the end of one message. */
+int
+http_parse_feed(struct http_parse *p, struct evbuffer *in)
+{
+	struct evbuffer_iovec v;
+	size_t used;
+
+	while (!p->complete && p->err == HTTP_OK &&
+	       evbuffer_peek(in, -1, NULL, &v, 1) > 0) {
+		used = http_parser_execute(
+		    &p->parser, &callbacks, v.iov_base, v.iov_len);
+		evbuffer_drain(in, used);
+		if (p->complete)
+			break;
+		if (p->err == HTTP_OK &&
+		    HTTP_PARSER_ERRNO(&p->parser) == HPE_HEADER_OVERFLOW)
+			p->err = HTTP_EHEAD;
+		if (p->err == HTTP_OK &&
+		    HTTP_PARSER_ERRNO(&p->parser) != HPE_OK)
+			p->err = HTTP_EGARBLED;
+	}
+	if (p->err != HTTP_OK)
+		return p->err;
+	if (!p->complete)
+		return HTTP_ENOMESSAGE;
+	/* An interim answer announces the final one. */
+	if (p->msg->status >= STATUS_CONTINUE && p->msg->status < STATUS_FINAL) {
+		http_parse_next(p, HTTP_RESPONSE);
+		return http_parse_feed(p, in);
+	}
+	return HTTP_OK;
+}
+
+/* The sender has ended. */
+int
+http_parse_end(struct http_parse *p)
+{
+	if (p->complete)
+		return HTTP_OK;
+	if (p->err != HTTP_OK)
+		return p->err;
+	if (!p->begun)
+		return HTTP_ENOMESSAGE;
+	http_parser_execute(&p->parser, &callbacks, NULL, 0);
+	return p->complete ? HTTP_OK : HTTP_ECUT;
+}
+
+/* Hands the message over. */
+struct http_message *
+http_parse_take(struct http_parse *p)
+{
+	struct http_message *m = p->msg;
+
+	p->msg = NULL;
+	return m;
+}
--- /dev/null
+++ b/http/server.c
@@ -0,0 +1,327 @@
+/*
+ * A server on the event loop: requests are read whole, one at a time on each
+ * connection, within the bounds of their sizes and times.
+ */
+#include <errno.h>
+#include <string.h>
+
+#include <event2/listener.h>
+
+#include "http.h"
+
+#define BACKLOG	    1024
+#define LINGER_MS   1000 /* for the sender to read a refusal before the close */
+#define STATUS_SLOW 408
+
+struct http_server {
+	struct event_base *base;
+	struct evconnlistener *listener;
+	const struct http_limits *limits;
+	struct http_server_calls calls;
+	GHashTable *conns; /* of struct http_conn */
+	int leaving;
+};
+
+enum conn_state {
+	CONN_READING, /* a request, or waiting for one */
+	CONN_ASKED,   /* a request is with the layer above */
+	CONN_ENDING,  /* closed as soon as the answer is written */
+};
+
+struct http_conn {
+	struct http_server *server;
+	struct bufferevent *bev;
+	struct http_parse parse;
+	struct event *timer;
+	enum conn_state state;
+	int continued;	/* an interim answer was sent */
+	int keep_alive; /* the sender wants the connection kept */
+	int is_head;	/* the request was a HEAD */
+	int drained;	/* the last answer is written; only lingering */
+	void *data;
+};
+
+static void on_accept(struct evconnlistener *, evutil_socket_t,
+    struct sockaddr *, int, void *);
+static void on_read(struct bufferevent *, void *);
+static void on_write(struct bufferevent *, void *);
+static void on_event(struct bufferevent *, short, void *);
+static void on_timer(evutil_socket_t, short, void *);
+static void take_requests(struct http_conn *);
+static void refuse(struct http_conn *, int);
+static void set_timer(struct http_conn *, int);
+static void conn_free(struct http_conn *);
+
+/* Status of a request that cannot be read. */
+static const struct {
+	int err, status;
+} refusals[] = {
+	{ HTTP_EHEAD, 431 },
+	{ HTTP_EBODY, 413 },
+	{ HTTP_EGARBLED, 400 },
+};
+
+/* Listens on an address. */
+struct http_server *
+http_server_new(struct event_base *base, const char *addr,
+    const struct http_limits *limits, const struct http_server_calls *calls)
+{
+	struct http_server *s;
+	struct sockaddr_in sin;
+
+	if (address_resolve(addr, &sin) != BASE_OK)
+		return NULL;
+	s = g_new0(struct http_server, 1);
+	s->base = base;
+	s->limits = limits;
+	s->calls = *calls;
+	s->conns = g_hash_table_new(NULL, NULL);
+	s->listener = evconnlistener_new_bind(base, on_accept, s,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, BACKLOG,
+	    (struct sockaddr *)&sin, sizeof(sin));
+	if (s->listener == NULL) {
+		base_log(G_LOG_LEVEL_WARNING, "listen-failed", "address=%s "
+		    "reason=\"%s\"", addr, g_strerror(errno));
+		g_hash_table_destroy(s->conns);
+		g_free(s);
+		return NULL;
+	}
+	return s;
+}
+
+/* Closes all connections. */
+void
+http_server_free(struct http_server *s)
+{
+	GHashTableIter it;
+	gpointer key;
+
+	if (s == NULL)
+		return;
+	evconnlistener_free(s->listener);
+	for (;;) {
+		g_hash_table_iter_init(&it, s->conns);
+		if (!g_hash_table_iter_next(&it, &key, NULL))
+			break;
+		conn_free(key);
+	}
+	g_hash_table_destroy(s->conns);
+	g_free(s);
+}
+
+/* Connections end with their next answer from now on. */
+void
+http_server_leave(struct http_server *s)
+{
+	s->leaving = 1;
+}
+
+/* Connections that are open. */
+int
+http_server_count(const struct http_server *s)
+{
+	return (int)g_hash_table_size(s->conns);
+}
+
+/* Keeps something for a connection. */
+void
+http_conn_set(struct http_conn *c, void *data)
+{
+	c->data = data;
+}
+
+/* What was kept. */
+void *
+http_conn_data(const struct http_conn *c)
+{
+	return c->data;
+}
+
+/* Closes a connection; whoever works on its request is told first. */
+static void
+conn_free(struct http_conn *c)
+{
+	if (c->state == CONN_ASKED) {
+		c->state = CONN_ENDING;
+		c->server->calls.gone(c->server->calls.arg, c);
+	}
+	g_hash_table_remove(c->server->conns, c);
+	event_free(c->timer);
+	http_parse_free(&c->parse);
+	bufferevent_free(c->bev);
+	g_free(c);
+}
+
+/* Sets the timer of a connection, in ms from now. */
+static void
+set_timer(struct http_conn *c, int ms)
+{
+	struct timeval tv = { ms / BASE_MS_PER_S,
+		ms % BASE_MS_PER_S * 1000L };
+
+	evtimer_add(c->timer, &tv);
+}
+
+/* A new connection. */
+static void
+on_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa,
+    int len, void *arg)
+{
+	struct http_server *s = arg;
+	struct http_conn *c;
+
+	(void)l;
+	(void)sa;
+	(void)len;
+	c = g_new0(struct http_conn, 1);
+	c->server = s;
+	c->bev = bufferevent_socket_new(s->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	http_tune(fd);
+	http_parse_init(&c->parse, HTTP_REQUEST, (size_t)s->limits->head_bytes,
+	    (size_t)s->limits->body_bytes);
+	c->timer = evtimer_new(s->base, on_timer, c);
+	g_hash_table_add(s->conns, c);
+	bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+	set_timer(c, s->limits->idle_ms);
+}
+
+/* Takes the requests that have arrived, one after the other. */
+static void
+take_requests(struct http_conn *c)
+{
+	struct http_server *s = c->server;
+	struct http_message *m;
+	int begun = c->parse.begun, err;
+	size_t i;
+
+	c->parse.head_max = (size_t)s->limits->head_bytes;
+	c->parse.body_max = (size_t)s->limits->body_bytes;
+	err = http_parse_feed(&c->parse, bufferevent_get_input(c->bev));
+	if (err == HTTP_ENOMESSAGE) {
+		if (!begun && c->parse.begun)
+			set_timer(c, s->limits->head_ms);
+		if (!c->continued && c->parse.msg->method != NULL &&
+		    http_find(c->parse.msg, "Expect") != NULL) {
+			c->continued = 1;
+			evbuffer_add_printf(bufferevent_get_output(c->bev),
+			    "HTTP/1.1 100 Continue\r\n\r\n");
+		}
+		return;
+	}
+	if (err != HTTP_OK) {
+		for (i = 0; i < G_N_ELEMENTS(refusals) - 1; i++)
+			if (refusals[i].err == err)
+				break;
+		refuse(c, refusals[i].status);
+		return;
+	}
+	evtimer_del(c->timer);
+	m = http_parse_take(&c->parse);
+	c->keep_alive = m->keep_alive;
+	c->is_head = strcmp(m->method, "HEAD") == 0;
+	c->continued = 0;
+	c->state = CONN_ASKED;
+	s->calls.request(s->calls.arg, c, m);
+}
+
+/* Refuses what cannot be read, and ends the connection. */
+static void
+refuse(struct http_conn *c, int status)
+{
+	base_log(G_LOG_LEVEL_MESSAGE, "request-malformed", "status=%d", status);
+	c->keep_alive = 0;
+	c->state = CONN_ASKED;
+	http_reply_text(c, status, "text/plain", http_status_text(status));
+}
+
+/* Bytes have arrived. */
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+	struct http_conn *c = arg;
+
+	if (c->state == CONN_READING)
+		take_requests(c);
+	else if (c->state == CONN_ENDING)
+		evbuffer_drain(bufferevent_get_input(bev),
+		    evbuffer_get_length(bufferevent_get_input(bev)));
+}
+
+/*
+ * All is written.  The write side is closed first and the sender given time
+ * to read: a close with unread bytes would reset the connection.
+ */
+static void
+on_write(struct bufferevent *bev, void *arg)
+{
+	struct http_conn *c = arg;
+
+	if (c->state != CONN_ENDING || c->drained)
+		return;
+	c->drained = 1;
+	if (shutdown(bufferevent_getfd(bev), SHUT_WR) != 0) {
+		conn_free(c);
+		return;
+	}
+	set_timer(c, LINGER_MS);
+}
+
+/* The connection ended. */
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+	(void)bev;
+	(void)what;
+	conn_free(arg);
+}
+
+/* Time is up: for a request, for the next one, or for lingering. */
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct http_conn *c = arg;
+
+	(void)fd;
+	(void)what;
+	if (c->state == CONN_READING && c->parse.begun)
+		refuse(c, STATUS_SLOW);
+	else
+		conn_free(c);
+}
+
+/* Gives the answer. */
+void
+http_reply(struct http_conn *c, const struct http_message *m)
+{
+	int keep = c->keep_alive && !c->server->leaving;
+
+	http_write_answer(
+	    bufferevent_get_output(c->bev), m, keep, c->is_head);
+	c->data = NULL;
+	if (!keep) {
+		c->state = CONN_ENDING;
+		return;
+	}
+	c->state = CONN_READING;
+	http_parse_next(&c->parse, HTTP_REQUEST);
+	set_timer(c, c->server->limits->idle_ms);
+	/* The next request may be here already; it is taken from the loop. */
+	if (evbuffer_get_length(bufferevent_get_input(c->bev)) > 0)
+		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+/* Gives an answer with a text. */
+void
+http_reply_text(
+    struct http_conn *c, int status, const char *type, const char *text)
+{
+	struct http_message *m = http_message_new();
+
+	m->status = status;
+	http_add(m, "Content-Type", type);
+	g_byte_array_append(
+	    m->body, (const guint8 *)text, (guint)strlen(text));
+	http_reply(c, m);
+	http_message_free(m);
+}
--- a/mesh/guard_int.h
+++ b/mesh/guard_int.h
@@ -3,6 +3,7 @@
 #define GUARD_INT_H
 
 #include "mesh.h"
+#include "poison.h"
 
 /* ---- memory of ids that may run at most once ---- */
 
@@ -32,19 +33,4 @@
 /* Whether an id may have run at a target that has left the set. */
 int memory_lost(const struct memory *, const char *id, int64_t born_wall_ms);
 
-/* ---- suspicion of requests that crash targets ---- */
-
-struct poison; /* opaque: see poison.c */
-
-struct poison *poison_new(void);
-void poison_free(struct poison *);
-/* Crashes counted under a fingerprint. */
-int poison_crashes(struct poison *, uint64_t fingerprint, int64_t now);
-/* Raises the count to at least crashes. */
-void
-poison_raise(struct poison *, uint64_t fingerprint, int crashes, int64_t now);
-/* Forgets a fingerprint; 0 when it was not suspected. */
-int poison_clear(struct poison *, uint64_t fingerprint);
-void poison_print(struct poison *, GString *out, int64_t now);
-
 #endif
--- a/node/loop.c
+++ b/node/loop.c
@@ -91,7 +91,7 @@
 		break;
 	case EVENT_FIRST:
 		n->firsts--;
-		n->firsts_good += GPOINTER_TO_INT(e->p) == PLATFORM_OK;
+		n->firsts_good += GPOINTER_TO_INT(e->p) == SOURCE_OK;
 		break;
 	case EVENT_STOP:
 		begin_leaving(n);
--- a/node/node.c
+++ b/node/node.c
@@ -49,10 +49,10 @@
 		return 1;
 	case OFFER_OLDER:
 		config_versions(n->config, &v);
-		return m->version.number < v.held.number ? PLATFORM_EOLDER
-							 : PLATFORM_OK;
+		return m->version.number < v.held.number ? SOURCE_EOLDER
+							 : SOURCE_OK;
 	default:
-		return PLATFORM_OK;
+		return SOURCE_OK;
 	}
 }
 
@@ -116,7 +116,7 @@
 
 	address_split(n->settings.platform, host, &port);
 	n->firsts = FIRST_READS;
-	n->reader = reader_start(&platform_http, host, port,
+	n->reader = reader_start(&source_http, host, port,
 	    n->settings.source_reads_per_min, n->settings.start_spread_ms, &ev);
 }
 
--- a/operator/ctl_set.c
+++ b/operator/ctl_set.c
@@ -5,7 +5,7 @@
 
 #include <sodium.h>
 
-#include "../platform/platform.h"
+#include "../source/source.h"
 #include "ctl.h"
 
 #define KEY_BYTES     32
@@ -245,14 +245,14 @@
 		g_free(key);
 	}
 	/* Readers refuse more; better said here. */
-	if (m.parts > PLATFORM_PARTS_MAX) {
+	if (m.parts > SOURCE_PARTS_MAX) {
 		fprintf(stderr, "teaselctl: %d parts are more than %d\n",
-		    m.parts, PLATFORM_PARTS_MAX);
+		    m.parts, SOURCE_PARTS_MAX);
 		ok = 0;
 	}
 	head = g_string_new(NULL);
 	manifest_print(&m, head);
-	ok = ok && write_key(argv[2], PLATFORM_HEAD, head->str, head->len);
+	ok = ok && write_key(argv[2], SOURCE_HEAD, head->str, head->len);
 	g_string_free(head, TRUE);
 	g_free(text);
 	return ok ? CTL_OK : CTL_REFUSED;
--- /dev/null
+++ b/proxy/choose.c
@@ -0,0 +1,98 @@
+/* Choice of the target that a request is offered to next. */
+#include <string.h>
+
+#include "proxy_int.h"
+
+/*
+ * Targets of the own data centre are taken as long as one has a free slot:
+ * every kilobyte between data centres costs.
+ */
+#define SPILL_LOAD 100 /* percent */
+#define JITTER	   8   /* percent: nodes that see equal loads part ways */
+
+static int was_tried(const GPtrArray *, const char *);
+static int load_of(struct proxy *, const struct view_target *);
+
+/* What is known of the gate beside a target. */
+struct peer *
+choose_peer(struct proxy *p, const char *addr)
+{
+	struct peer *peer = g_hash_table_lookup(p->peers, addr);
+
+	if (peer == NULL) {
+		peer = g_new0(struct peer, 1);
+		g_strlcpy(peer->addr, addr, sizeof(peer->addr));
+		g_hash_table_insert(p->peers, peer->addr, peer);
+	}
+	return peer;
+}
+
+/* The node beside a target has its host, and the port that all nodes have. */
+void
+choose_link(const struct proxy *p, const char *addr, char *buf)
+{
+	const char *host_end = strrchr(addr, ':');
+	const char *port = strrchr(p->settings->links, ':');
+
+	g_snprintf(buf, ADDRESS_MAX, "%.*s%s", (int)(host_end - addr), addr,
+	    port != NULL ? port : "");
+}
+
+/* Whether an address refused the request already. */
+static int
+was_tried(const GPtrArray *tried, const char *addr)
+{
+	guint i;
+
+	for (i = 0; i < tried->len; i++)
+		if (strcmp(g_ptr_array_index(tried, i), addr) == 0)
+			return 1;
+	return 0;
+}
+
+/* Load as last told, with what was sent since. */
+static int
+load_of(struct proxy *p, const struct view_target *t)
+{
+	struct peer *peer;
+
+	if (strcmp(t->addr, p->settings->target) == 0)
+		return gate_load(&p->gate);
+	peer = choose_peer(p, t->addr);
+	return peer->load +
+	       (peer->inflight - peer->told_inflight) * 100 / t->slots;
+}
+
+/* Chooses a target: the least loaded near by, else the least loaded. */
+const struct view_target *
+choose_target(struct proxy *p, const char *service, const GPtrArray *tried,
+    int64_t now)
+{
+	const struct view_target *t, *near = NULL, *far = NULL;
+	int load, near_load = G_MAXINT, far_load = G_MAXINT;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, p->view->targets);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		t = value;
+		if (t->state != VIEW_READY || strcmp(t->service, service) != 0 ||
+		    view_is_out(p->view, t->dc) || was_tried(tried, t->addr) ||
+		    choose_peer(p, t->addr)->avoid_until > now)
+			continue;
+		load = load_of(p, t) + g_rand_int_range(p->rand, 0, JITTER);
+		if (strcmp(t->dc, p->settings->data_centre) == 0) {
+			if (load < near_load) {
+				near_load = load;
+				near = t;
+			}
+		} else if (load < far_load) {
+			far_load = load;
+			far = t;
+		}
+	}
+	if (near == NULL || (near_load >= SPILL_LOAD && far != NULL &&
+				far_load < near_load))
+		return far;
+	return near;
+}
--- /dev/null
+++ b/proxy/gate.c
@@ -0,0 +1,346 @@
+/*
+ * The gate: the only way to the target beside the node.  It decides from what
+ * it did itself and from the target's own word, so a stale view elsewhere costs
+ * a refusal that says "not run".
+ */
+#include <string.h>
+
+#include "../mesh/poison.h"
+#include "gate_int.h"
+
+static void refuse(struct gate *, struct job *, enum call_outcome);
+static void run(struct gate *, struct job *);
+static void flush(struct gate *, enum call_outcome);
+static void on_wake(evutil_socket_t, short, void *);
+static void on_done(void *, enum upstream_result, struct http_message *);
+static enum call_outcome
+judge(struct gate *, const struct job *, const struct http_message *);
+static enum call_outcome closed_to(const struct gate *, const struct job *);
+static void prepare(struct gate *, struct job *, int64_t);
+
+/* Prepares the gate; it is closed until the target has spoken. */
+void
+gate_init(struct gate *g, struct proxy *p)
+{
+	memset(g, 0, sizeof(*g));
+	g->proxy = p;
+	g->upstream =
+	    upstream_new(p->base, p->settings->target, p->names);
+	admit_init(&g->admit);
+	g->running = g_ptr_array_new();
+	g->poison = poison_new();
+	g->wake = evtimer_new(p->base, on_wake, g);
+	gate_probe_init(g);
+}
+
+/* Releases the gate; jobs end without a call. */
+void
+gate_clear(struct gate *g)
+{
+	gate_probe_clear(g);
+	upstream_free(g->upstream);
+	admit_clear(&g->admit);
+	poison_free(g->poison);
+	event_free(g->wake);
+	g_ptr_array_free(g->running, TRUE);
+}
+
+/* Load in percent. */
+int
+gate_load(const struct gate *g)
+{
+	return admit_load(&g->admit, base_now_ms());
+}
+
+/* Refuses a job, which has not run and never will under this sending. */
+static void
+refuse(struct gate *g, struct job *j, enum call_outcome why)
+{
+	struct result r = { .outcome = why };
+	int64_t now = base_now_ms();
+
+	counter_add(CTR_GUARD_REFUSED, 1);
+	r.load = gate_load(g);
+	r.retry_after_ms = admit_wait_ms(&g->admit, j->priority, now);
+	base_log(G_LOG_LEVEL_INFO, "gate-refused",
+	    "id=%s outcome=%s target=%s load=%d wait_ms=%d left_ms=%d", j->id,
+	    outcomes[why].code, g->id, r.load, r.retry_after_ms,
+	    (int)(j->deadline - now));
+	j->done(j, &r);
+}
+
+/* Why the gate is closed to a job, or OUTCOME_COUNT. */
+static enum call_outcome
+closed_to(const struct gate *g, const struct job *j)
+{
+	if (strcmp(j->service, g->proxy->settings->service) != 0)
+		return OUTCOME_RESTARTED;
+	if (g->out || g->gone || g->state == GATE_LEAVING)
+		return OUTCOME_OUT;
+	if (g->state != GATE_UP)
+		return OUTCOME_REFUSED;
+	if (poison_crashes(g->poison, j->fingerprint, base_now_ms()) >=
+	    POISON_CRASHES)
+		return OUTCOME_POISON;
+	return OUTCOME_COUNT;
+}
+
+/* Takes a job, or refuses it at once. */
+void
+gate_submit(struct gate *g, struct job *j)
+{
+	int64_t now = base_now_ms();
+	struct admit_request r = { .cookie = j,
+		.kind = j->kind,
+		.priority = j->priority,
+		.arrived = now,
+		.goal = j->goal,
+		.deadline = j->deadline };
+	enum call_outcome closed;
+
+	j->gate = g;
+	j->sending = NULL;
+	poison_raise(g->poison, j->fingerprint, j->crashes, now);
+	if ((closed = closed_to(g, j)) != OUTCOME_COUNT) {
+		refuse(g, j, closed);
+		return;
+	}
+	switch (admit_offer(&g->admit, &r, now)) {
+	case ADMIT_WAIT:
+		gate_pump(g);
+		break;
+	case ADMIT_BUSY:
+		refuse(g, j, OUTCOME_BUSY);
+		break;
+	case ADMIT_LATE:
+		refuse(g, j, OUTCOME_LATE);
+		break;
+	}
+}
+
+/* Hands out what is due. */
+void
+gate_pump(struct gate *g)
+{
+	struct admit_request r;
+	struct timeval tv;
+	int64_t now = base_now_ms(), wake;
+	int n;
+
+	while ((n = admit_next(&g->admit, &r, now)) != 0) {
+		if (n > 0)
+			run(g, r.cookie);
+		else
+			refuse(g, r.cookie, OUTCOME_LATE);
+	}
+	evtimer_del(g->wake);
+	if ((wake = admit_wake(&g->admit, now)) == 0)
+		return;
+	wake = MAX(wake - now, 1);
+	tv.tv_sec = wake / BASE_MS_PER_S;
+	tv.tv_usec = wake % BASE_MS_PER_S * 1000;
+	evtimer_add(g->wake, &tv);
+}
+
+static void
+on_wake(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	gate_pump(arg);
+}
+
+/* Sets the headers that the system owes the target. */
+static void
+prepare(struct gate *g, struct job *j, int64_t now)
+{
+	const struct header_names *n = g->proxy->names;
+	char left[32];
+
+	http_remove(j->msg, n->remaining_ms);
+	http_remove(j->msg, n->caller);
+	http_remove(j->msg, n->expect_target);
+	g_snprintf(
+	    left, sizeof(left), "%" G_GINT64_FORMAT, j->deadline - now);
+	http_add(j->msg, n->remaining_ms, left);
+	http_add(j->msg, n->caller, j->caller);
+	http_add(j->msg, n->expect_target, g->id);
+}
+
+/* Hands a job to the target. */
+static void
+run(struct gate *g, struct job *j)
+{
+	struct evbuffer *written = evbuffer_new();
+	int64_t now = base_now_ms();
+
+	prepare(g, j, now);
+	http_write_request(written, j->msg);
+	g_ptr_array_add(g->running, j);
+	j->began_us = base_now_us();
+	counter_add(CTR_GUARD_RUNS, 1);
+	j->sending = upstream_send(g->upstream, written, j->id, j->repeatable,
+	    strcmp(j->msg->method, "HEAD") == 0, on_done, j);
+	evbuffer_free(written);
+	base_log(G_LOG_LEVEL_DEBUG, "gate-sent",
+	    "id=%s target=%s running=%d left_ms=%d", j->id, g->id,
+	    g->admit.running, (int)(j->deadline - now));
+	if (j->sending == NULL)
+		on_done(j, UPSTREAM_NOT_SENT, NULL);
+}
+
+/* What a whole answer says of its request. */
+static enum call_outcome
+judge(struct gate *g, const struct job *j, const struct http_message *m)
+{
+	const struct header_names *n = g->proxy->names;
+	int promise = m->status == 408 || m->status == 421 ||
+		      m->status == 429 || m->status == 503;
+
+	(void)j;
+	if (http_find(m, n->not_run) != NULL || m->status == 421)
+		return OUTCOME_SHED;
+	if (http_find(m, n->seal) == NULL && (m->status < 300 || promise))
+		return OUTCOME_BROKEN;
+	return OUTCOME_ANSWERED;
+}
+
+/* A job came back from the target. */
+static void
+on_done(void *arg, enum upstream_result u, struct http_message *m)
+{
+	struct job *j = arg;
+	struct gate *g = j->gate;
+	struct result r = { 0 };
+	int64_t us = base_now_us() - j->began_us;
+
+	j->sending = NULL;
+	g_ptr_array_remove_fast(g->running, j);
+	switch (u) {
+	case UPSTREAM_ANSWER:
+		r.outcome = judge(g, j, m);
+		r.answer = m;
+		break;
+	case UPSTREAM_NOT_SENT:
+		r.outcome = OUTCOME_REFUSED;
+		break;
+	case UPSTREAM_BROKEN:
+		r.outcome = OUTCOME_BROKEN;
+		break;
+	}
+	admit_done(&g->admit, j->kind,
+	    r.outcome == OUTCOME_ANSWERED ? (int)us : -1);
+	if (r.outcome == OUTCOME_ANSWERED)
+		poison_clear(g->poison, j->fingerprint);
+	else
+		gate_doubt(g, j, u, m);
+	r.load = gate_load(g);
+	base_log(r.outcome == OUTCOME_ANSWERED ? G_LOG_LEVEL_DEBUG
+					       : G_LOG_LEVEL_MESSAGE,
+	    "gate-done", "id=%s outcome=%s target=%s status=%d took_ms=%d",
+	    j->id, outcomes[r.outcome].code, g->id, m != NULL ? m->status : 0,
+	    (int)(us / 1000));
+	j->done(j, &r);
+	http_message_free(m);
+	gate_pump(g);
+}
+
+/* Gives a job up. */
+void
+gate_cancel(struct gate *g, struct job *j)
+{
+	if (j->sending == NULL) {
+		admit_cancel(&g->admit, j);
+		return;
+	}
+	upstream_cancel(j->sending);
+	j->sending = NULL;
+	g_ptr_array_remove_fast(g->running, j);
+	admit_done(&g->admit, j->kind, -1);
+	gate_pump(g);
+}
+
+/* Refuses all who wait. */
+static void
+flush(struct gate *g, enum call_outcome why)
+{
+	struct job *j;
+
+	while (g->admit.waiting->len > 0) {
+		j = g_array_index(g->admit.waiting, struct admit_request, 0)
+			.cookie;
+		admit_cancel(&g->admit, j);
+		refuse(g, j, why);
+	}
+}
+
+/* Changes what the gate believes of the target, and says why. */
+void
+gate_set_state(struct gate *g, enum gate_state s, const char *why)
+{
+	static const char *const names[] = {
+		[GATE_UNKNOWN] = "unknown",
+		[GATE_UP] = "up",
+		[GATE_LEAVING] = "leaving",
+	};
+
+	if (g->state == s)
+		return;
+	base_log(G_LOG_LEVEL_MESSAGE, "gate-state",
+	    "target=%s from=%s to=%s reason=\"%s\" revision=%" G_GUINT64_FORMAT,
+	    g->id, names[g->state], names[s], why, g->revision);
+	g->state = s;
+	if (s == GATE_LEAVING)
+		flush(g, OUTCOME_OUT);
+	else if (s == GATE_UNKNOWN)
+		flush(g, OUTCOME_REFUSED);
+}
+
+/* Counts crashes told by another gate. */
+void
+gate_suspect(struct gate *g, uint64_t fingerprint, int crashes)
+{
+	poison_raise(g->poison, fingerprint, crashes, base_now_ms());
+}
+
+/* Takes over what the view holds of the target. */
+void
+gate_update(struct gate *g)
+{
+	const struct proxy_settings *s = g->proxy->settings;
+	const struct view *v = g->proxy->view;
+	const struct view_target *t;
+	int out = view_is_out(v, s->data_centre), c;
+
+	if (out != g->out) {
+		base_log(G_LOG_LEVEL_MESSAGE, "gate-out",
+		    "data_centre=%s out=%d", s->data_centre, out);
+		g->out = out;
+		if (out) {
+			flush(g, OUTCOME_OUT);
+		} else if (g->state == GATE_UP) {
+			/* It may have become cold meanwhile. */
+			gate_set_state(g, GATE_UNKNOWN, "taken back");
+			gate_probe(g);
+		}
+	}
+	if (g->state == GATE_UNKNOWN && v->config != NULL)
+		gate_probe(g);
+	t = g->id[0] != '\0' ? g_hash_table_lookup(v->targets, g->id) : NULL;
+	if (t == NULL)
+		t = view_target_at(v, s->target, s->service);
+	if (t == NULL || t->revision == g->revision)
+		return;
+	g->revision = t->revision;
+	g->gone = 0;
+	admit_set_slots(&g->admit, t->slots);
+	c = v->config != NULL ? view_find_service(v->config, s->service) : -1;
+	if (t->cold_ms > 0 && c >= 0)
+		gate_set_cold(g, t->cold_ms);
+	if (t->state == VIEW_DRAINING && strcmp(t->id, g->id) == 0)
+		gate_set_state(g, GATE_LEAVING, "listed as draining");
+	else if (strcmp(t->id, g->id) != 0 || t->born_ms != g->born_ms)
+		gate_probe(g);
+	g->born_ms = t->born_ms;
+	gate_pump(g);
+}
--- /dev/null
+++ b/proxy/link_frame.c
@@ -0,0 +1,85 @@
+/* Frames on a link: four bytes of length, then one message. */
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "link_int.h"
+
+#define FRAME_MAX (ANSWER_MAX + 1024 * 1024) /* bytes */
+
+/* Writes one frame. */
+void
+link_write(struct link *l, const Link__Frame *f)
+{
+	size_t len = link__frame__get_packed_size(f);
+	uint32_t be = htonl((uint32_t)len);
+	struct evbuffer *out = bufferevent_get_output(l->bev);
+	struct evbuffer_iovec v;
+
+	evbuffer_add(out, &be, sizeof(be));
+	if (len == 0)
+		return;
+	evbuffer_reserve_space(out, (ev_ssize_t)len, &v, 1);
+	v.iov_len = link__frame__pack(f, v.iov_base);
+	evbuffer_commit_space(out, &v, 1);
+	counter_add(CTR_LINK_BYTES, (int64_t)(len + sizeof(be)));
+}
+
+/* Takes a frame. */
+int
+link_take(struct link *l, Link__Frame **f)
+{
+	struct evbuffer *in = bufferevent_get_input(l->bev);
+	uint32_t be;
+	size_t len;
+
+	if (evbuffer_copyout(in, &be, sizeof(be)) < (ev_ssize_t)sizeof(be))
+		return 0;
+	len = ntohl(be);
+	if (len > FRAME_MAX)
+		return -1;
+	if (evbuffer_get_length(in) < sizeof(be) + len)
+		return 0;
+	evbuffer_drain(in, sizeof(be));
+	*f = link__frame__unpack(NULL, len, evbuffer_pullup(in, (ev_ssize_t)len));
+	evbuffer_drain(in, len);
+	return *f != NULL ? 1 : -1;
+}
+
+/* Lists headers for a frame; their strings stay the message's. */
+Link__Header **
+link_headers(const struct http_message *m)
+{
+	const struct http_header *h;
+	Link__Header **list = g_new(Link__Header *, m->headers->len + 1);
+	guint i;
+
+	for (i = 0; i < m->headers->len; i++) {
+		h = &g_array_index(m->headers, struct http_header, i);
+		list[i] = g_new(Link__Header, 1);
+		link__header__init(list[i]);
+		list[i]->name = h->name;
+		list[i]->value = h->value;
+	}
+	return list;
+}
+
+/* Releases such a list. */
+void
+link_headers_free(Link__Header **list, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		g_free(list[i]);
+	g_free(list);
+}
+
+/* Gives a message the headers of a frame. */
+void
+link_read_headers(struct http_message *m, Link__Header *const *list, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		http_add(m, list[i]->name, list[i]->value);
+}
--- /dev/null
+++ b/proxy/link_int.h
@@ -0,0 +1,33 @@
+/* Shared by the parts of links: frames, the side that asks, the side that serves. */
+#ifndef LINK_INT_H
+#define LINK_INT_H
+
+#include "proxy_int.h"
+
+struct link {
+	struct links *links;
+	struct bufferevent *bev;
+	char *addr;	     /* of the node it leads to; NULL: made by the other */
+	int connected;
+	int64_t opened_at, heard_at;
+	int64_t pinged_at; /* 0: no question is open */
+	uint32_t next_stream;
+	GHashTable *jobs;  /* stream to struct job, or struct served_job */
+};
+
+/* Writes one frame. */
+void link_write(struct link *, const Link__Frame *);
+/* Takes the next whole frame: 1, 0 when more bytes are needed, or below 0. */
+int link_take(struct link *, Link__Frame **);
+/* Copies the headers of a message into a list for a frame, and back. */
+Link__Header **link_headers(const struct http_message *);
+void link_headers_free(Link__Header **, size_t);
+void link_read_headers(
+    struct http_message *, Link__Header *const *, size_t);
+
+/* link_serve.c: jobs of other nodes for the gate here */
+void link_serve_request(struct link *, uint32_t stream, const Link__Request *);
+void link_serve_cancel(struct link *, uint32_t stream);
+void link_serve_end(struct link *);
+
+#endif
--- /dev/null
+++ b/proxy/link_serve.c
@@ -0,0 +1,115 @@
+/* Jobs that other nodes send to the gate here. */
+#include <string.h>
+
+#include "link_int.h"
+
+/* A job of another node; it owns its request. */
+struct served_job {
+	struct job job;
+	char *service, *caller, *id;
+};
+
+static void done(struct job *, const struct result *);
+static void served_free(struct served_job *);
+
+/* Releases a job. */
+static void
+served_free(struct served_job *s)
+{
+	http_message_free(s->job.msg);
+	g_free(s->service);
+	g_free(s->caller);
+	g_free(s->id);
+	g_free(s);
+}
+
+/* A node asks to run a request at the target here. */
+void
+link_serve_request(struct link *l, uint32_t stream, const Link__Request *r)
+{
+	struct served_job *s = g_new0(struct served_job, 1);
+	int64_t now = base_now_ms();
+
+	s->service = g_strdup(r->service);
+	s->caller = g_strdup(r->caller);
+	s->id = g_strdup(r->id);
+	s->job.msg = http_message_new();
+	s->job.msg->method = g_strdup(r->method);
+	s->job.msg->path = g_strdup(r->path);
+	link_read_headers(s->job.msg, r->headers, r->n_headers);
+	g_byte_array_append(s->job.msg->body, r->body.data, (guint)r->body.len);
+	s->job.service = s->service;
+	s->job.caller = s->caller;
+	s->job.id = s->id;
+	s->job.kind = r->kind;
+	s->job.fingerprint = job_fingerprint(s->job.msg, s->caller);
+	s->job.priority = (int)r->priority;
+	s->job.repeatable = r->repeatable;
+	s->job.crashes = (int)r->crashes;
+	s->job.goal = now + r->goal_ms;
+	s->job.deadline = now + r->remaining_ms;
+	s->job.done = done;
+	s->job.arg = s;
+	s->job.link = l;
+	s->job.stream = stream;
+	g_hash_table_insert(l->jobs, GUINT_TO_POINTER(stream), s);
+	gate_submit(&l->links->proxy->gate, &s->job);
+}
+
+/* The gate has decided: the answer goes back. */
+static void
+done(struct job *j, const struct result *r)
+{
+	Link__Frame f = LINK__FRAME__INIT;
+	Link__Answer a = LINK__ANSWER__INIT;
+	struct http_message *m = r->answer;
+	struct link *l = j->link;
+
+	f.stream = j->stream;
+	f.body_case = LINK__FRAME__BODY_ANSWER;
+	f.answer = &a;
+	a.outcome = r->outcome;
+	a.load = (uint32_t)r->load;
+	a.retry_after_ms = (uint32_t)r->retry_after_ms;
+	if (r->outcome == OUTCOME_ANSWERED) {
+		http_strip_hop(m);
+		a.status = (uint32_t)m->status;
+		a.n_headers = m->headers->len;
+		a.headers = link_headers(m);
+		a.body.data = m->body->data;
+		a.body.len = m->body->len;
+	}
+	link_write(l, &f);
+	link_headers_free(a.headers, a.n_headers);
+	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(j->stream));
+	served_free(j->arg);
+}
+
+/* Nobody waits any more. */
+void
+link_serve_cancel(struct link *l, uint32_t stream)
+{
+	struct served_job *s;
+
+	s = g_hash_table_lookup(l->jobs, GUINT_TO_POINTER(stream));
+	if (s == NULL)
+		return;
+	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(stream));
+	gate_cancel(&l->links->proxy->gate, &s->job);
+	served_free(s);
+}
+
+/* The link has ended: none of its jobs has anybody waiting. */
+void
+link_serve_end(struct link *l)
+{
+	GHashTableIter it;
+	gpointer key;
+
+	for (;;) {
+		g_hash_table_iter_init(&it, l->jobs);
+		if (!g_hash_table_iter_next(&it, &key, NULL))
+			break;
+		link_serve_cancel(l, GPOINTER_TO_UINT(key));
+	}
+}
--- /dev/null
+++ b/proxy/links.c
@@ -0,0 +1,399 @@
+/*
+ * Links between nodes: one connection in each direction that is used, many
+ * requests on each.  Silence while an answer is due is answered by a question;
+ * without a word after it, the link is given up.
+ */
+#include <string.h>
+
+#include <event2/listener.h>
+
+#include "link_int.h"
+
+#define BACKLOG	   256
+#define LOOK_MS	   100 /* between two looks for silence */
+#define SILENT_MS  300 /* without a byte while an answer is due: ask */
+#define PONG_MS	   500 /* without a word after that: the link is dead */
+#define CONNECT_MS 400 /* for a link to open; VMs are 0.1 to 1 ms apart */
+#define IDLE_MS	   10000 /* an unused link is closed after */
+
+static struct link *link_new(struct links *, struct bufferevent *, const char *);
+static void link_close(struct link *, const char *);
+static void fail_jobs(struct link *);
+static void on_accept(struct evconnlistener *, evutil_socket_t,
+    struct sockaddr *, int, void *);
+static void on_read(struct bufferevent *, void *);
+static void on_event(struct bufferevent *, short, void *);
+static void on_timer(evutil_socket_t, short, void *);
+static void look(struct link *, int64_t);
+static void on_frame(struct link *, const Link__Frame *);
+static void on_answer(struct link *, uint32_t, const Link__Answer *);
+static void tell(struct link *, Link__Frame__BodyCase);
+
+/* Listens for links of other nodes. */
+int
+links_open(struct links *ls, struct proxy *p)
+{
+	struct sockaddr_in sin;
+	struct timeval tv = { 0, LOOK_MS * 1000L };
+
+	ls->proxy = p;
+	ls->out = g_hash_table_new(g_str_hash, g_str_equal);
+	ls->in = g_hash_table_new(NULL, NULL);
+	ls->timer = event_new(p->base, -1, EV_PERSIST, on_timer, ls);
+	evtimer_add(ls->timer, &tv);
+	if (address_resolve(p->settings->links, &sin) != BASE_OK)
+		return PROXY_ELISTEN;
+	ls->listener = evconnlistener_new_bind(p->base, on_accept, ls,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, BACKLOG,
+	    (struct sockaddr *)&sin, sizeof(sin));
+	return ls->listener != NULL ? PROXY_OK : PROXY_ELISTEN;
+}
+
+/* Closes all links; jobs end without a call. */
+void
+links_close(struct links *ls)
+{
+	GHashTable *const tables[] = { ls->out, ls->in };
+	GHashTableIter it;
+	gpointer value;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(tables); i++) {
+		for (;;) {
+			g_hash_table_iter_init(&it, tables[i]);
+			if (!g_hash_table_iter_next(&it, NULL, &value))
+				break;
+			link_close(value, "stopping");
+		}
+		g_hash_table_destroy(tables[i]);
+	}
+	event_free(ls->timer);
+	if (ls->listener != NULL)
+		evconnlistener_free(ls->listener);
+}
+
+/* Makes a link of a connection; addr is NULL for one made by another node. */
+static struct link *
+link_new(struct links *ls, struct bufferevent *bev, const char *addr)
+{
+	struct link *l = g_new0(struct link, 1);
+
+	l->links = ls;
+	l->bev = bev;
+	l->addr = g_strdup(addr);
+	l->opened_at = l->heard_at = base_now_ms();
+	l->jobs = g_hash_table_new(NULL, NULL);
+	if (addr != NULL)
+		g_hash_table_insert(ls->out, l->addr, l);
+	else
+		g_hash_table_insert(ls->in, l, l);
+	bufferevent_setcb(bev, on_read, NULL, on_event, l);
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+	return l;
+}
+
+/* Closes a link; what waits for it is told. */
+static void
+link_close(struct link *l, const char *why)
+{
+	base_log(G_LOG_LEVEL_MESSAGE, "link-closed",
+	    "peer=%s reason=\"%s\" jobs=%u", l->addr != NULL ? l->addr : "-",
+	    why, g_hash_table_size(l->jobs));
+	/* Out of the tables first: a job may be sent again at once. */
+	if (l->addr != NULL) {
+		g_hash_table_remove(l->links->out, l->addr);
+		http_reset(l->bev);
+		l->bev = NULL;
+		fail_jobs(l);
+	} else {
+		g_hash_table_remove(l->links->in, l);
+		link_serve_end(l);
+		http_reset(l->bev);
+	}
+	g_hash_table_destroy(l->jobs);
+	g_free(l->addr);
+	g_free(l);
+}
+
+/* Jobs of a lost link: not delivered if it never opened, else unknown. */
+static void
+fail_jobs(struct link *l)
+{
+	struct result r = { .outcome = l->connected ? OUTCOME_UNKNOWN
+						    : OUTCOME_UNDELIVERED };
+	GHashTableIter it;
+	gpointer value;
+	struct job *j;
+
+	for (;;) {
+		g_hash_table_iter_init(&it, l->jobs);
+		if (!g_hash_table_iter_next(&it, NULL, &value))
+			break;
+		j = value;
+		g_hash_table_iter_remove(&it);
+		j->link = NULL;
+		j->done(j, &r);
+	}
+}
+
+static void
+on_accept(struct evconnlistener *lis, evutil_socket_t fd, struct sockaddr *sa,
+    int len, void *arg)
+{
+	struct links *ls = arg;
+
+	(void)lis;
+	(void)sa;
+	(void)len;
+	http_tune(fd);
+	link_new(ls,
+	    bufferevent_socket_new(ls->proxy->base, fd, BEV_OPT_CLOSE_ON_FREE),
+	    NULL);
+}
+
+/* Sends a job to the gate of another node. */
+void
+links_submit(struct links *ls, const char *addr, struct job *j)
+{
+	Link__Frame f = LINK__FRAME__INIT;
+	Link__Request q = LINK__REQUEST__INIT;
+	struct result undelivered = { .outcome = OUTCOME_UNDELIVERED };
+	struct bufferevent *bev;
+	struct link *l = g_hash_table_lookup(ls->out, addr);
+	int64_t now = base_now_ms();
+
+	if (l == NULL) {
+		bev = http_connect(ls->proxy->base, addr);
+		if (bev == NULL) {
+			j->done(j, &undelivered);
+			return;
+		}
+		l = link_new(ls, bev, addr);
+	}
+	if (g_hash_table_size(l->jobs) == 0)
+		l->heard_at = now;
+	j->link = l;
+	j->stream = ++l->next_stream;
+	j->sent_at = now;
+	g_hash_table_insert(l->jobs, GUINT_TO_POINTER(j->stream), j);
+	f.stream = j->stream;
+	f.body_case = LINK__FRAME__BODY_REQUEST;
+	f.request = &q;
+	q.method = j->msg->method;
+	q.path = j->msg->path;
+	q.n_headers = j->msg->headers->len;
+	q.headers = link_headers(j->msg);
+	q.body.data = j->msg->body->data;
+	q.body.len = j->msg->body->len;
+	q.service = (char *)j->service;
+	q.caller = (char *)j->caller;
+	q.id = (char *)j->id;
+	q.kind = j->kind;
+	q.remaining_ms = (uint32_t)MAX(j->deadline - now, 0);
+	q.goal_ms = (int32_t)(j->goal - now);
+	q.priority = (uint32_t)j->priority;
+	q.repeatable = j->repeatable;
+	q.crashes = (uint32_t)j->crashes;
+	link_write(l, &f);
+	link_headers_free(q.headers, q.n_headers);
+}
+
+/* Gives a job up; the other node is told. */
+void
+links_cancel(struct links *ls, struct job *j)
+{
+	Link__Frame f = LINK__FRAME__INIT;
+	Link__Cancel c = LINK__CANCEL__INIT;
+	struct link *l = j->link;
+
+	(void)ls;
+	if (l == NULL)
+		return;
+	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(j->stream));
+	f.stream = j->stream;
+	f.body_case = LINK__FRAME__BODY_CANCEL;
+	f.cancel = &c;
+	link_write(l, &f);
+	j->link = NULL;
+}
+
+/* Tells all nodes that links lead to, or come from. */
+void
+links_suspect(struct links *ls, uint64_t fingerprint, int crashes)
+{
+	Link__Frame f = LINK__FRAME__INIT;
+	Link__Suspect s = LINK__SUSPECT__INIT;
+	GHashTable *const tables[] = { ls->out, ls->in };
+	GHashTableIter it;
+	gpointer value;
+	size_t i;
+
+	f.body_case = LINK__FRAME__BODY_SUSPECT;
+	f.suspect = &s;
+	s.fingerprint = fingerprint;
+	s.crashes = (uint32_t)crashes;
+	for (i = 0; i < G_N_ELEMENTS(tables); i++) {
+		g_hash_table_iter_init(&it, tables[i]);
+		while (g_hash_table_iter_next(&it, NULL, &value))
+			link_write(value, &f);
+	}
+}
+
+/* Jobs of other nodes that are at the gate here. */
+int
+links_busy(const struct links *ls)
+{
+	GHashTableIter it;
+	gpointer value;
+	int n = 0;
+
+	g_hash_table_iter_init(&it, ls->in);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		n += (int)g_hash_table_size(((struct link *)value)->jobs);
+	return n;
+}
+
+/* Writes a question whether the other end is there, or its answer. */
+static void
+tell(struct link *l, Link__Frame__BodyCase what)
+{
+	Link__Frame f = LINK__FRAME__INIT;
+	Link__Ping ping = LINK__PING__INIT;
+	Link__Pong pong = LINK__PONG__INIT;
+
+	f.body_case = what;
+	if (what == LINK__FRAME__BODY_PING)
+		f.ping = &ping;
+	else
+		f.pong = &pong;
+	link_write(l, &f);
+}
+
+/* An answer to a job; one that was given up is dropped. */
+static void
+on_answer(struct link *l, uint32_t stream, const Link__Answer *a)
+{
+	struct result r = { .retry_after_ms = (int)a->retry_after_ms,
+		.load = (int)a->load };
+	struct job *j;
+
+	j = g_hash_table_lookup(l->jobs, GUINT_TO_POINTER(stream));
+	if (j == NULL) {
+		counter_add(CTR_LATE_ANSWERS, 1);
+		return;
+	}
+	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(stream));
+	j->link = NULL;
+	r.outcome =
+	    a->outcome < OUTCOME_COUNT ? a->outcome : OUTCOME_UNKNOWN;
+	if (r.outcome == OUTCOME_ANSWERED) {
+		r.answer = http_message_new();
+		r.answer->status = (int)a->status;
+		link_read_headers(r.answer, a->headers, a->n_headers);
+		g_byte_array_append(
+		    r.answer->body, a->body.data, (guint)a->body.len);
+	}
+	j->done(j, &r);
+	http_message_free(r.answer);
+}
+
+/* One frame has arrived. */
+static void
+on_frame(struct link *l, const Link__Frame *f)
+{
+	switch (f->body_case) {
+	case LINK__FRAME__BODY_REQUEST:
+		if (l->addr == NULL)
+			link_serve_request(l, f->stream, f->request);
+		break;
+	case LINK__FRAME__BODY_CANCEL:
+		if (l->addr == NULL)
+			link_serve_cancel(l, f->stream);
+		break;
+	case LINK__FRAME__BODY_ANSWER:
+		if (l->addr != NULL)
+			on_answer(l, f->stream, f->answer);
+		break;
+	case LINK__FRAME__BODY_SUSPECT:
+		gate_suspect(&l->links->proxy->gate, f->suspect->fingerprint,
+		    (int)f->suspect->crashes);
+		break;
+	case LINK__FRAME__BODY_PING:
+		tell(l, LINK__FRAME__BODY_PONG);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Bytes have arrived. */
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+	struct link *l = arg;
+	Link__Frame *f;
+	int n;
+
+	(void)bev;
+	l->heard_at = base_now_ms();
+	l->pinged_at = 0;
+	while ((n = link_take(l, &f)) > 0) {
+		on_frame(l, f);
+		link__frame__free_unpacked(f, NULL);
+	}
+	if (n < 0)
+		link_close(l, "garbled frame");
+}
+
+/* The connection opened or ended. */
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct link *l = arg;
+
+	(void)bev;
+	if (what & BEV_EVENT_CONNECTED) {
+		l->connected = 1;
+		l->heard_at = base_now_ms();
+	} else {
+		link_close(
+		    l, what & BEV_EVENT_EOF ? "closed by peer" : "reset");
+	}
+}
+
+/* Looks for silence on one link made from here. */
+static void
+look(struct link *l, int64_t now)
+{
+	int due = g_hash_table_size(l->jobs) > 0;
+
+	if (!l->connected) {
+		if (now - l->opened_at > CONNECT_MS)
+			link_close(l, "no connection");
+	} else if (l->pinged_at > 0 && now - l->pinged_at > PONG_MS) {
+		link_close(l, "silent");
+	} else if (due && l->pinged_at == 0 && now - l->heard_at > SILENT_MS) {
+		l->pinged_at = now;
+		tell(l, LINK__FRAME__BODY_PING);
+	} else if (!due && now - l->heard_at > IDLE_MS) {
+		link_close(l, "idle");
+	}
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct links *ls = arg;
+	GList *all, *e;
+	int64_t now = base_now_ms();
+
+	(void)fd;
+	(void)what;
+	/* A job that fails may open a link, so the table is copied. */
+	all = g_hash_table_get_values(ls->out);
+	for (e = all; e != NULL; e = e->next)
+		if (g_hash_table_lookup(
+			ls->out, ((struct link *)e->data)->addr) == e->data)
+			look(e->data, now);
+	g_list_free(all);
+}
--- /dev/null
+++ b/proxy/probe.c
@@ -0,0 +1,224 @@
+/*
+ * Status checks of the target beside the node.  They cost, so the target is
+ * asked only when something makes it doubtful: at the start, after it was
+ * lost, when another one may stand at its address, when a data centre comes
+ * back.
+ */
+#include <string.h>
+
+#include "../mesh/poison.h"
+#include "gate_int.h"
+
+#define PROBE_PAUSE_MS	   100	/* before the second check, then doubling */
+#define PROBE_PAUSE_MAX_MS 1000
+#define PROBE_MS	   1000 /* for an answer; it may wait for a slot */
+#define CRASH_MS	   500	/* a failure and a refused check this close: a crash */
+/*
+ * A cold target bears the rate that the operator states; the users' bound is
+ * one and a half times that, so a fifth above it is tolerated.
+ */
+#define COLD_PERCENT 120
+
+static void ask(struct gate *);
+static void again(struct gate *);
+static void on_timer(evutil_socket_t, short, void *);
+static void on_answer(void *, enum upstream_result, struct http_message *);
+static void up(struct gate *, const struct http_message *);
+static void crashed(struct gate *);
+
+/* Prepares status checks. */
+void
+gate_probe_init(struct gate *g)
+{
+	g->probe_timer = evtimer_new(g->proxy->base, on_timer, g);
+	g->probe_pause_ms = PROBE_PAUSE_MS;
+	g->broken = g_array_new(FALSE, FALSE, sizeof(struct broken));
+}
+
+/* Releases them. */
+void
+gate_probe_clear(struct gate *g)
+{
+	event_free(g->probe_timer);
+	g_array_free(g->broken, TRUE);
+}
+
+/* The target is cold. */
+void
+gate_set_cold(struct gate *g, int64_t for_ms)
+{
+	const struct view_config *c = g->proxy->view->config;
+	int i = view_find_service(c, g->proxy->settings->service);
+	int64_t until = base_now_ms() + for_ms;
+
+	if (i < 0 || c->services[i].cold_per_s <= 0 ||
+	    until <= g->admit.cold_until)
+		return;
+	base_log(G_LOG_LEVEL_MESSAGE, "gate-cold",
+	    "target=%s for_ms=%d per_s=%g", g->id, (int)for_ms,
+	    c->services[i].cold_per_s);
+	admit_set_cold(&g->admit, until,
+	    (int)(c->services[i].cold_per_s * COLD_PERCENT / 100));
+}
+
+/* Asks the target now, unless it is being asked. */
+void
+gate_probe(struct gate *g)
+{
+	if (g->probe == NULL && !evtimer_pending(g->probe_timer, NULL))
+		ask(g);
+}
+
+/* Sends a status check. */
+static void
+ask(struct gate *g)
+{
+	const struct view_config *c = g->proxy->view->config;
+	struct evbuffer *written;
+	struct timeval tv = { PROBE_MS / BASE_MS_PER_S,
+		PROBE_MS % BASE_MS_PER_S * 1000L };
+	int i;
+
+	i = c != NULL ? view_find_service(c, g->proxy->settings->service) : -1;
+	if (i < 0)
+		return;
+	written = evbuffer_new();
+	evbuffer_add_printf(written, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
+	    c->services[i].health_path, g->proxy->settings->target);
+	counter_add(CTR_PROBES, 1);
+	g->probe = upstream_send(
+	    g->upstream, written, NULL, 1, 0, on_answer, g);
+	evbuffer_free(written);
+	evtimer_add(g->probe_timer, &tv);
+}
+
+/* Asks once more, after a while. */
+static void
+again(struct gate *g)
+{
+	struct timeval tv = { g->probe_pause_ms / BASE_MS_PER_S,
+		g->probe_pause_ms % BASE_MS_PER_S * 1000L };
+
+	g->probe_pause_ms = MIN(2 * g->probe_pause_ms, PROBE_PAUSE_MAX_MS);
+	evtimer_add(g->probe_timer, &tv);
+}
+
+/* A pause is over, or a check got no answer. */
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct gate *g = arg;
+
+	(void)fd;
+	(void)what;
+	if (g->probe == NULL) {
+		ask(g);
+		return;
+	}
+	upstream_cancel(g->probe);
+	g->probe = NULL;
+	if (g->state != GATE_UP)
+		again(g);
+}
+
+/* The target answers well: it is the one that calls itself so. */
+static void
+up(struct gate *g, const struct http_message *m)
+{
+	const struct header_names *n = g->proxy->names;
+	const char *id = http_find(m, n->target);
+	int64_t cold = http_find_int(m, n->cold_ms, 0);
+
+	g->probe_pause_ms = PROBE_PAUSE_MS;
+	if (id != NULL && strlen(id) <= VIEW_ID_MAX && strcmp(id, g->id) != 0) {
+		base_log(G_LOG_LEVEL_MESSAGE, "gate-target",
+		    "id=%s before=%s cold_ms=%d", id, g->id, (int)cold);
+		g_strlcpy(g->id, id, sizeof(g->id));
+		g->revision = 0;
+		g->gone = 0;
+		/* What is known of its life starts anew. */
+		g->admit.cold_until = 0;
+		if (g->state == GATE_LEAVING && !g->proxy->leaving)
+			gate_set_state(g, GATE_UNKNOWN, "another target");
+	}
+	if (cold > 0)
+		gate_set_cold(g, cold);
+	if (g->state == GATE_UNKNOWN)
+		gate_set_state(g, GATE_UP, "status check");
+	gate_update(g);
+	gate_pump(g);
+}
+
+/* A status check came back. */
+static void
+on_answer(void *arg, enum upstream_result u, struct http_message *m)
+{
+	struct gate *g = arg;
+
+	g->probe = NULL;
+	evtimer_del(g->probe_timer);
+	if (u == UPSTREAM_ANSWER && m->status == HTTP_STATUS_OK) {
+		up(g, m);
+	} else {
+		base_log(G_LOG_LEVEL_INFO, "gate-check-failed",
+		    "target=%s status=%d", g->id, m != NULL ? m->status : 0);
+		if (u == UPSTREAM_NOT_SENT) {
+			crashed(g);
+			if (g->state == GATE_UP)
+				gate_set_state(
+				    g, GATE_UNKNOWN, "no connection");
+		}
+		if (g->state == GATE_UNKNOWN)
+			again(g);
+	}
+	http_message_free(m);
+}
+
+/* The target is down right after it broke off requests: they are suspect. */
+static void
+crashed(struct gate *g)
+{
+	const struct broken *b;
+	int64_t now = base_now_ms();
+	guint i;
+	int n;
+
+	for (i = 0; i < g->broken->len; i++) {
+		b = &g_array_index(g->broken, struct broken, i);
+		if (now - b->at > CRASH_MS)
+			continue;
+		n = poison_crashes(g->poison, b->fingerprint, now) + 1;
+		poison_raise(g->poison, b->fingerprint, n, now);
+		links_suspect(&g->proxy->links, b->fingerprint, n);
+		base_log(G_LOG_LEVEL_MESSAGE, "crash-suspect",
+		    "fingerprint=%016" G_GINT64_MODIFIER "x crashes=%d target=%s",
+		    b->fingerprint, n, g->id);
+	}
+	if (g->broken->len > 0)
+		counter_add(CTR_TARGET_CRASHES, 1);
+	g_array_set_size(g->broken, 0);
+}
+
+/* A job failed: whether the target still stands there is asked. */
+void
+gate_doubt(struct gate *g, const struct job *j, enum upstream_result u,
+    const struct http_message *m)
+{
+	struct broken b = { j->fingerprint, base_now_ms() };
+
+	counter_add(CTR_TARGET_FAILURES, 1);
+	if (u == UPSTREAM_BROKEN) {
+		if (g->broken->len > 0 &&
+		    b.at - g_array_index(g->broken, struct broken, 0).at >
+			CRASH_MS)
+			g_array_set_size(g->broken, 0);
+		g_array_append_val(g->broken, b);
+		gate_probe(g);
+	} else if (u == UPSTREAM_NOT_SENT ||
+		   (m != NULL && m->status == 421)) {
+		if (g->state == GATE_UP)
+			gate_set_state(g, GATE_UNKNOWN,
+			    m != NULL ? "another target" : "no connection");
+		gate_probe(g);
+	}
+}
--- /dev/null
+++ b/proxy/proxy.c
@@ -0,0 +1,145 @@
+/* The data path as a whole: start, changes of the view, leaving. */
+#include <string.h>
+
+#include "proxy_int.h"
+
+#define READY_HEAD 8192 /* bytes of a question whether the node is ready */
+#define READY_MS   5000
+
+static void on_ready(void *, struct http_conn *, struct http_message *);
+static void on_ready_gone(void *, struct http_conn *);
+static int is_ready(const struct proxy *);
+
+/* Starts the data path. */
+int
+proxy_start(struct proxy **out, struct event_base *base,
+    const struct proxy_settings *s, const struct header_names *names,
+    const char *ready_path, struct view *v)
+{
+	struct proxy *p = g_new0(struct proxy, 1);
+	struct http_server_calls calls = { p, on_ready, on_ready_gone };
+
+	p->base = base;
+	p->settings = s;
+	p->names = names;
+	p->ready_path = ready_path;
+	p->view = v;
+	p->rand = g_rand_new();
+	p->peers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	p->ready_limits =
+	    (struct http_limits){ READY_HEAD, 0, READY_MS, READY_MS };
+	gate_init(&p->gate, p);
+	p->ready =
+	    http_server_new(base, s->ready, &p->ready_limits, &calls);
+	*out = p;
+	if (links_open(&p->links, p) != PROXY_OK ||
+	    entry_open(&p->entry, p) != PROXY_OK || p->ready == NULL)
+		return PROXY_ELISTEN;
+	return PROXY_OK;
+}
+
+/* Closes everything at once. */
+void
+proxy_free(struct proxy *p)
+{
+	entry_close(&p->entry);
+	links_close(&p->links);
+	gate_clear(&p->gate);
+	http_server_free(p->ready);
+	g_hash_table_destroy(p->peers);
+	g_rand_free(p->rand);
+	g_free(p);
+}
+
+/* Whether callers may be sent here. */
+static int
+is_ready(const struct proxy *p)
+{
+	return !p->leaving && p->view->config != NULL &&
+	       p->view->listed_at > 0;
+}
+
+/* Answers the question whether the node is ready. */
+static void
+on_ready(void *arg, struct http_conn *c, struct http_message *m)
+{
+	struct proxy *p = arg;
+
+	if (strcmp(m->path, p->ready_path) != 0)
+		http_reply_text(c, 404, "text/plain", "no such page\n");
+	else if (is_ready(p))
+		http_reply_text(c, 200, "text/plain", "ready\n");
+	else
+		http_reply_text(c, 503, "text/plain", "not ready\n");
+	http_message_free(m);
+}
+
+static void
+on_ready_gone(void *arg, struct http_conn *c)
+{
+	(void)arg;
+	(void)c;
+}
+
+/* Takes over what changed in the view. */
+void
+proxy_view_changed(struct proxy *p)
+{
+	entry_update(&p->entry);
+	gate_update(&p->gate);
+}
+
+/* Takes over what changed in the settings. */
+void
+proxy_settings_changed(struct proxy *p)
+{
+	upstream_move(p->gate.upstream, p->settings->target);
+	gate_probe(&p->gate);
+}
+
+/* The target beside the node is gone by its entry. */
+void
+proxy_target_gone(struct proxy *p)
+{
+	if (p->gate.gone)
+		return;
+	p->gate.gone = 1;
+	gate_set_state(&p->gate, GATE_LEAVING, "not listed any more");
+}
+
+/* Begins to leave. */
+void
+proxy_leave(struct proxy *p)
+{
+	p->leaving = 1;
+	http_server_leave(p->entry.server);
+	gate_set_state(&p->gate, GATE_LEAVING, "the node leaves");
+}
+
+/* Whether nothing is under way. */
+int
+proxy_idle(const struct proxy *p)
+{
+	return g_hash_table_size(p->entry.requests) == 0 &&
+	       p->gate.running->len == 0 && links_busy(&p->links) == 0;
+}
+
+/* Id of the target. */
+const char *
+proxy_target_id(const struct proxy *p)
+{
+	return p->gate.id;
+}
+
+/* Appends the gauges. */
+void
+proxy_print(const struct proxy *p, GString *out)
+{
+	counter_print(out);
+	g_string_append_printf(out,
+	    "teaselstep_requests %u\nteaselstep_gate_running %u\n"
+	    "teaselstep_gate_load_percent %d\nteaselstep_targets %u\n",
+	    g_hash_table_size(p->entry.requests), p->gate.running->len,
+	    gate_load(&p->gate), g_hash_table_size(p->view->targets));
+}
--- /dev/null
+++ b/proxy/proxy.h
@@ -0,0 +1,70 @@
+/*
+ * The mesh's data path on a platform of the users: an entry takes the requests
+ * of the VM's callers and of its target, a gate beside each target hands it
+ * what it can bear, links carry requests between nodes.  One event loop, no
+ * threads.
+ */
+#ifndef PROXY_H
+#define PROXY_H
+
+#include <event2/event.h>
+
+#include "../view/view.h"
+
+/* Errors of this package. */
+enum proxy_err {
+	PROXY_OK = 0,
+	PROXY_ELISTEN = -801, /* an address cannot be listened on */
+};
+
+/* Names of headers on requests and answers; the platform's adapter has them. */
+struct header_names {
+	const char *id;		   /* of a caller's attempt, echoed in answers */
+	const char *remaining_ms;  /* how long the sender will wait */
+	const char *seal;	   /* proof that an answer is a target's */
+	const char *expect_target; /* any target but this refuses */
+	const char *not_run;	   /* the target did not run the request */
+	const char *caller;	   /* service beside which the request began */
+	const char *target;	   /* id of the target, in status checks */
+	const char *cold_ms;	   /* it stays cold so long, in status checks */
+	const char *retry_after;   /* s until the caller may come back */
+};
+
+/* What the data path is told of its place. */
+struct proxy_settings {
+	char *name;	  /* of the VM */
+	char *data_centre;
+	char *service;	  /* of the target beside the node */
+	char *target;	  /* address of the target */
+	char *callers;	  /* address for callers and the target */
+	char *links;	  /* address for other nodes */
+	char *ready;	  /* address for the question whether it is ready */
+	int grace_ms;	  /* from the wish to stop until the process is killed */
+	int retry_window_ms;
+	double retry_ratio; /* repeats a request of a service, in the fleet */
+	double retry_slack; /* repeats in a window beyond these, in the fleet */
+};
+
+struct proxy; /* opaque: see proxy_int.h */
+
+/* Listens on all addresses; the settings and the view stay the caller's. */
+int proxy_start(struct proxy **, struct event_base *,
+    const struct proxy_settings *, const struct header_names *,
+    const char *ready_path, struct view *);
+void proxy_free(struct proxy *);
+/* The configuration, the targets or the data centres that are out changed. */
+void proxy_view_changed(struct proxy *);
+/* The settings changed in place; addresses listened on stay. */
+void proxy_settings_changed(struct proxy *);
+/* The target beside the node is not listed any more. */
+void proxy_target_gone(struct proxy *);
+/* Begins to leave: not ready, no new work for the target beside it. */
+void proxy_leave(struct proxy *);
+/* Whether nothing is under way. */
+int proxy_idle(const struct proxy *);
+/* Id of the target beside the node by its own word, or "". */
+const char *proxy_target_id(const struct proxy *);
+/* Appends counters and gauges in the Prometheus text format. */
+void proxy_print(const struct proxy *, GString *out);
+
+#endif
--- /dev/null
+++ b/proxy/proxy_int.h
@@ -0,0 +1,205 @@
+/*
+ * Shared inside the package.  A request flows one way: entry, choose, link or
+ * gate, upstream; each knows those after it only, and answers come back by the
+ * callback that was given along.
+ */
+#ifndef PROXY_INT_H
+#define PROXY_INT_H
+
+#include "../http/http.h"
+#include "../mesh/admit.h"
+#include "../mesh/call.h"
+#include "../mesh/spend.h"
+#include "link.pb-c.h"
+#include "proxy.h"
+
+#define ANSWER_MAX (64 * 1024 * 1024) /* bytes of a target's answer */
+
+/* ---- jobs: requests for the target of some gate ---- */
+
+struct job;
+
+/* What became of a job. */
+struct result {
+	enum call_outcome outcome;
+	struct http_message *answer; /* of the target; owned by the job's side */
+	int retry_after_ms;
+	int load; /* percent of the target's slots */
+};
+
+/* A request on its way to a target; its owner keeps it until it is done. */
+struct job {
+	struct http_message *msg; /* the owner's */
+	const char *service, *caller, *id;
+	uint32_t kind;
+	uint64_t fingerprint;
+	int priority, repeatable;
+	int crashes;	  /* of targets, counted for its fingerprint */
+	int64_t goal, deadline;
+	void (*done)(struct job *, const struct result *);
+	void *arg;
+	/* of the gate */
+	struct gate *gate;
+	struct sending *sending;
+	int64_t began_us;
+	/* of a link */
+	struct link *link;
+	uint32_t stream;
+	int64_t sent_at;
+};
+
+/* ---- upstream: connections to the target beside the node ---- */
+
+enum upstream_result {
+	UPSTREAM_ANSWER,   /* the target's whole answer */
+	UPSTREAM_NOT_SENT, /* no connection: nothing was sent */
+	UPSTREAM_BROKEN,   /* it may have run */
+};
+
+struct upstream; /* opaque: see upstream.c */
+struct sending; /* opaque: one request at the target */
+
+typedef void (*upstream_done)(
+    void *arg, enum upstream_result, struct http_message *answer);
+
+struct upstream *upstream_new(
+    struct event_base *, const char *addr, const struct header_names *);
+void upstream_free(struct upstream *);
+/* Another address; kept connections are closed. */
+void upstream_move(struct upstream *, const char *addr);
+/* Closes kept connections. */
+void upstream_forget(struct upstream *);
+/*
+ * Sends a request, written already, whose answer must echo the id (NULL: any).
+ * One that runs once is never sent on a connection that may be closed already.
+ */
+struct sending *upstream_send(struct upstream *, struct evbuffer *written,
+    const char *id, int repeatable, int is_head, upstream_done, void *arg);
+/* Gives an exchange up: its connection is closed, nothing is called. */
+void upstream_cancel(struct sending *);
+
+/* ---- gate: the only way to the target beside the node ---- */
+
+enum gate_state {
+	GATE_UNKNOWN, /* nobody has asked the target yet, or it was lost */
+	GATE_UP,
+	GATE_LEAVING, /* the target or the node drains */
+};
+
+/* A request that the target broke off. */
+struct broken {
+	uint64_t fingerprint;
+	int64_t at;
+};
+
+struct gate {
+	struct proxy *proxy;
+	struct upstream *upstream;
+	struct admit admit;
+	enum gate_state state;
+	char id[VIEW_ID_MAX + 1]; /* of the target, by its status check */
+	int64_t born_ms;	  /* by its entry */
+	uint64_t revision;	  /* of the entry that was last looked at */
+	int out;		  /* its data centre is out */
+	int gone;		  /* its entry is gone */
+	struct sending *probe;
+	struct event *probe_timer; /* for its answer, or before the next */
+	int probe_pause_ms;
+	struct event *wake;
+	GPtrArray *running; /* of struct job */
+	struct poison *poison;
+	GArray *broken; /* of struct broken: the last that broke off */
+};
+
+void gate_init(struct gate *, struct proxy *);
+void gate_clear(struct gate *);
+void gate_submit(struct gate *, struct job *);
+/* Nobody waits any more; the job is not called back. */
+void gate_cancel(struct gate *, struct job *);
+/* The view changed. */
+void gate_update(struct gate *);
+/* Changes the gate's state; those who wait are refused unless it is up. */
+void gate_set_state(struct gate *, enum gate_state, const char *why);
+/* Asks the target's status check now. */
+void gate_probe(struct gate *);
+int gate_load(const struct gate *);
+/* Counts crashes told by another gate. */
+void gate_suspect(struct gate *, uint64_t fingerprint, int crashes);
+
+/* ---- links between nodes ---- */
+
+struct link;
+
+struct links {
+	struct proxy *proxy;
+	struct evconnlistener *listener;
+	GHashTable *out;      /* address to struct link, made from here */
+	GHashTable *in;	      /* of struct link, made by others */
+	struct event *timer;  /* silence is looked for */
+};
+
+int links_open(struct links *, struct proxy *);
+void links_close(struct links *);
+/* Sends a job to the gate of the node at an address. */
+void links_submit(struct links *, const char *addr, struct job *);
+void links_cancel(struct links *, struct job *);
+/* Tells all nodes that links lead to of a crash. */
+void links_suspect(struct links *, uint64_t fingerprint, int crashes);
+/* Jobs under way for other nodes. */
+int links_busy(const struct links *);
+
+/* ---- choice of a gate ---- */
+
+/* What an entry knows of the gate beside a target. */
+struct peer {
+	char addr[ADDRESS_MAX]; /* of the target */
+	int load;		/* percent, as last told */
+	int inflight;		/* sent from here and not answered */
+	int told_inflight;	/* of these, when the load was told */
+	int64_t avoid_until;
+};
+
+/*
+ * Chooses the target of a service for a request; NULL when none can take it
+ * now.  tried lists the addresses that refused it already.
+ */
+const struct view_target *choose_target(struct proxy *, const char *service,
+    const GPtrArray *tried, int64_t now);
+struct peer *choose_peer(struct proxy *, const char *addr);
+/* Address for links of the node beside a target; buf has ADDRESS_MAX. */
+void choose_link(const struct proxy *, const char *addr, char *buf);
+
+/* ---- entry ---- */
+
+struct entry {
+	struct proxy *proxy;
+	struct http_server *server;
+	struct http_limits limits;
+	GHashTable *requests; /* of struct request */
+	GHashTable *spends;   /* service to struct spend, owned */
+};
+
+int entry_open(struct entry *, struct proxy *);
+void entry_close(struct entry *);
+void entry_update(struct entry *);
+
+struct proxy {
+	struct event_base *base;
+	const struct proxy_settings *settings;
+	const struct header_names *names;
+	const char *ready_path;
+	struct view *view;
+	GRand *rand;
+	int leaving;
+	struct entry entry;
+	struct gate gate;
+	struct links links;
+	GHashTable *peers; /* address to struct peer, owned */
+	struct http_server *ready;
+	struct http_limits ready_limits;
+};
+
+/* Fingerprint of a request: those with equal ones crash targets alike. */
+uint64_t job_fingerprint(const struct http_message *, const char *caller);
+
+#endif
--- /dev/null
+++ b/proxy/upstream.c
@@ -0,0 +1,336 @@
+/* Connections to the target beside the node: one exchange at a time on each. */
+#include <string.h>
+
+#include "proxy_int.h"
+
+#define HEAD_MAX      65536
+#define CONNECT_MS    1000 /* the target is on this machine */
+#define IDLE_MAX_MS   4000 /* a kept connection is closed after */
+#define IDLE_SLACK_MS 500  /* before the time that the target announced */
+/*
+ * A request that may not be repeated is sent on a kept connection only while
+ * that was used this recently: the target closes idle ones without a word.
+ */
+#define FRESH_MS 300
+
+struct sending {
+	struct upstream *up;
+	struct bufferevent *bev;
+	struct http_parse parse;
+	struct event *timer; /* for connecting, then for idleness */
+	struct evbuffer *copy; /* the request, until an answer begins */
+	char *id;
+	int repeatable, is_head;
+	int reused;    /* sent on a kept connection */
+	int connected;
+	int strays;    /* answers of other requests were dropped */
+	int64_t used_at;
+	int64_t idle_ms; /* it may be kept so long */
+	upstream_done done; /* NULL while idle */
+	void *arg;
+};
+
+struct upstream {
+	struct event_base *base;
+	char *addr;
+	const struct header_names *names;
+	GQueue idle;	 /* of struct sending, last used first */
+	GHashTable *all; /* of struct sending */
+};
+
+static struct sending *open_sending(struct upstream *);
+static void close_sending(struct sending *);
+static void finish(struct sending *, enum upstream_result,
+    struct http_message *);
+static void keep(struct sending *, const struct http_message *);
+static void fail(struct sending *);
+static int64_t announced_idle(const struct http_message *);
+static void take_answer(struct sending *);
+static void on_read(struct bufferevent *, void *);
+static void on_event(struct bufferevent *, short, void *);
+static void on_timer(evutil_socket_t, short, void *);
+static void set_timer(struct sending *, int64_t);
+
+/* Prepares for a target. */
+struct upstream *
+upstream_new(
+    struct event_base *base, const char *addr, const struct header_names *names)
+{
+	struct upstream *u;
+
+	u = g_new0(struct upstream, 1);
+	u->base = base;
+	u->addr = g_strdup(addr);
+	u->names = names;
+	g_queue_init(&u->idle);
+	u->all = g_hash_table_new(NULL, NULL);
+	return u;
+}
+
+/* Closes everything; exchanges under way end without a call. */
+void
+upstream_free(struct upstream *u)
+{
+	GHashTableIter it;
+	gpointer key;
+
+	for (;;) {
+		g_hash_table_iter_init(&it, u->all);
+		if (!g_hash_table_iter_next(&it, &key, NULL))
+			break;
+		close_sending(key);
+	}
+	g_hash_table_destroy(u->all);
+	g_queue_clear(&u->idle);
+	g_free(u->addr);
+	g_free(u);
+}
+
+/* Closes kept connections. */
+void
+upstream_forget(struct upstream *u)
+{
+	while (!g_queue_is_empty(&u->idle))
+		close_sending(g_queue_peek_head(&u->idle));
+}
+
+/* Goes to another address from now on. */
+void
+upstream_move(struct upstream *u, const char *addr)
+{
+	upstream_forget(u);
+	g_free(u->addr);
+	u->addr = g_strdup(addr);
+}
+
+/* Sets the timer, in ms from now. */
+static void
+set_timer(struct sending *x, int64_t ms)
+{
+	struct timeval tv = { ms / BASE_MS_PER_S, ms % BASE_MS_PER_S * 1000 };
+
+	evtimer_add(x->timer, &tv);
+}
+
+/* Opens a connection; NULL when none can be made. */
+static struct sending *
+open_sending(struct upstream *u)
+{
+	struct bufferevent *bev;
+	struct sending *x;
+
+	if ((bev = http_connect(u->base, u->addr)) == NULL)
+		return NULL;
+	x = g_new0(struct sending, 1);
+	x->up = u;
+	x->bev = bev;
+	http_parse_init(&x->parse, HTTP_RESPONSE, HEAD_MAX, ANSWER_MAX);
+	x->timer = evtimer_new(u->base, on_timer, x);
+	x->copy = evbuffer_new();
+	g_hash_table_add(u->all, x);
+	bufferevent_setcb(bev, on_read, NULL, on_event, x);
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+	set_timer(x, CONNECT_MS);
+	return x;
+}
+
+/* Closes a connection at once, so that the target stops its work. */
+static void
+close_sending(struct sending *x)
+{
+	g_queue_remove(&x->up->idle, x);
+	g_hash_table_remove(x->up->all, x);
+	event_free(x->timer);
+	http_parse_free(&x->parse);
+	evbuffer_free(x->copy);
+	http_reset(x->bev);
+	g_free(x->id);
+	g_free(x);
+}
+
+/* Sends a request. */
+struct sending *
+upstream_send(struct upstream *u, struct evbuffer *written, const char *id,
+    int repeatable, int is_head, upstream_done done, void *arg)
+{
+	struct sending *x = g_queue_peek_head(&u->idle);
+	int64_t now = base_now_ms();
+
+	if (x != NULL && (repeatable || now - x->used_at <= FRESH_MS)) {
+		g_queue_remove(&u->idle, x);
+		evtimer_del(x->timer);
+		x->reused = 1;
+	} else if ((x = open_sending(u)) == NULL) {
+		return NULL;
+	}
+	http_parse_next(&x->parse, HTTP_RESPONSE);
+	x->parse.no_body = is_head;
+	g_free(x->id);
+	x->id = g_strdup(id);
+	x->repeatable = repeatable;
+	x->is_head = is_head;
+	x->strays = 0;
+	x->done = done;
+	x->arg = arg;
+	evbuffer_drain(x->copy, evbuffer_get_length(x->copy));
+	if (repeatable && x->reused)
+		evbuffer_add(x->copy, evbuffer_pullup(written, -1),
+		    evbuffer_get_length(written));
+	evbuffer_add_buffer(bufferevent_get_output(x->bev), written);
+	return x;
+}
+
+/* Gives an exchange up. */
+void
+upstream_cancel(struct sending *x)
+{
+	close_sending(x);
+}
+
+/* Hands the outcome over; the callee owns the answer. */
+static void
+finish(struct sending *x, enum upstream_result r, struct http_message *m)
+{
+	upstream_done done = x->done;
+	void *arg = x->arg;
+
+	x->done = NULL;
+	if (r == UPSTREAM_ANSWER && m->keep_alive && !m->to_end &&
+	    x->strays == 0 &&
+	    evbuffer_get_length(bufferevent_get_input(x->bev)) == 0 &&
+	    evbuffer_get_length(bufferevent_get_output(x->bev)) == 0)
+		keep(x, m);
+	else
+		close_sending(x);
+	done(arg, r, m);
+}
+
+/* How long the target keeps an idle connection, in ms. */
+static int64_t
+announced_idle(const struct http_message *m)
+{
+	const char *v = http_find(m, "Keep-Alive"), *t;
+
+	if (v == NULL || (t = strstr(v, "timeout=")) == NULL)
+		return IDLE_MAX_MS;
+	return g_ascii_strtoll(t + strlen("timeout="), NULL, 10) *
+	       BASE_MS_PER_S;
+}
+
+/* Keeps a connection for the next exchange. */
+static void
+keep(struct sending *x, const struct http_message *m)
+{
+	x->used_at = base_now_ms();
+	x->idle_ms = MIN(announced_idle(m) - IDLE_SLACK_MS, IDLE_MAX_MS);
+	if (x->idle_ms <= 0) {
+		close_sending(x);
+		return;
+	}
+	evbuffer_drain(x->copy, evbuffer_get_length(x->copy));
+	g_queue_push_head(&x->up->idle, x);
+	set_timer(x, x->idle_ms);
+}
+
+/* The connection ended before a whole answer. */
+static void
+fail(struct sending *x)
+{
+	struct upstream *u = x->up;
+	struct sending *again;
+	enum upstream_result r;
+
+	if (x->done == NULL) {
+		close_sending(x);
+		return;
+	}
+	/*
+	 * A kept connection that ends without a byte of an answer was closed
+	 * idle by the target; what may be repeated goes on a new one.
+	 */
+	if (x->reused && x->repeatable && !x->parse.begun && x->strays == 0 &&
+	    (again = open_sending(u)) != NULL) {
+		bufferevent_disable(x->bev, EV_READ | EV_WRITE);
+		bufferevent_setcb(x->bev, NULL, NULL, NULL, NULL);
+		/* The caller holds x: the connections are exchanged instead. */
+		g_hash_table_remove(u->all, again);
+		http_reset(x->bev);
+		x->bev = again->bev;
+		bufferevent_setcb(x->bev, on_read, NULL, on_event, x);
+		event_free(again->timer);
+		http_parse_free(&again->parse);
+		evbuffer_free(again->copy);
+		g_free(again);
+		x->reused = x->connected = 0;
+		set_timer(x, CONNECT_MS);
+		evbuffer_add_buffer(bufferevent_get_output(x->bev), x->copy);
+		return;
+	}
+	r = x->reused || x->connected ? UPSTREAM_BROKEN : UPSTREAM_NOT_SENT;
+	finish(x, r, NULL);
+}
+
+/* Takes the answer that has arrived; those of other requests are dropped. */
+static void
+take_answer(struct sending *x)
+{
+	struct http_message *m = http_parse_take(&x->parse);
+	const char *id = http_find(m, x->up->names->id);
+
+	if (x->id != NULL && id != NULL && strcmp(id, x->id) != 0) {
+		x->strays++;
+		http_message_free(m);
+		http_parse_next(&x->parse, HTTP_RESPONSE);
+		x->parse.no_body = x->is_head;
+		on_read(x->bev, x);
+		return;
+	}
+	finish(x, UPSTREAM_ANSWER, m);
+}
+
+/* Bytes have arrived; on an idle connection they belong to no request. */
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+	struct sending *x = arg;
+	int err;
+
+	if (x->done == NULL) {
+		close_sending(x);
+		return;
+	}
+	err = http_parse_feed(&x->parse, bufferevent_get_input(bev));
+	if (err == HTTP_OK)
+		take_answer(x);
+	else if (err != HTTP_ENOMESSAGE)
+		finish(x, UPSTREAM_BROKEN, NULL);
+}
+
+/* The connection opened or ended. */
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct sending *x = arg;
+
+	(void)bev;
+	if (what & BEV_EVENT_CONNECTED) {
+		x->connected = 1;
+		evtimer_del(x->timer);
+		return;
+	}
+	/* A clean end may be the end of an answer without length. */
+	if (x->done != NULL && (what & BEV_EVENT_EOF) &&
+	    http_parse_end(&x->parse) == HTTP_OK)
+		take_answer(x);
+	else
+		fail(x);
+}
+
+/* It did not open in time, or was idle for long enough. */
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	fail(arg);
+}
--- /dev/null
+++ b/side/teaselside.c
@@ -0,0 +1,240 @@
+/* teaselside: the process beside a target on the users' platform. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include "side.h"
+
+#define EXIT_USAGE 2
+#define LOOK_MS	   1000 /* between two looks at the settings file */
+#define LEAVE_MS   2600 /* two questions a second apart find it not ready */
+#define LEAVE_LOOK_MS 100
+#define END_MS	   300 /* before the platform kills it */
+
+struct side {
+	struct event_base *base;
+	const char *path;
+	struct side_settings settings;
+	struct stat seen; /* of the settings file */
+	struct view *view;
+	struct proxy *proxy;
+	struct follow *follow;
+	struct http_server *metrics;
+	struct http_limits metrics_limits;
+	struct event *look, *leave;
+	int64_t leave_at; /* the wish to stop came */
+};
+
+static int read_settings(const char *, struct side_settings *);
+static void reload(struct side *);
+static void on_look(evutil_socket_t, short, void *);
+static void on_hangup(evutil_socket_t, short, void *);
+static void on_stop(evutil_socket_t, short, void *);
+static void on_leave(evutil_socket_t, short, void *);
+static void on_metrics(void *, struct http_conn *, struct http_message *);
+static void on_metrics_gone(void *, struct http_conn *);
+static int run(struct side *);
+
+/* Reads the settings; problems are printed with file, line and key. */
+static int
+read_settings(const char *path, struct side_settings *s)
+{
+	struct report *rep = report_new();
+	GString *text = g_string_new(NULL);
+	int err = side_settings_read(path, s, rep);
+
+	report_print(rep, path, text);
+	fputs(text->str, stderr);
+	g_string_free(text, TRUE);
+	report_free(rep);
+	return err;
+}
+
+/*
+ * Takes changed settings over.  Addresses that are listened on stay as they
+ * are until the next start; what cannot be accepted changes nothing.
+ */
+static void
+reload(struct side *s)
+{
+	struct side_settings fresh, old = s->settings;
+
+	if (read_settings(s->path, &fresh) != SIDE_OK) {
+		base_log(G_LOG_LEVEL_WARNING, "settings-rejected", "file=%s",
+		    s->path);
+		return;
+	}
+	s->settings = fresh;
+	base_log(G_LOG_LEVEL_MESSAGE, "settings-reloaded",
+	    "file=%s store=%s target=%s service=%s", s->path, fresh.store,
+	    fresh.proxy.target, fresh.proxy.service);
+	if (strcmp(old.store, fresh.store) != 0)
+		follow_move(s->follow, fresh.store);
+	proxy_settings_changed(s->proxy);
+	side_settings_free(&old);
+}
+
+/* Looks whether the file changed without a signal. */
+static void
+on_look(evutil_socket_t fd, short what, void *arg)
+{
+	struct side *s = arg;
+	struct stat st;
+
+	(void)fd;
+	(void)what;
+	if (stat(s->path, &st) != 0 ||
+	    (st.st_mtim.tv_sec == s->seen.st_mtim.tv_sec &&
+		st.st_mtim.tv_nsec == s->seen.st_mtim.tv_nsec &&
+		st.st_size == s->seen.st_size && st.st_ino == s->seen.st_ino))
+		return;
+	s->seen = st;
+	reload(s);
+}
+
+/* The file is said to have changed. */
+static void
+on_hangup(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	reload(arg);
+}
+
+/* The wish to stop. */
+static void
+on_stop(evutil_socket_t fd, short what, void *arg)
+{
+	struct side *s = arg;
+	struct timeval tv = { 0, LEAVE_LOOK_MS * 1000L };
+
+	(void)what;
+	if (s->leave_at != 0)
+		return;
+	base_log(G_LOG_LEVEL_MESSAGE, "stopping", "signal=%d", (int)fd);
+	s->leave_at = base_now_ms();
+	proxy_leave(s->proxy);
+	evtimer_add(s->leave, &tv);
+}
+
+/* Ends once callers have heard and nothing is under way, or at the last. */
+static void
+on_leave(evutil_socket_t fd, short what, void *arg)
+{
+	struct side *s = arg;
+	int64_t since = base_now_ms() - s->leave_at;
+
+	(void)fd;
+	(void)what;
+	if ((since >= LEAVE_MS && proxy_idle(s->proxy)) ||
+	    since >= s->settings.proxy.grace_ms - END_MS)
+		event_base_loopbreak(s->base);
+}
+
+/* Serves the metrics. */
+static void
+on_metrics(void *arg, struct http_conn *c, struct http_message *m)
+{
+	struct side *s = arg;
+	GString *text = g_string_new(NULL);
+
+	proxy_print(s->proxy, text);
+	http_reply_text(c, 200, "text/plain; version=0.0.4", text->str);
+	g_string_free(text, TRUE);
+	http_message_free(m);
+}
+
+static void
+on_metrics_gone(void *arg, struct http_conn *c)
+{
+	(void)arg;
+	(void)c;
+}
+
+/* Runs until it is told to stop. */
+static int
+run(struct side *s)
+{
+	struct http_server_calls metrics = { s, on_metrics, on_metrics_gone };
+	struct timeval look = { LOOK_MS / BASE_MS_PER_S, 0 };
+	struct event *hup, *term, *intr;
+	int err;
+
+	s->base = event_base_new();
+	s->view = view_new();
+	err = proxy_start(&s->proxy, s->base, &s->settings.proxy,
+	    &platform_headers, platform_ready_path, s->view);
+	if (err != PROXY_OK) {
+		fprintf(stderr, "teaselside: an address cannot be listened "
+				"on\n");
+		return EXIT_FAILURE;
+	}
+	s->metrics_limits = (struct http_limits){ 8192, 0, 5000, 5000 };
+	if (s->settings.metrics != NULL)
+		s->metrics = http_server_new(s->base, s->settings.metrics,
+		    &s->metrics_limits, &metrics);
+	s->follow = follow_start(s->base, &s->settings, s->view, s->proxy);
+	hup = evsignal_new(s->base, SIGHUP, on_hangup, s);
+	term = evsignal_new(s->base, SIGTERM, on_stop, s);
+	intr = evsignal_new(s->base, SIGINT, on_stop, s);
+	s->look = event_new(s->base, -1, EV_PERSIST, on_look, s);
+	s->leave = event_new(s->base, -1, EV_PERSIST, on_leave, s);
+	event_add(hup, NULL);
+	event_add(term, NULL);
+	event_add(intr, NULL);
+	event_add(s->look, &look);
+	base_log(G_LOG_LEVEL_MESSAGE, "started",
+	    "name=%s data_centre=%s service=%s target=%s store=%s",
+	    s->settings.proxy.name, s->settings.proxy.data_centre,
+	    s->settings.proxy.service, s->settings.proxy.target,
+	    s->settings.store);
+	event_base_dispatch(s->base);
+	follow_stop(s->follow);
+	http_server_free(s->metrics);
+	proxy_free(s->proxy);
+	event_free(hup);
+	event_free(term);
+	event_free(intr);
+	event_free(s->look);
+	event_free(s->leave);
+	view_free(s->view);
+	event_base_free(s->base);
+	base_log(G_LOG_LEVEL_MESSAGE, "stopped", "-");
+	return EXIT_SUCCESS;
+}
+
+/* Reads options and settings, then runs. */
+int
+main(int argc, char **argv)
+{
+	static char *config;
+	static const GOptionEntry options[] = {
+		{ "config", 'c', 0, G_OPTION_ARG_FILENAME, &config,
+		    "Settings of this node", "FILE" },
+		{ NULL, 0, 0, 0, NULL, NULL, NULL },
+	};
+	struct side s = { 0 };
+	GOptionContext *ctx;
+	GError *error = NULL;
+	int ok;
+
+	ctx = g_option_context_new("- the process beside a target");
+	g_option_context_add_main_entries(ctx, options, NULL);
+	ok = g_option_context_parse(ctx, &argc, &argv, &error);
+	g_option_context_free(ctx);
+	s.path = config != NULL ? config : getenv("TEASELSTEP_CONFIG");
+	if (!ok || s.path == NULL || argc > 1) {
+		fprintf(stderr, "teaselside: %s\n",
+		    error != NULL ? error->message
+				  : "needs -c FILE or TEASELSTEP_CONFIG");
+		return EXIT_USAGE;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	base_log_init("teaselside");
+	if (stat(s.path, &s.seen) != 0 ||
+	    read_settings(s.path, &s.settings) != SIDE_OK)
+		return EXIT_FAILURE;
+	return run(&s);
+}
--- a/platform/budget.c
+++ b/source/budget.c
@@ -1,5 +1,5 @@
 /* A node's own limits on reads: a budget, and full jitter after failures. */
-#include "platform_int.h"
+#include "source_int.h"
 
 #define BURST	    6.0 /* reads that a node may make at once */
 #define MS_PER_MIN  60000.0
--- a/platform/http.c
+++ b/source/http.c
@@ -9,7 +9,7 @@
 #include <neon/ne_session.h>
 #include <neon/ne_socket.h>
 
-#include "platform.h"
+#include "source.h"
 
 #define CONNECT_S   2	  /* to open a connection */
 #define READ_S	    2	  /* between two bytes, beyond the wait asked for */
@@ -19,21 +19,21 @@
 #define HTTP_ABSENT 404
 #define HTTP_LIMIT  429
 
-struct platform {
+struct source {
 	ne_session *session;
 	int read_s; /* read timeout of the open connection */
 };
 
-static struct platform *http_open(const char *, int);
-static void http_close(struct platform *);
+static struct source *http_open(const char *, int);
+static void http_close(struct source *);
 static int http_read(
-    struct platform *, const char *, uint64_t, int, GBytes **, uint64_t *);
+    struct source *, const char *, uint64_t, int, GBytes **, uint64_t *);
 static int read_body(ne_request *, int64_t, GByteArray *);
-static void set_timeout(struct platform *, int);
+static void set_timeout(struct source *, int);
 static int status_error(int);
 static int session_error(int);
 
-const struct platform_ops platform_http = {
+const struct source_ops source_http = {
 	.name = "http",
 	.open = http_open,
 	.close = http_close,
@@ -42,7 +42,7 @@
 
 /* Text of this package's errors. */
 const char *
-platform_strerror(int err)
+source_strerror(int err)
 {
 	static const char *const texts[] = {
 		"ok",
@@ -64,12 +64,12 @@
 }
 
 /* Prepares a session; connections are opened by reads. */
-static struct platform *
+static struct source *
 http_open(const char *host, int port)
 {
-	struct platform *p;
+	struct source *p;
 
-	p = g_new0(struct platform, 1);
+	p = g_new0(struct source, 1);
 	p->session = ne_session_create("http", host, (unsigned int)port);
 	ne_set_connect_timeout(p->session, CONNECT_S);
 	return p;
@@ -77,7 +77,7 @@
 
 /* Releases a session. */
 static void
-http_close(struct platform *p)
+http_close(struct source *p)
 {
 	ne_session_destroy(p->session);
 	g_free(p);
@@ -89,13 +89,13 @@
 {
 	switch (status) {
 	case HTTP_OK:
-		return PLATFORM_OK;
+		return SOURCE_OK;
 	case HTTP_ABSENT:
-		return PLATFORM_EABSENT;
+		return SOURCE_EABSENT;
 	case HTTP_LIMIT:
-		return PLATFORM_ELIMIT;
+		return SOURCE_ELIMIT;
 	default:
-		return PLATFORM_EDOWN;
+		return SOURCE_EDOWN;
 	}
 }
 
@@ -103,7 +103,7 @@
 static int
 session_error(int ne)
 {
-	return ne == NE_TIMEOUT ? PLATFORM_ESLOW : PLATFORM_EDOWN;
+	return ne == NE_TIMEOUT ? SOURCE_ESLOW : SOURCE_EDOWN;
 }
 
 /* Reads a body of bounded size within a bounded time. */
@@ -114,19 +114,19 @@
 	ssize_t n;
 
 	while ((n = ne_read_response_block(req, block, sizeof(block))) > 0) {
-		if (body->len + (size_t)n > PLATFORM_VALUE_MAX)
-			return PLATFORM_ELARGE;
+		if (body->len + (size_t)n > SOURCE_VALUE_MAX)
+			return SOURCE_ELARGE;
 		if (base_now_ms() > deadline)
-			return PLATFORM_ESLOW;
+			return SOURCE_ESLOW;
 		g_byte_array_append(body, (guint8 *)block, (guint)n);
 	}
-	return n < 0 ? PLATFORM_EDOWN : PLATFORM_OK;
+	return n < 0 ? SOURCE_EDOWN : SOURCE_OK;
 }
 
 /* neon gives a connection its timeout when it opens: a new one needs another.
  */
 static void
-set_timeout(struct platform *p, int seconds)
+set_timeout(struct source *p, int seconds)
 {
 	if (p->read_s == seconds)
 		return;
@@ -137,7 +137,7 @@
 
 /* Reads one key. */
 static int
-http_read(struct platform *p, const char *key, uint64_t index, int wait_ms,
+http_read(struct source *p, const char *key, uint64_t index, int wait_ms,
     GBytes **value, uint64_t *new_index)
 {
 	ne_request *req;
@@ -164,16 +164,16 @@
 		err = status_error(ne_get_status(req)->code);
 		if ((hdr = ne_get_response_header(req, "X-Index")) != NULL)
 			*new_index = strtoull(hdr, NULL, 10);
-		if (err == PLATFORM_OK)
+		if (err == SOURCE_OK)
 			err = read_body(req, deadline, body);
-		if (err == PLATFORM_OK && ne_end_request(req) != NE_OK)
-			err = PLATFORM_EDOWN;
+		if (err == SOURCE_OK && ne_end_request(req) != NE_OK)
+			err = SOURCE_EDOWN;
 	}
-	if (err != PLATFORM_OK)
+	if (err != SOURCE_OK)
 		ne_close_connection(p->session);
 	ne_request_destroy(req);
 	*value = g_byte_array_free_to_bytes(body);
-	if (err != PLATFORM_OK) {
+	if (err != SOURCE_OK) {
 		g_bytes_unref(*value);
 		*value = NULL;
 	}
--- a/platform/manifest.c
+++ b/source/manifest.c
@@ -2,7 +2,7 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include "platform.h"
+#include "source.h"
 
 static int read_hash(const struct json *, const char *, unsigned char *);
 
@@ -13,9 +13,9 @@
 	const char *hex;
 
 	if ((hex = json_str(j, key, NULL)) == NULL)
-		return PLATFORM_EGARBLED;
-	return hash_from_hex(hex, hash) == MESH_OK ? PLATFORM_OK
-						   : PLATFORM_EGARBLED;
+		return SOURCE_EGARBLED;
+	return hash_from_hex(hex, hash) == MESH_OK ? SOURCE_OK
+						   : SOURCE_EGARBLED;
 }
 
 /* Reads a head; anything out of place makes it unusable. */
@@ -25,7 +25,7 @@
 	struct report *rep;
 	struct json *j;
 	int64_t number, parts, bytes;
-	int err = PLATFORM_EGARBLED;
+	int err = SOURCE_EGARBLED;
 
 	memset(m, 0, sizeof(*m));
 	rep = report_new();
@@ -33,10 +33,10 @@
 	number = json_int(j, "version", 0);
 	parts = json_int(j, "parts", 0);
 	bytes = json_int(j, "bytes", 0);
-	if (number > 0 && parts > 0 && parts <= PLATFORM_PARTS_MAX &&
+	if (number > 0 && parts > 0 && parts <= SOURCE_PARTS_MAX &&
 	    bytes > 0 && bytes <= BASE_SET_MAX)
 		err = read_hash(j, "hash", m->version.hash);
-	if (err == PLATFORM_OK && json_get(j, "parent") != NULL) {
+	if (err == SOURCE_OK && json_get(j, "parent") != NULL) {
 		err = read_hash(j, "parent", m->parent);
 		m->has_parent = 1;
 	}
@@ -73,5 +73,5 @@
 	char hex[HASH_HEX_LEN];
 
 	hash_to_hex(m->version.hash, hex);
-	return g_strdup_printf("%s/%s/%d", PLATFORM_PART, hex, part);
+	return g_strdup_printf("%s/%s/%d", SOURCE_PART, hex, part);
 }
--- a/platform/reader.c
+++ b/source/reader.c
@@ -8,7 +8,7 @@
 #include <pthread.h>
 #include <string.h>
 
-#include "platform_int.h"
+#include "source_int.h"
 
 #define WAIT_MS	       20000 /* of a waiting read */
 #define BACKOFF_MS     250   /* base of the pause after failures */
@@ -21,7 +21,7 @@
 	const char *key;
 	int (*handle)(struct watch *, GBytes *);
 	struct reader *reader;
-	struct platform *platform;
+	struct source *platform;
 	pthread_t thread;
 	GRand *rand;
 	uint64_t index;	 /* to wait with */
@@ -32,7 +32,7 @@
 };
 
 struct reader {
-	const struct platform_ops *ops;
+	const struct source_ops *ops;
 	struct reader_events ev;
 	int spread_ms;
 	pthread_mutex_t lock; /* guards what follows */
@@ -60,7 +60,7 @@
 static void leave(struct watch *);
 static int is_stopping(struct reader *);
 
-/* Sleeps on the reader's condition; PLATFORM_ESTOPPED when it stops. */
+/* Sleeps on the reader's condition; SOURCE_ESTOPPED when it stops. */
 static int
 sleep_ms(struct reader *r, int64_t ms)
 {
@@ -75,7 +75,7 @@
 		pthread_cond_timedwait(&r->changed, &r->lock, &ts);
 	stopping = r->stopping;
 	pthread_mutex_unlock(&r->lock);
-	return stopping ? PLATFORM_ESTOPPED : PLATFORM_OK;
+	return stopping ? SOURCE_ESTOPPED : SOURCE_OK;
 }
 
 /* Waits until the watch is on duty; its first read needs none. */
@@ -90,7 +90,7 @@
 		pthread_cond_wait(&r->changed, &r->lock);
 	stopping = r->stopping;
 	pthread_mutex_unlock(&r->lock);
-	return stopping ? PLATFORM_ESTOPPED : PLATFORM_OK;
+	return stopping ? SOURCE_ESTOPPED : SOURCE_OK;
 }
 
 /* Takes a read from the node's budget, waiting for it if need be. */
@@ -104,10 +104,10 @@
 		ms = read_budget_take(&r->budget, base_now_ms());
 		pthread_mutex_unlock(&r->lock);
 		if (ms == 0)
-			return PLATFORM_OK;
+			return SOURCE_OK;
 		counter_add(CTR_SOURCE_DEFERRED, 1);
-		if (sleep_ms(r, ms) != PLATFORM_OK)
-			return PLATFORM_ESTOPPED;
+		if (sleep_ms(r, ms) != SOURCE_OK)
+			return SOURCE_ESTOPPED;
 	}
 }
 
@@ -116,8 +116,8 @@
 read_key(struct watch *w, const char *key, uint64_t index, int wait_ms,
     GBytes **value, uint64_t *new_index)
 {
-	if (spend(w->reader) != PLATFORM_OK)
-		return PLATFORM_ESTOPPED;
+	if (spend(w->reader) != SOURCE_OK)
+		return SOURCE_ESTOPPED;
 	counter_add(CTR_SOURCE_READS, 1);
 	return w->reader->ops->read(
 	    w->platform, key, index, wait_ms, value, new_index);
@@ -132,29 +132,29 @@
 	GBytes *part, *whole;
 	uint64_t index;
 	char *key;
-	int i, err = PLATFORM_OK;
+	int i, err = SOURCE_OK;
 
 	text = g_byte_array_new();
-	for (i = 0; i < m->parts && err == PLATFORM_OK; i++) {
+	for (i = 0; i < m->parts && err == SOURCE_OK; i++) {
 		key = manifest_part_key(m, i);
 		err = read_key(w, key, 0, 0, &part, &index);
 		g_free(key);
-		if (err != PLATFORM_OK)
+		if (err != SOURCE_OK)
 			break;
 		g_byte_array_append(text, g_bytes_get_data(part, NULL),
 		    (guint)g_bytes_get_size(part));
 		g_bytes_unref(part);
 		if (text->len > (guint)m->bytes)
-			err = PLATFORM_ELARGE;
+			err = SOURCE_ELARGE;
 	}
 	whole = g_byte_array_free_to_bytes(text);
-	if (err == PLATFORM_OK) {
+	if (err == SOURCE_OK) {
 		version_hash(g_bytes_get_data(whole, NULL),
 		    g_bytes_get_size(whole), hash);
 		if (memcmp(hash, m->version.hash, VERSION_HASH_LEN) != 0)
-			err = PLATFORM_EGARBLED;
+			err = SOURCE_EGARBLED;
 	}
-	if (err == PLATFORM_OK)
+	if (err == SOURCE_OK)
 		w->reader->ev.text(w->reader->ev.arg, m, whole);
 	g_bytes_unref(whole);
 	return err;
@@ -170,7 +170,7 @@
 	const char *text = g_bytes_get_data(value, &len);
 	int err;
 
-	if ((err = manifest_parse(text, len, &m)) != PLATFORM_OK)
+	if ((err = manifest_parse(text, len, &m)) != SOURCE_OK)
 		return err;
 	err = r->ev.head(r->ev.arg, &m);
 	if (err <= 0)
@@ -186,14 +186,14 @@
 	struct json *j;
 	gsize len;
 	const char *text = g_bytes_get_data(value, &len);
-	int err = PLATFORM_EGARBLED;
+	int err = SOURCE_EGARBLED;
 
 	rep = report_new();
 	j = json_parse(text, len, rep);
 	if (json_get(j, "vms") != NULL) {
 		w->reader->ev.vms(
 		    w->reader->ev.arg, json_get(j, "vms"), w->index);
-		err = PLATFORM_OK;
+		err = SOURCE_OK;
 	}
 	json_free(j);
 	report_free(rep);
@@ -206,7 +206,7 @@
 {
 	struct reader *r = w->reader;
 
-	if (err == PLATFORM_OK) {
+	if (err == SOURCE_OK) {
 		w->failures = 0;
 		if (w->logged != 0)
 			base_log(G_LOG_LEVEL_MESSAGE, "source_read",
@@ -215,12 +215,12 @@
 	} else {
 		w->failures++;
 		counter_add(CTR_SOURCE_FAILURES, 1);
-		if (err == PLATFORM_EOLDER)
+		if (err == SOURCE_EOLDER)
 			counter_add(CTR_SOURCE_OLDER, 1);
 		if (err != w->logged)
 			base_log(G_LOG_LEVEL_WARNING, "source_read",
 			    "key=%s error=\"%s\"", w->key,
-			    platform_strerror(err));
+			    source_strerror(err));
 		w->logged = err;
 	}
 	if (w->handle == handle_head) {
@@ -244,24 +244,24 @@
 
 	err = read_key(
 	    w, w->key, w->index, w->index > 0 ? WAIT_MS : 0, &value, &index);
-	if (err != PLATFORM_OK) {
+	if (err != SOURCE_OK) {
 		w->index = 0;
 		return err;
 	}
 	if (is_stopping(w->reader)) {
 		g_bytes_unref(value);
-		return PLATFORM_ESTOPPED;
+		return SOURCE_ESTOPPED;
 	}
 	if (w->index > 0 && index == w->index) {
-		err = PLATFORM_OK; /* the wait ended without a change */
+		err = SOURCE_OK; /* the wait ended without a change */
 	} else if (index < w->newest && w->handle == handle_vms) {
-		err = PLATFORM_EOLDER;
+		err = SOURCE_EOLDER;
 	} else {
 		w->newest = index;
 		w->index = index;
 		err = w->handle(w, value);
 	}
-	if (err != PLATFORM_OK)
+	if (err != SOURCE_OK)
 		w->index = 0;
 	g_bytes_unref(value);
 	return err;
@@ -316,38 +316,38 @@
 	int err;
 
 	if (sleep_ms(r, (int64_t)(r->spread_ms * g_rand_double(w->rand))) !=
-	    PLATFORM_OK)
+	    SOURCE_OK)
 		return;
-	while (wait_duty(w) == PLATFORM_OK) {
+	while (wait_duty(w) == SOURCE_OK) {
 		err = read_once(w);
-		if (err == PLATFORM_ESTOPPED)
+		if (err == SOURCE_ESTOPPED)
 			break;
 		note(w, err);
 		if (!w->first_over &&
-		    (err == PLATFORM_OK || w->failures >= FIRST_TRIES)) {
+		    (err == SOURCE_OK || w->failures >= FIRST_TRIES)) {
 			w->first_over = 1;
 			r->ev.first(r->ev.arg, err);
 		}
-		if (err == PLATFORM_OK)
+		if (err == SOURCE_OK)
 			continue;
 		pause = backoff_ms(w->failures, BACKOFF_MS, BACKOFF_MAX_MS,
 		    g_rand_double(w->rand));
-		if (sleep_ms(r, pause) != PLATFORM_OK)
+		if (sleep_ms(r, pause) != SOURCE_OK)
 			break;
 	}
 }
 
 /* Starts the watches. */
 struct reader *
-reader_start(const struct platform_ops *ops, const char *host, int port,
+reader_start(const struct source_ops *ops, const char *host, int port,
     int reads_per_min, int spread_ms, const struct reader_events *ev)
 {
 	static const struct {
 		const char *key;
 		int (*handle)(struct watch *, GBytes *);
 	} keys[WATCHES] = {
-		{ PLATFORM_HEAD, handle_head },
-		{ PLATFORM_VMS, handle_vms },
+		{ SOURCE_HEAD, handle_head },
+		{ SOURCE_VMS, handle_vms },
 	};
 	pthread_condattr_t attr;
 	struct reader *r;
--- a/platform/platform_int.h
+++ b/source/source_int.h
@@ -1,8 +1,8 @@
 /* Shared inside the package: the node's own budget of reads. */
-#ifndef PLATFORM_INT_H
-#define PLATFORM_INT_H
+#ifndef SOURCE_INT_H
+#define SOURCE_INT_H
 
-#include "platform.h"
+#include "source.h"
 
 /* A bucket of reads that fills at a steady rate. */
 struct read_budget {
--- a/test/test_fuzz.c
+++ b/test/test_fuzz.c
@@ -7,7 +7,7 @@
 #include "../node/delta.h"
 #include "../node/seal.h"
 #include "../node/wire.pb-c.h"
-#include "../platform/platform.h"
+#include "../source/source.h"
 #include "test.h"
 
 #define SEED	 20261204
@@ -127,8 +127,8 @@
 	for (i = 0; i < ROUNDS; i++) {
 		len = sizeof(head_text) - 1;
 		text = mutate(head_text, &len);
-		if (manifest_parse(text, len, &m) == PLATFORM_OK)
-			CU_ASSERT(m.parts > 0 && m.parts <= PLATFORM_PARTS_MAX);
+		if (manifest_parse(text, len, &m) == SOURCE_OK)
+			CU_ASSERT(m.parts > 0 && m.parts <= SOURCE_PARTS_MAX);
 		g_free(text);
 	}
 	g_rand_free(dice);
--- a/test/test_reader.c
+++ b/test/test_reader.c
@@ -6,13 +6,13 @@
 #include <stdatomic.h>
 #include <unistd.h>
 
-#include "../platform/platform_int.h"
+#include "../source/source_int.h"
 #include "test.h"
 
 #define WAIT_US	 1000
 #define PATIENCE 10000 /* waits, until something counts as lost */
 
-struct platform {
+struct source {
 	int unused;
 };
 
@@ -28,27 +28,27 @@
 static atomic_int heads, texts, firsts, lists, closes;
 static atomic_int over; /* waiting reads end */
 
-static struct platform *
+static struct source *
 fake_open(const char *host, int port)
 {
 	(void)host;
 	(void)port;
-	return g_new0(struct platform, 1);
+	return g_new0(struct source, 1);
 }
 
 static void
-fake_close(struct platform *p)
+fake_close(struct source *p)
 {
 	g_free(p);
 	atomic_fetch_add(&closes, 1);
 }
 
 static int
-fake_read(struct platform *p, const char *key, uint64_t index, int wait_ms,
+fake_read(struct source *p, const char *key, uint64_t index, int wait_ms,
     GBytes **value, uint64_t *new_index)
 {
 	GBytes *b;
-	int i, err = PLATFORM_OK;
+	int i, err = SOURCE_OK;
 
 	(void)p;
 	for (i = 0; index > 0 && i < wait_ms / 10 && revision == index &&
@@ -62,11 +62,11 @@
 	if (fail_with != 0)
 		err = fail_with;
 	else if (b == NULL)
-		err = PLATFORM_EABSENT;
+		err = SOURCE_EABSENT;
 	else
 		*value = g_bytes_ref(b);
-	if (next_head != NULL && g_str_has_prefix(key, PLATFORM_PART)) {
-		g_hash_table_insert(values, g_strdup(PLATFORM_HEAD), next_head);
+	if (next_head != NULL && g_str_has_prefix(key, SOURCE_PART)) {
+		g_hash_table_insert(values, g_strdup(SOURCE_HEAD), next_head);
 		revision++;
 		next_head = NULL;
 	}
@@ -74,7 +74,7 @@
 	return err;
 }
 
-static const struct platform_ops fake = { "fake", fake_open, fake_close,
+static const struct source_ops fake = { "fake", fake_open, fake_close,
 	fake_read };
 
 static int
@@ -203,7 +203,7 @@
 
 	begin();
 	head = publish("the first text", 1, 0);
-	g_hash_table_insert(values, g_strdup(PLATFORM_HEAD), head);
+	g_hash_table_insert(values, g_strdup(SOURCE_HEAD), head);
 	next_head = publish("the second one", 2, 0);
 	r = reader_start(&fake, "127.0.0.1", 1, 6000, 0, &events);
 	reader_duty(r, 1);
@@ -220,11 +220,11 @@
 
 	begin();
 	head = publish("the first text", 1, 1);
-	g_hash_table_insert(values, g_strdup(PLATFORM_HEAD), head);
+	g_hash_table_insert(values, g_strdup(SOURCE_HEAD), head);
 	r = reader_start(&fake, "127.0.0.1", 1, 6000, 0, &events);
 	wait_for(&firsts, 2);
 	CU_ASSERT_EQUAL(atomic_load(&texts), 0);
-	CU_ASSERT_EQUAL(reader_error(r), PLATFORM_EGARBLED);
+	CU_ASSERT_EQUAL(reader_error(r), SOURCE_EGARBLED);
 	finish(r);
 }
 
@@ -236,8 +236,8 @@
 
 	begin();
 	g_hash_table_insert(
-	    values, g_strdup(PLATFORM_HEAD), publish("some text", 1, 0));
-	g_hash_table_insert(values, g_strdup(PLATFORM_VMS),
+	    values, g_strdup(SOURCE_HEAD), publish("some text", 1, 0));
+	g_hash_table_insert(values, g_strdup(SOURCE_VMS),
 	    g_bytes_new_static("{\"vms\": []}", 11));
 	r = reader_start(&fake, "127.0.0.1", 1, 6000, 0, &events);
 	wait_for(&firsts, 2);
@@ -267,7 +267,7 @@
 
 	for (i = 0; i < G_N_ELEMENTS(bad); i++)
 		CU_ASSERT_EQUAL(manifest_parse(bad[i], strlen(bad[i]), &m),
-		    PLATFORM_EGARBLED);
+		    SOURCE_EGARBLED);
 }
 
 static void
--- a/tools/deps.sh
+++ b/tools/deps.sh
@@ -4,7 +4,7 @@
 packages="build-essential pkg-config clang clang-format clang-tidy
 	libglib2.0-dev libmicrohttpd-dev libneon27-gnutls-dev libzmq3-dev
 	libsodium-dev liburcu-dev libyajl-dev libprotobuf-c-dev libzstd-dev
-	libxxhash-dev libcunit1-dev mandoc curl gnuplot-nox"
+	libxxhash-dev libevent-dev libhttp-parser-dev libcunit1-dev mandoc curl gnuplot-nox"
 missing=
 for p in $packages; do
 	dpkg-query -W -f '${Status}\n' "$p" 2> /dev/null |
--- a/target/exchange.c
+++ b/upstream/exchange.c
@@ -43,35 +43,6 @@
 	g_free(j);
 }
 
-/* Releases headers. */
-void
-http_headers_free(struct http_header *h, size_t n)
-{
-	size_t i;
-
-	for (i = 0; i < n; i++) {
-		g_free(h[i].name);
-		g_free(h[i].value);
-	}
-	g_free(h);
-}
-
-/* Headers of one connection (RFC 9110, 7.6.1), and those set anew. */
-int
-http_header_hop(const char *name)
-{
-	static const char *const hop[] = { "Connection", "Keep-Alive", "TE",
-		"Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection",
-		"Proxy-Authenticate", "Proxy-Authorization", "Content-Length",
-		"Host", "Expect" };
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(hop); i++)
-		if (g_ascii_strcasecmp(name, hop[i]) == 0)
-			return 1;
-	return 0;
-}
-
 /*
  * neon gives a connection its timeout when it opens.  Longer ones are kept, as
  * the guard answers at the deadline whether or not the worker is back.
--- a/target/target.h
+++ b/upstream/target.h
@@ -6,19 +6,11 @@
 #define TARGET_H
 
 #include "../base/base.h"
+#include "../http/header.h"
 #include "../mesh/mesh.h"
 
 #define TARGET_ANSWER_MAX (8 * 1024 * 1024) /* bytes of an answer's body */
 
-struct http_header {
-	char *name, *value;
-};
-
-/* Releases an array of headers that owns its strings. */
-void http_headers_free(struct http_header *, size_t n);
-/* Whether a header belongs to one connection only and is not passed on. */
-int http_header_hop(const char *name);
-
 /* One request to the target and what came of it. */
 struct exchange_job {
 	void *cookie; /* of the layer above */
--- /dev/null
+++ b/view/config.c
@@ -0,0 +1,146 @@
+/* Configurations: routes by host and longest prefix, turns by weight. */
+#include <string.h>
+
+#include "view.h"
+
+static char *index_key(const char *, size_t, const char *, size_t);
+
+/* Creates an empty configuration with one reference. */
+struct view_config *
+view_config_new(void)
+{
+	struct view_config *c;
+
+	c = g_new0(struct view_config, 1);
+	c->refs = 1;
+	c->index = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return c;
+}
+
+/* Adds a reference. */
+struct view_config *
+view_config_ref(struct view_config *c)
+{
+	c->refs++;
+	return c;
+}
+
+/* Drops a reference; the last one releases the configuration. */
+void
+view_config_unref(struct view_config *c)
+{
+	int i;
+
+	if (c == NULL || --c->refs > 0)
+		return;
+	for (i = 0; i < c->nservices; i++) {
+		g_free(c->services[i].name);
+		g_free(c->services[i].health_path);
+	}
+	for (i = 0; i < c->nroutes; i++) {
+		g_free(c->routes[i].name);
+		g_free(c->routes[i].host);
+		g_free(c->routes[i].prefix);
+		g_free(c->routes[i].parts);
+	}
+	g_free(c->services);
+	g_free(c->routes);
+	g_hash_table_destroy(c->index);
+	g_hash_table_destroy(c->hosts);
+	g_free(c);
+}
+
+/* Key of a host and prefix; hosts match without regard to case. */
+static char *
+index_key(const char *host, size_t hlen, const char *prefix, size_t plen)
+{
+	char *key = g_malloc(hlen + plen + 1);
+	size_t i;
+
+	for (i = 0; i < hlen; i++)
+		key[i] = g_ascii_tolower(host[i]);
+	memcpy(key + hlen, prefix, plen);
+	key[hlen + plen] = '\0';
+	return key;
+}
+
+/* Builds the index. */
+int
+view_config_index(struct view_config *c)
+{
+	struct view_route *r;
+	int i;
+
+	for (i = 0; i < c->nroutes; i++) {
+		r = &c->routes[i];
+		if (!g_hash_table_insert(c->index,
+			index_key(r->host, strlen(r->host), r->prefix,
+			    strlen(r->prefix)),
+			r))
+			return 0;
+		g_hash_table_add(c->hosts, g_ascii_strdown(r->host, -1));
+	}
+	return 1;
+}
+
+/* Finds a service by name. */
+int
+view_find_service(const struct view_config *c, const char *name)
+{
+	int i;
+
+	for (i = 0; i < c->nservices; i++)
+		if (strcmp(c->services[i].name, name) == 0)
+			return i;
+	return -1;
+}
+
+/* Tries each prefix of the path that ends with a slash, longest first. */
+struct view_route *
+view_route(const struct view_config *c, const char *host, const char *path)
+{
+	struct view_route *r;
+	size_t hlen = strcspn(host, ":"), len = strcspn(path, "?#");
+	char *key;
+
+	for (; len > 0; len--) {
+		if (path[len - 1] != '/')
+			continue;
+		key = index_key(host, hlen, path, len);
+		r = g_hash_table_lookup(c->index, key);
+		g_free(key);
+		if (r != NULL)
+			return r;
+	}
+	return NULL;
+}
+
+/*
+ * Smooth weighted turns: each part gains its weight, the richest is taken and
+ * pays the sum.  Shares are exact over each round, so that a route with few
+ * requests keeps its weights, too.
+ */
+int
+view_turn(struct view_route *r, uint32_t random)
+{
+	int i, best = 0, sum = 0;
+
+	if (r->nparts == 1)
+		return r->parts[0].service;
+	for (i = 0; i < r->nparts; i++)
+		sum += r->parts[i].weight;
+	/* Nodes that start together must not take the same turns together. */
+	for (i = 0; i < r->nparts && r->parts[i].credit == 0; i++)
+		;
+	if (i == r->nparts)
+		r->parts[random % (uint32_t)r->nparts].credit =
+		    (int)(random % (uint32_t)sum);
+	for (i = 0; i < r->nparts; i++) {
+		r->parts[i].credit += r->parts[i].weight;
+		if (r->parts[i].credit > r->parts[best].credit)
+			best = i;
+	}
+	r->parts[best].credit -= sum;
+	return r->parts[best].service;
+}
--- /dev/null
+++ b/view/view.c
@@ -0,0 +1,133 @@
+/* Targets that are listed, and data centres that are out. */
+#include <string.h>
+
+#include "view.h"
+
+/* Creates an empty view. */
+struct view *
+view_new(void)
+{
+	struct view *v;
+
+	v = g_new0(struct view, 1);
+	v->targets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	v->out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return v;
+}
+
+/* Releases a view. */
+void
+view_free(struct view *v)
+{
+	view_config_unref(v->config);
+	g_hash_table_destroy(v->targets);
+	g_hash_table_destroy(v->out);
+	g_free(v);
+}
+
+/* Takes a newer configuration. */
+int
+view_take_config(struct view *v, struct view_config *c)
+{
+	if (v->config != NULL && c->version <= v->config->version) {
+		view_config_unref(c);
+		return VIEW_EOLDER;
+	}
+	view_config_unref(v->config);
+	v->config = c;
+	return VIEW_OK;
+}
+
+/* Takes what is listed of a target, unless something newer is held. */
+int
+view_take_target(struct view *v, const struct view_target *t)
+{
+	struct view_target *held = g_hash_table_lookup(v->targets, t->id);
+	int changed;
+
+	if (held == NULL) {
+		if (t->revision <= v->listed_at)
+			return 0;
+		held = g_memdup2(t, sizeof(*t));
+		g_hash_table_insert(v->targets, held->id, held);
+		return 1;
+	}
+	if (t->revision <= held->revision)
+		return 0;
+	changed = held->state != t->state || held->slots != t->slots ||
+		  held->born_ms != t->born_ms ||
+		  strcmp(held->addr, t->addr) != 0 ||
+		  strcmp(held->service, t->service) != 0;
+	*held = *t;
+	return changed;
+}
+
+/* A target is no longer listed. */
+int
+view_drop_target(struct view *v, const char *id, uint64_t revision)
+{
+	const struct view_target *held = g_hash_table_lookup(v->targets, id);
+
+	if (held == NULL || held->revision > revision)
+		return 0;
+	return g_hash_table_remove(v->targets, id);
+}
+
+/* Drops every target that a newer whole list does not name. */
+int
+view_take_list(struct view *v, GHashTable *ids, uint64_t revision)
+{
+	const struct view_target *t;
+	GHashTableIter it;
+	gpointer value;
+	int dropped = 0;
+
+	if (revision < v->listed_at)
+		return 0;
+	v->listed_at = revision;
+	g_hash_table_iter_init(&it, v->targets);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		t = value;
+		if (t->revision > revision || g_hash_table_contains(ids, t->id))
+			continue;
+		g_hash_table_iter_remove(&it);
+		dropped++;
+	}
+	return dropped;
+}
+
+/* Whether a data centre is out. */
+int
+view_is_out(const struct view *v, const char *dc)
+{
+	return g_hash_table_contains(v->out, dc);
+}
+
+/* Takes a data centre out or back. */
+int
+view_set_out(struct view *v, const char *dc, int out)
+{
+	if (out)
+		return g_hash_table_add(v->out, g_strdup(dc));
+	return g_hash_table_remove(v->out, dc);
+}
+
+/* Finds a target by address and service; the last one born goes first. */
+const struct view_target *
+view_target_at(const struct view *v, const char *addr, const char *service)
+{
+	const struct view_target *t, *best = NULL;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, v->targets);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		t = value;
+		if (strcmp(t->addr, addr) == 0 &&
+		    strcmp(t->service, service) == 0 &&
+		    (best == NULL || t->revision > best->revision))
+			best = t;
+	}
+	return best;
+}
