A request owns the name of its caller's service

Ruled out: a wrong machine (the entry was right). Change: the request has a copy. Conclusion: nothing that outlives a callback may point into the settings.

--- a/Makefile
+++ b/Makefile
@@ -100,7 +100,7 @@
 	@echo "  LD $@"
 	@$(CC) $(ALL_CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS)
 
-$(BIN)/test_%: $(OBJ)/test/test_%.o $(STANDIN_OBJ) $(OBJ)/libteaselstep.a
+$(BIN)/test_%: $(OBJ)/test/test_%.o $(OBJ)/test/rig.o $(STANDIN_OBJ) $(OBJ)/libteaselstep.a
 	@mkdir -p $(@D)
 	@echo "  LD $@"
 	@$(CC) $(ALL_CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS) \
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -28,7 +28,7 @@
 	struct view_config *config;
 	const struct view_route *route;
 	const char *service;
-	char *id;
+	char *id, *caller; /* owned: settings may change meanwhile */
 	int64_t arrived, answer_by;
 	struct job job;
 	struct peer *peer;  /* it was sent to, or NULL */
@@ -191,6 +191,7 @@
 					g_rand_int(e->proxy->rand))]
 			 .name;
 	r->id = g_strdup(id != NULL ? id : "");
+	r->caller = g_strdup(e->proxy->settings->service);
 	r->tried = g_ptr_array_new_with_free_func(g_free);
 	r->timer = evtimer_new(e->proxy->base, on_timer, r);
 	g_hash_table_add(e->requests, r);
@@ -199,11 +200,11 @@
 	http_strip_hop(m);
 	r->job = (struct job){ .msg = m,
 		.service = r->service,
-		.caller = e->proxy->settings->service,
+		.caller = r->caller,
 		.id = r->id,
 		.kind = g_str_hash(route->name),
 		.fingerprint =
-		    job_fingerprint(m, e->proxy->settings->service),
+		    job_fingerprint(m, r->caller),
 		.priority = route->priority,
 		.repeatable = route->repeatable,
 		.goal = r->arrived + route->goal_ms,
@@ -456,5 +457,6 @@
 	view_config_unref(r->config);
 	g_ptr_array_free(r->tried, TRUE);
 	g_free(r->id);
+	g_free(r->caller);
 	g_free(r);
 }
--- /dev/null
+++ b/test/rig.h
@@ -0,0 +1,69 @@
+/*
+ * A small mesh in one process: nodes of the data path on loopback addresses,
+ * targets that do as a test says, callers that keep what they were answered.
+ */
+#ifndef RIG_H
+#define RIG_H
+
+#include "../platform/platform.h"
+
+#define RIG_NODES 4
+
+/* A target beside a node. */
+struct rig_target {
+	struct rig *rig;
+	struct http_server *server;
+	char addr[ADDRESS_MAX];
+	char id[VIEW_ID_MAX + 1];
+	int runs;	/* requests that it was given, status checks left out */
+	int checks;	/* status checks */
+	int work_ms;	/* before it answers */
+	int status;	/* of its answers */
+	int sheds;	/* it says that it has not run what it is given */
+	int no_seal;	/* its answers carry no proof */
+	int cold_ms;	/* by its status check */
+	char caller[VIEW_ID_MAX + 1]; /* as the last request named it */
+};
+
+struct rig_node {
+	struct proxy_settings settings;
+	struct view *view;
+	struct proxy *proxy;
+	struct rig_target target;
+};
+
+struct rig {
+	struct event_base *base;
+	struct rig_node nodes[RIG_NODES];
+	int nnodes;
+	int ports; /* first of the ports that all nodes have */
+};
+
+/* One caller's request and what came back. */
+struct rig_call {
+	struct bufferevent *bev;
+	struct http_parse parse;
+	struct http_message *answer; /* or NULL */
+	int ended;		     /* the connection ended */
+	int64_t began, took_ms;
+};
+
+/* n nodes, each beside a target of the service "svc", all in one view. */
+void rig_start(struct rig *, int n);
+void rig_stop(struct rig *);
+/* The service that a node's target belongs to, in every view. */
+void rig_list(struct rig *, int node, const char *service, enum view_state);
+/* Sends a request to a node: "/run/" may be repeated, "/once/" may not. */
+void rig_call(struct rig *, struct rig_call *, int node, const char *path,
+    const char *id, int remaining_ms);
+/* Sends bytes as they are. */
+void rig_raw(struct rig *, struct rig_call *, int node, const char *text);
+void rig_call_end(struct rig_call *);
+/* Lets time pass. */
+void rig_run(struct rig *, int ms);
+/* Until the call is answered or its connection ended, at most 5 s. */
+void rig_wait(struct rig *, struct rig_call *);
+/* Status of the answer, or 0. */
+int rig_status(const struct rig_call *);
+
+#endif
