A target's status check replaces reports while the store is away

Ruled out: a wrong count while cold is known (none above 13 a second). Change: without a report of the target for 2.6 s, or when the store fails, the gate asks the status check every 350 ms. Test: cold_while_the_store_is_away; with the check taken out it fails.

--- a/proxy/probe.c
+++ b/proxy/probe.c
@@ -18,6 +18,12 @@
  * one and a half times that, so a fifth above it is tolerated.
  */
 #define COLD_PERCENT 120
+#define REPORT_MS    2600 /* a report comes each 1.5 s, read with a pause of 0.9 */
+/*
+ * Between two checks in place of reports: of the requests that a cold target
+ * bears in a second and a half, two thirds fit before it is noticed.
+ */
+#define BLIND_MS 350
 
 static void ask(struct gate *);
 static void again(struct gate *);
@@ -25,6 +31,8 @@
 static void on_answer(void *, enum upstream_result, struct http_message *);
 static void up(struct gate *, const struct http_message *);
 static void crashed(struct gate *);
+static void on_blind(evutil_socket_t, short, void *);
+static void blind_in(struct gate *, int);
 
 /* Prepares status checks. */
 void
@@ -32,6 +40,7 @@
 {
 	g->probe_timer = evtimer_new(g->proxy->base, on_timer, g);
 	g->probe_pause_ms = PROBE_PAUSE_MS;
+	g->blind = evtimer_new(g->proxy->base, on_blind, g);
 	g->broken = g_array_new(FALSE, FALSE, sizeof(struct broken));
 }
 
@@ -40,9 +49,54 @@
 gate_probe_clear(struct gate *g)
 {
 	event_free(g->probe_timer);
+	event_free(g->blind);
 	g_array_free(g->broken, TRUE);
 }
 
+/* Sets the time until a missing report is made up for. */
+static void
+blind_in(struct gate *g, int ms)
+{
+	struct timeval tv = { ms / BASE_MS_PER_S,
+		ms % BASE_MS_PER_S * 1000L };
+
+	evtimer_add(g->blind, &tv);
+}
+
+/* A report came. */
+void
+gate_trust(struct gate *g)
+{
+	if (g->mistrust)
+		base_log(G_LOG_LEVEL_MESSAGE, "gate-reports", "back=1");
+	g->mistrust = 0;
+	blind_in(g, REPORT_MS);
+}
+
+/* None can come. */
+void
+gate_mistrust(struct gate *g)
+{
+	if (!g->mistrust)
+		on_blind(-1, 0, g);
+}
+
+/* No report: the target itself is asked, again and again. */
+static void
+on_blind(evutil_socket_t fd, short what, void *arg)
+{
+	struct gate *g = arg;
+
+	(void)fd;
+	(void)what;
+	if (!g->mistrust)
+		base_log(G_LOG_LEVEL_MESSAGE, "gate-reports", "back=0");
+	g->mistrust = 1;
+	if (g->state == GATE_UP)
+		gate_probe(g);
+	blind_in(g, BLIND_MS);
+}
+
 /* The target is cold. */
 void
 gate_set_cold(struct gate *g, int64_t for_ms)
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -96,6 +96,20 @@
 	gate_update(&p->gate);
 }
 
+/* There was a report of the target. */
+void
+proxy_target_reported(struct proxy *p)
+{
+	gate_trust(&p->gate);
+}
+
+/* There will be none. */
+void
+proxy_store_lost(struct proxy *p)
+{
+	gate_mistrust(&p->gate);
+}
+
 /* Takes over what changed in the settings. */
 void
 proxy_settings_changed(struct proxy *p)
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -56,6 +56,13 @@
 void proxy_view_changed(struct proxy *);
 /* The settings changed in place; addresses listened on stay. */
 void proxy_settings_changed(struct proxy *);
+/*
+ * The platform reports of the target beside the node, or cannot be asked.  A
+ * target may become cold at any time; without a report its status check is
+ * asked often.
+ */
+void proxy_target_reported(struct proxy *);
+void proxy_store_lost(struct proxy *);
 /* The target beside the node is not listed any more. */
 void proxy_target_gone(struct proxy *);
 /* Begins to leave: not ready, no new work for the target beside it. */
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -105,6 +105,8 @@
 	struct sending *probe;
 	struct event *probe_timer; /* for its answer, or before the next */
 	int probe_pause_ms;
+	struct event *blind; /* no report of the target came in time */
+	int mistrust;	     /* status checks replace reports */
 	struct event *wake;
 	GPtrArray *running; /* of struct job */
 	struct poison *poison;
@@ -122,6 +124,9 @@
 void gate_set_state(struct gate *, enum gate_state, const char *why);
 /* Asks the target's status check now. */
 void gate_probe(struct gate *);
+/* A report of the target came; none can come. */
+void gate_trust(struct gate *);
+void gate_mistrust(struct gate *);
 int gate_load(const struct gate *);
 /* Counts crashes told by another gate. */
 void gate_suspect(struct gate *, uint64_t fingerprint, int crashes);
--- a/side/follow.c
+++ b/side/follow.c
@@ -199,6 +199,7 @@
 		return 0;
 	}
 	a->follow->trouble_at = base_now_ms();
+	proxy_store_lost(a->follow->proxy);
 	if (a->failures == 0)
 		base_log(G_LOG_LEVEL_MESSAGE, "store-lost",
 		    "question=%s error=%d", a->name, err);
@@ -525,6 +526,7 @@
 		    strcmp(it->name, f->own_id) == 0)
 			f->own_missing = it->value == NULL;
 	}
+	proxy_target_reported(f->proxy);
 	a->after = MAX(a->after, p->as_of);
 	if (f->own_missing && is_calm(f))
 		own_gone(f);
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -83,7 +83,37 @@
 	rig_stop(&r);
 }
 
+/*
+ * A target that became cold while the store cannot be asked is found out by
+ * its status check, and then gets no more than its rate in one second.
+ */
+static void
+cold_while_the_store_is_away(void)
+{
+	struct rig r;
+	struct rig_call c[60];
+	int i, before;
+
+	rig_start(&r, 1);
+	proxy_store_lost(r.nodes[0].proxy);
+	rig_run(&r, 100);
+	r.nodes[0].target.cold_ms = 3000;
+	rig_run(&r, 500);
+	before = r.nodes[0].target.runs;
+	for (i = 0; i < 60; i++) {
+		rig_call(&r, &c[i], 0, "/run/x", "c", 900);
+		rig_run(&r, 10);
+	}
+	/* 20 a second, and a fifth above it. */
+	CU_ASSERT(r.nodes[0].target.runs - before <= 24);
+	CU_ASSERT(r.nodes[0].target.runs - before >= 10);
+	for (i = 0; i < 60; i++)
+		rig_call_end(&c[i]);
+	rig_stop(&r);
+}
+
 static const struct test tests[] = {
+	{ "cold while the store is away", cold_while_the_store_is_away },
 	{ "a leaving node takes no late call",
 	    a_leaving_node_takes_no_late_call },
 	{ "a request is served", a_request_is_served },
