--- a/proxy/choose.c
+++ b/proxy/choose.c
@@ -7,7 +7,7 @@
  * Targets of the own data centre are taken as long as one has a free slot:
  * every kilobyte between data centres costs.
  */
-#define SPILL_LOAD 100 /* percent */
+#define SPILL_LOAD 150 /* percent */
 #define JITTER	   8   /* percent: nodes that see equal loads part ways */
 
 static int was_tried(const GPtrArray *, const char *);
