A lost feeder's link is out of the tables before its nodes turn to another

Ruled out: the serving side (the log ended with the loss of an outgoing link). Change: removed first, then told; the next feeder is never the one just lost. Test: a_feeder_is_lost, a use after free under the address sanitizer before.

--- a/proxy/links.c
+++ b/proxy/links.c
@@ -101,10 +101,10 @@
 	base_log(G_LOG_LEVEL_MESSAGE, "link-closed",
 	    "peer=%s reason=\"%s\" jobs=%u", l->addr != NULL ? l->addr : "-",
 	    why, g_hash_table_size(l->jobs));
-	link_unfed(l);
-	/* Out of the tables first: a job may be sent again at once. */
+	/* Out of the tables first: whoever is told may open a link at once. */
 	if (l->addr != NULL) {
 		g_hash_table_remove(l->links->out, l->addr);
+		link_unfed(l);
 		http_reset(l->bev);
 		l->bev = NULL;
 		fail_jobs(l);
--- a/side/feed.c
+++ b/side/feed.c
@@ -126,12 +126,18 @@
 static void
 next_feeder(struct follow *f, const char *why)
 {
+	char lost[ADDRESS_MAX];
+
 	if (f->feed.addr[0] == '\0')
 		return;
 	base_log(G_LOG_LEVEL_MESSAGE, "feeder-lost", "addr=%s reason=\"%s\"",
 	    f->feed.addr, why);
-	f->feed.rank++;
-	choose(f);
+	/* The order may have changed: one that is of no use is passed by. */
+	g_strlcpy(lost, f->feed.addr, sizeof(lost));
+	do {
+		f->feed.rank++;
+		choose(f);
+	} while (strcmp(f->feed.addr, lost) == 0);
 }
 
 /* The feeder told something. */
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -1,4 +1,6 @@
 /* Following the platform's store: who reads, what is believed, what is not. */
+#include <xxhash.h>
+
 #include "../side/side.h"
 #include "../standin/store.h"
 #include "rig.h"
@@ -283,7 +285,58 @@
 	world_stop(&w);
 }
 
+/* Lists a target without a node that comes first in the order of feeders. */
+static void
+list_first_of_all(struct world *w)
+{
+	char addr[ADDRESS_MAX], best[ADDRESS_MAX] = "";
+	uint64_t h, least = UINT64_MAX;
+	int i;
+
+	for (i = 50; i < 250; i++) {
+		g_snprintf(addr, sizeof(addr), "127.0.0.%d:%d", i,
+		    w->rig.ports);
+		if ((h = XXH64(addr, strlen(addr), 0)) >= least)
+			continue;
+		least = h;
+		g_strlcpy(best, addr, sizeof(best));
+	}
+	store_put_target(w->store, "x", "other", best, "north", "ready", 0);
+}
+
+/*
+ * A feeder whose link ends is left for the next, also when the order has
+ * changed since it was chosen and its turn seems to come again.
+ */
+static void
+a_feeder_is_lost(void)
+{
+	struct world w;
+	int i, j;
+
+	world_start(&w);
+	list_first_of_all(&w);
+	rig_run(&w.rig, 1200);
+	/* Each of them ends its links; whoever read is among them. */
+	for (i = 0; i < NODES; i++) {
+		follow_stop(w.follows[i]);
+		proxy_free(w.rig.nodes[i].proxy);
+		if (proxy_start(&w.rig.nodes[i].proxy, w.rig.base,
+			&w.rig.nodes[i].settings, &platform_headers,
+			platform_ready_path, w.rig.nodes[i].view) != PROXY_OK)
+			g_error("a node cannot listen");
+		forget(&w.rig.nodes[i]);
+		follow_one(&w, i);
+		store_put_config(w.store, 10 + i, "svc", "/run/");
+		rig_run(&w.rig, 1900);
+		for (j = 0; j < NODES; j++)
+			CU_ASSERT_EQUAL(version(&w, j), (uint64_t)(10 + i));
+	}
+	world_stop(&w);
+}
+
 static const struct test tests[] = {
+	{ "a feeder is lost", a_feeder_is_lost },
 	{ "one reads for all", one_reads_for_all },
 	{ "bad input changes nothing", bad_input_changes_nothing },
 	{ "history is forgotten", history_is_forgotten },
