--- a/http/client.c
+++ b/http/client.c
@@ -3,8 +3,10 @@
 
 #include "http.h"
 
-#define HEAD_MAX 16384		    /* bytes */
-#define BODY_MAX (4 * 1024 * 1024) /* bytes: a page of a list is 1 MB, base64 */
+#define HEAD_MAX 16384 /* bytes */
+#define BODY_MAX                                                     \
+	(4 * 1024 * 1024) /* bytes: a page of a list is 1 MB, base64 \
+			   */
 
 struct http_client {
 	struct event_base *base;
--- a/http/http.h
+++ b/http/http.h
@@ -28,9 +28,9 @@
 
 /* One request or answer; owns all it holds. */
 struct http_message {
-	char *method; /* of a request, as "GET" */
-	char *path;   /* of a request, with its query */
-	int status;   /* of an answer */
+	char *method;	 /* of a request, as "GET" */
+	char *path;	 /* of a request, with its query */
+	int status;	 /* of an answer */
 	GArray *headers; /* of struct http_header */
 	GByteArray *body;
 	int keep_alive; /* the sender keeps the connection open */
@@ -42,8 +42,8 @@
 /* Value of a header, or NULL; valid until the headers change. */
 const char *http_find(const struct http_message *, const char *name);
 /* Integer of a header, or the default when absent or not a number. */
-int64_t http_find_int(
-    const struct http_message *, const char *name, int64_t dflt);
+int64_t
+http_find_int(const struct http_message *, const char *name, int64_t dflt);
 void http_add(struct http_message *, const char *name, const char *value);
 void http_remove(struct http_message *, const char *name);
 /* Removes what concerns one connection, and what Connection names. */
@@ -65,8 +65,8 @@
 };
 
 /* Prepares for requests (HTTP_REQUEST) or answers (HTTP_RESPONSE). */
-void http_parse_init(
-    struct http_parse *, enum http_parser_type, size_t head_max, size_t body_max);
+void http_parse_init(struct http_parse *, enum http_parser_type,
+    size_t head_max, size_t body_max);
 void http_parse_free(struct http_parse *);
 /* Forgets what was read and begins with the next message. */
 void http_parse_next(struct http_parse *, enum http_parser_type);
@@ -84,8 +84,8 @@
 
 /* Appends a request or an answer; Host is written for requests if set. */
 void http_write_request(struct evbuffer *, const struct http_message *);
-void http_write_answer(
-    struct evbuffer *, const struct http_message *, int keep_alive, int no_body);
+void http_write_answer(struct evbuffer *, const struct http_message *,
+    int keep_alive, int no_body);
 const char *http_status_text(int status);
 
 /* ---- connections ---- */
--- a/http/message.c
+++ b/http/message.c
@@ -3,6 +3,8 @@
 
 #include "http.h"
 
+static void remove_at(struct http_message *, guint);
+
 /* Releases an array of headers that owns its strings. */
 void
 http_headers_free(struct http_header *h, size_t n)
@@ -98,22 +100,31 @@
 	g_array_append_val(m->headers, h);
 }
 
-/* Removes every header of a name. */
+/* Removes the header at an index. */
+static void
+remove_at(struct http_message *m, guint i)
+{
+	struct http_header *h =
+	    &g_array_index(m->headers, struct http_header, i);
+
+	g_free(h->name);
+	g_free(h->value);
+	g_array_remove_index(m->headers, i);
+}
+
+/* Removes every header of a name, which must not be one of the message's. */
 void
 http_remove(struct http_message *m, const char *name)
 {
-	struct http_header *h;
+	const struct http_header *h;
 	guint i = 0;
 
 	while (i < m->headers->len) {
 		h = &g_array_index(m->headers, struct http_header, i);
-		if (g_ascii_strcasecmp(h->name, name) != 0) {
+		if (g_ascii_strcasecmp(h->name, name) == 0)
+			remove_at(m, i);
+		else
 			i++;
-			continue;
-		}
-		g_free(h->name);
-		g_free(h->value);
-		g_array_remove_index(m->headers, i);
 	}
 }
 
@@ -139,7 +150,7 @@
 		h = &g_array_index(m->headers, struct http_header, i);
 		if (http_header_hop(h->name) &&
 		    g_ascii_strcasecmp(h->name, "Host") != 0)
-			http_remove(m, h->name);
+			remove_at(m, i);
 		else
 			i++;
 	}
--- a/http/parse.c
+++ b/http/parse.c
@@ -158,8 +158,8 @@
 	if (p->err != HTTP_OK)
 		return -1;
 	if (parser->type == HTTP_REQUEST) {
-		p->msg->method = g_strdup(
-		    http_method_str((enum http_method)parser->method));
+		p->msg->method =
+		    g_strdup(http_method_str((enum http_method)parser->method));
 		p->msg->path = g_strdup(p->path->str);
 		if (parser->method == HTTP_CONNECT) {
 			p->err = HTTP_EGARBLED;
@@ -232,7 +232,8 @@
 	if (!p->complete)
 		return HTTP_ENOMESSAGE;
 	/* An interim answer announces the final one. */
-	if (p->msg->status >= STATUS_CONTINUE && p->msg->status < STATUS_FINAL) {
+	if (p->msg->status >= STATUS_CONTINUE &&
+	    p->msg->status < STATUS_FINAL) {
 		http_parse_next(p, HTTP_RESPONSE);
 		return http_parse_feed(p, in);
 	}
--- a/http/server.c
+++ b/http/server.c
@@ -41,8 +41,8 @@
 	void *data;
 };
 
-static void on_accept(struct evconnlistener *, evutil_socket_t,
-    struct sockaddr *, int, void *);
+static void on_accept(
+    struct evconnlistener *, evutil_socket_t, struct sockaddr *, int, void *);
 static void on_read(struct bufferevent *, void *);
 static void on_write(struct bufferevent *, void *);
 static void on_event(struct bufferevent *, short, void *);
@@ -80,8 +80,10 @@
 	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, BACKLOG,
 	    (struct sockaddr *)&sin, sizeof(sin));
 	if (s->listener == NULL) {
-		base_log(G_LOG_LEVEL_WARNING, "listen-failed", "address=%s "
-		    "reason=\"%s\"", addr, g_strerror(errno));
+		base_log(G_LOG_LEVEL_WARNING, "listen-failed",
+		    "address=%s "
+		    "reason=\"%s\"",
+		    addr, g_strerror(errno));
 		g_hash_table_destroy(s->conns);
 		g_free(s);
 		return NULL;
@@ -156,8 +158,7 @@
 static void
 set_timer(struct http_conn *c, int ms)
 {
-	struct timeval tv = { ms / BASE_MS_PER_S,
-		ms % BASE_MS_PER_S * 1000L };
+	struct timeval tv = { ms / BASE_MS_PER_S, ms % BASE_MS_PER_S * 1000L };
 
 	evtimer_add(c->timer, &tv);
 }
@@ -296,8 +297,7 @@
 {
 	int keep = c->keep_alive && !c->server->leaving;
 
-	http_write_answer(
-	    bufferevent_get_output(c->bev), m, keep, c->is_head);
+	http_write_answer(bufferevent_get_output(c->bev), m, keep, c->is_head);
 	c->data = NULL;
 	if (!keep) {
 		c->state = CONN_ENDING;
@@ -320,8 +320,7 @@
 
 	m->status = status;
 	http_add(m, "Content-Type", type);
-	g_byte_array_append(
-	    m->body, (const guint8 *)text, (guint)strlen(text));
+	g_byte_array_append(m->body, (const guint8 *)text, (guint)strlen(text));
 	http_reply(c, m);
 	http_message_free(m);
 }
--- a/http/write.c
+++ b/http/write.c
@@ -71,8 +71,8 @@
 http_write_answer(struct evbuffer *out, const struct http_message *m,
     int keep_alive, int no_body)
 {
-	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", m->status,
-	    http_status_text(m->status));
+	evbuffer_add_printf(
+	    out, "HTTP/1.1 %d %s\r\n", m->status, http_status_text(m->status));
 	write_headers(out, m);
 	if (!no_body)
 		evbuffer_add_printf(
--- a/mesh/admit.c
+++ b/mesh/admit.c
@@ -3,11 +3,11 @@
 
 #include "admit.h"
 
-#define WORK_GUESS_US 50000	/* before the first answer of any kind */
+#define WORK_GUESS_US 50000 /* before the first answer of any kind */
 #define US_PER_MS     1000
 #define US_PER_S      1000000
-#define SMOOTH	      8		/* an answer moves an estimate by 1/8 */
-#define WINDOW_MS     1000	/* in which starts at a cold target count */
+#define SMOOTH	      8	   /* an answer moves an estimate by 1/8 */
+#define WINDOW_MS     1000 /* in which starts at a cold target count */
 /*
  * A request is not started when less than this share of its usual work fits
  * before its deadline, in percent: one in five takes less than half the mean.
@@ -15,8 +15,8 @@
 #define FIT_PERCENT 50
 
 static struct admit_kind *find_kind(struct admit *, uint32_t);
-static int before(const struct admit_request *, const struct admit_request *,
-    int64_t);
+static int
+before(const struct admit_request *, const struct admit_request *, int64_t);
 static int is_cold(const struct admit *, int64_t);
 static int64_t cold_free_at(const struct admit *, int64_t);
 static int ahead_of(const struct admit *, int);
@@ -145,8 +145,7 @@
 
 	over = a->running + ahead + 1 - a->slots;
 	if (over > 0)
-		wait = (int)((int64_t)over * a->mean_us / a->slots /
-			     US_PER_MS);
+		wait = (int)((int64_t)over * a->mean_us / a->slots / US_PER_MS);
 	if (is_cold(a, now)) {
 		cold = MAX(cold_free_at(a, now) - now, 0) +
 		       (int64_t)ahead * WINDOW_MS / a->cold_per_s;
@@ -188,7 +187,8 @@
 	for (i = 0; i < a->waiting->len; i++) {
 		*r = g_array_index(a->waiting, struct admit_request, i);
 		if (now + (int64_t)admit_work_ms(a, r->kind) * FIT_PERCENT /
-			      100 >= r->deadline) {
+			      100 >=
+		    r->deadline) {
 			g_array_remove_index(a->waiting, i);
 			return -1;
 		}
@@ -268,7 +268,7 @@
 	int64_t slots = a->slots;
 
 	if (is_cold(a, now))
-		slots = CLAMP((int64_t)a->cold_per_s * a->mean_us / US_PER_S, 1,
-		    slots);
+		slots = CLAMP(
+		    (int64_t)a->cold_per_s * a->mean_us / US_PER_S, 1, slots);
 	return (int)((a->running + (int64_t)a->waiting->len) * 100 / slots);
 }
--- a/mesh/admit.h
+++ b/mesh/admit.h
@@ -22,28 +22,28 @@
 
 struct admit_kind {
 	uint32_t kind;
-	int work_us;   /* at the target, smoothed */
+	int work_us; /* at the target, smoothed */
 	int samples;
 };
 
 struct admit {
-	int slots;	   /* requests that the target runs at a time */
+	int slots; /* requests that the target runs at a time */
 	int running;
-	GArray *waiting;   /* of struct admit_request, in order of turn */
+	GArray *waiting; /* of struct admit_request, in order of turn */
 	struct admit_kind kinds[ADMIT_KINDS];
 	int nkinds;
-	int mean_us;	   /* of all kinds, smoothed */
+	int mean_us; /* of all kinds, smoothed */
 	/* a cold target bears few requests a second */
 	int64_t cold_until;
 	int cold_per_s;
-	int64_t *starts;   /* ring of the last starts while cold */
+	int64_t *starts; /* ring of the last starts while cold */
 	int nstarts, starts_size;
 };
 
 enum admit_verdict {
-	ADMIT_WAIT,	/* it is held; admit_next gives it out */
-	ADMIT_BUSY,	/* refused: it would come too late */
-	ADMIT_LATE,	/* refused: its time is over */
+	ADMIT_WAIT, /* it is held; admit_next gives it out */
+	ADMIT_BUSY, /* refused: it would come too late */
+	ADMIT_LATE, /* refused: its time is over */
 };
 
 void admit_init(struct admit *);
--- a/node/status.c
+++ b/node/status.c
@@ -131,9 +131,9 @@
 	    n->boot, n->ready ? "true" : "false", n->out ? "true" : "false",
 	    n->leaving ? "true" : "false",
 	    members_isolated(n->members, base_now_ms()) ? "true" : "false",
-	    reader_on_duty(n->reader) ? "true" : "false",
-	    source_strerror(err), g_atomic_int_get(&n->entry.inflight),
-	    link_count(n->link), MESH_RULES);
+	    reader_on_duty(n->reader) ? "true" : "false", source_strerror(err),
+	    g_atomic_int_get(&n->entry.inflight), link_count(n->link),
+	    MESH_RULES);
 	config_status(n->config, out);
 	print_counts(n, out);
 	print_guard(n, out);
--- a/proxy/choose.c
+++ b/proxy/choose.c
@@ -65,8 +65,8 @@
 
 /* Chooses a target: the least loaded near by, else the least loaded. */
 const struct view_target *
-choose_target(struct proxy *p, const char *service, const GPtrArray *tried,
-    int64_t now)
+choose_target(
+    struct proxy *p, const char *service, const GPtrArray *tried, int64_t now)
 {
 	const struct view_target *t, *near = NULL, *far = NULL;
 	int load, near_load = G_MAXINT, far_load = G_MAXINT;
@@ -76,7 +76,8 @@
 	g_hash_table_iter_init(&it, p->view->targets);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		t = value;
-		if (t->state != VIEW_READY || strcmp(t->service, service) != 0 ||
+		if (t->state != VIEW_READY ||
+		    strcmp(t->service, service) != 0 ||
 		    view_is_out(p->view, t->dc) || was_tried(tried, t->addr) ||
 		    choose_peer(p, t->addr)->avoid_until > now)
 			continue;
@@ -91,8 +92,8 @@
 			far = t;
 		}
 	}
-	if (near == NULL || (near_load >= SPILL_LOAD && far != NULL &&
-				far_load < near_load))
+	if (near == NULL ||
+	    (near_load >= SPILL_LOAD && far != NULL && far_load < near_load))
 		return far;
 	return near;
 }
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -9,13 +9,13 @@
 
 #include "proxy_int.h"
 
-#define GATES_MAX     4	  /* gates that one request is offered to */
-#define OVERTIME_MS   100 /* beyond a route's timeout, for the target's word */
-#define BUSY_AVOID_MS 25  /* a gate that refused for load */
-#define DOWN_AVOID_MS 250 /* one whose target is down or leaving */
+#define GATES_MAX     4	   /* gates that one request is offered to */
+#define OVERTIME_MS   100  /* beyond a route's timeout, for the target's word */
+#define BUSY_AVOID_MS 25   /* a gate that refused for load */
+#define DOWN_AVOID_MS 250  /* one whose target is down or leaving */
 #define LOST_AVOID_MS 1000 /* one that a link was lost to */
-#define BACK_MIN_MS   50  /* a refused caller comes back no sooner */
-#define BACK_SHARE    4	  /* and within this part of its goal */
+#define BACK_MIN_MS   50   /* a refused caller comes back no sooner */
+#define BACK_SHARE    4	   /* and within this part of its goal */
 #define HEAD_DEFAULT  16384 /* bytes, until a configuration says */
 #define BODY_DEFAULT  1048576
 #define HEAD_MS	      3000
@@ -31,11 +31,11 @@
 	char *id, *caller; /* owned: settings may change meanwhile */
 	int64_t arrived, answer_by;
 	struct job job;
-	struct peer *peer;  /* it was sent to, or NULL */
-	int local;	    /* it is at the gate here */
-	GPtrArray *tried;   /* addresses, owned */
-	int gates, sends;   /* offers; of these, sent to a target */
-	int ran;	    /* 1: a sending may have run */
+	struct peer *peer; /* it was sent to, or NULL */
+	int local;	   /* it is at the gate here */
+	GPtrArray *tried;  /* addresses, owned */
+	int gates, sends;  /* offers; of these, sent to a target */
+	int ran;	   /* 1: a sending may have run */
 	enum call_outcome last;
 	struct http_message *failure; /* a target's, if nothing better comes */
 	struct event *timer;
@@ -53,7 +53,8 @@
 static void give_up(struct request *);
 static void pass(struct request *, struct http_message *);
 static void refuse(struct request *, enum call_outcome);
-static void reply_error(struct http_conn *, struct entry *, int, int, const char *);
+static void
+reply_error(struct http_conn *, struct entry *, int, int, const char *);
 static void request_free(struct request *);
 static struct spend *spend_of(struct entry *, const char *);
 
@@ -69,8 +70,8 @@
 	e->requests = g_hash_table_new(NULL, NULL);
 	e->spends =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	e->server = http_server_new(
-	    p->base, p->settings->callers, &e->limits, &calls);
+	e->server =
+	    http_server_new(p->base, p->settings->callers, &e->limits, &calls);
 	return e->server != NULL ? PROXY_OK : PROXY_ELISTEN;
 }
 
@@ -141,8 +142,7 @@
 
 	m->status = status;
 	if (back_ms > 0) {
-		g_ascii_formatd(
-		    after, sizeof(after), "%.3f", back_ms / 1000.0);
+		g_ascii_formatd(after, sizeof(after), "%.3f", back_ms / 1000.0);
 		http_add(m, e->proxy->names->retry_after, after);
 	}
 	http_add(m, "Content-Type", "text/plain");
@@ -165,8 +165,8 @@
 	counter_add(CTR_CALLS, 1);
 	id = http_find(m, e->proxy->names->id);
 	if (c == NULL) {
-		base_log(G_LOG_LEVEL_INFO, "refused",
-		    "id=%s outcome=not_ready", id != NULL ? id : "-");
+		base_log(G_LOG_LEVEL_INFO, "refused", "id=%s outcome=not_ready",
+		    id != NULL ? id : "-");
 		reply_error(conn, e, 503, 300, "no configuration yet\n");
 		http_message_free(m);
 		return;
@@ -181,9 +181,10 @@
 	route = view_route(c, host != NULL ? host : "", m->path);
 	if (route == NULL) {
 		base_log(G_LOG_LEVEL_INFO, "refused",
-		    "id=%s outcome=no_route host=%s path=%s version=%"
-		    G_GUINT64_FORMAT, id != NULL ? id : "-",
-		    host != NULL ? host : "-", m->path, c->version);
+		    "id=%s outcome=no_route host=%s path=%s "
+		    "version=%" G_GUINT64_FORMAT,
+		    id != NULL ? id : "-", host != NULL ? host : "-", m->path,
+		    c->version);
 		reply_error(conn, e, 404, 0, "no route\n");
 		http_message_free(m);
 		return;
@@ -195,7 +196,7 @@
 	r->config = view_config_ref(c);
 	r->route = route;
 	r->service = c->services[view_turn((struct view_route *)route,
-					g_rand_int(e->proxy->rand))]
+				     g_rand_int(e->proxy->rand))]
 			 .name;
 	r->id = g_strdup(id != NULL ? id : "");
 	r->caller = g_strdup(e->proxy->settings->service);
@@ -210,8 +211,7 @@
 		.caller = r->caller,
 		.id = r->id,
 		.kind = g_str_hash(route->name),
-		.fingerprint =
-		    job_fingerprint(m, r->caller),
+		.fingerprint = job_fingerprint(m, r->caller),
 		.priority = route->priority,
 		.repeatable = route->repeatable,
 		.goal = r->arrived + route->goal_ms,
@@ -225,8 +225,8 @@
 static void
 set_times(struct request *r, int64_t now)
 {
-	int64_t left = http_find_int(r->msg,
-	    r->entry->proxy->names->remaining_ms, r->route->timeout_ms);
+	int64_t left = http_find_int(
+	    r->msg, r->entry->proxy->names->remaining_ms, r->route->timeout_ms);
 	struct timeval tv;
 
 	r->arrived = now;
@@ -247,9 +247,8 @@
 	char addr[ADDRESS_MAX];
 	int64_t now = base_now_ms();
 
-	t = r->gates < GATES_MAX
-		? choose_target(p, r->service, r->tried, now)
-		: NULL;
+	t = r->gates < GATES_MAX ? choose_target(p, r->service, r->tried, now)
+				 : NULL;
 	if (t == NULL) {
 		refuse(r, r->gates > 0 ? r->last : OUTCOME_NO_TARGET);
 		return;
@@ -263,9 +262,10 @@
 	if (r->gates == 1)
 		spend_request(spend_of(r->entry, r->service), now);
 	base_log(G_LOG_LEVEL_DEBUG, "offered",
-	    "id=%s route=%s service=%s target=%s addr=%s load=%d version=%"
-	    G_GUINT64_FORMAT, r->id, r->route->name, r->service, t->id,
-	    t->addr, r->peer->load, r->config->version);
+	    "id=%s route=%s service=%s target=%s addr=%s load=%d "
+	    "version=%" G_GUINT64_FORMAT,
+	    r->id, r->route->name, r->service, t->id, t->addr, r->peer->load,
+	    r->config->version);
 	if (r->local) {
 		gate_submit(&p->gate, &r->job);
 		return;
@@ -403,9 +403,9 @@
 	counter_add(r->ran ? CTR_REFUSED_UNKNOWN : CTR_REFUSED_NOT_RUN, 1);
 	base_log(G_LOG_LEVEL_INFO, "refused",
 	    "id=%s route=%s outcome=%s status=%d gates=%d sends=%d took_ms=%d "
-	    "back_ms=%d version=%" G_GUINT64_FORMAT, r->id, r->route->name,
-	    outcomes[why].code, status, r->gates, r->sends,
-	    (int)(now - r->arrived), back, r->config->version);
+	    "back_ms=%d version=%" G_GUINT64_FORMAT,
+	    r->id, r->route->name, outcomes[why].code, status, r->gates,
+	    r->sends, (int)(now - r->arrived), back, r->config->version);
 	reply_error(r->conn, r->entry, status, back, outcomes[why].code);
 	request_free(r);
 }
--- a/proxy/gate.c
+++ b/proxy/gate.c
@@ -24,8 +24,7 @@
 {
 	memset(g, 0, sizeof(*g));
 	g->proxy = p;
-	g->upstream =
-	    upstream_new(p->base, p->settings->target, p->names);
+	g->upstream = upstream_new(p->base, p->settings->target, p->names);
 	admit_init(&g->admit);
 	g->running = g_ptr_array_new();
 	g->poison = poison_new();
@@ -160,8 +159,7 @@
 	http_remove(j->msg, n->remaining_ms);
 	http_remove(j->msg, n->caller);
 	http_remove(j->msg, n->expect_target);
-	g_snprintf(
-	    left, sizeof(left), "%" G_GINT64_FORMAT, j->deadline - now);
+	g_snprintf(left, sizeof(left), "%" G_GINT64_FORMAT, j->deadline - now);
 	http_add(j->msg, n->remaining_ms, left);
 	http_add(j->msg, n->caller, j->caller);
 	http_add(j->msg, n->expect_target, g->id);
@@ -228,8 +226,8 @@
 		r.outcome = OUTCOME_BROKEN;
 		break;
 	}
-	admit_done(&g->admit, j->kind,
-	    r.outcome == OUTCOME_ANSWERED ? (int)us : -1);
+	admit_done(
+	    &g->admit, j->kind, r.outcome == OUTCOME_ANSWERED ? (int)us : -1);
 	if (r.outcome == OUTCOME_ANSWERED)
 		poison_clear(g->poison, j->fingerprint);
 	else
--- a/proxy/link_frame.c
+++ b/proxy/link_frame.c
@@ -40,7 +40,8 @@
 	if (evbuffer_get_length(in) < sizeof(be) + len)
 		return 0;
 	evbuffer_drain(in, sizeof(be));
-	*f = link__frame__unpack(NULL, len, evbuffer_pullup(in, (ev_ssize_t)len));
+	*f = link__frame__unpack(
+	    NULL, len, evbuffer_pullup(in, (ev_ssize_t)len));
 	evbuffer_drain(in, len);
 	return *f != NULL ? 1 : -1;
 }
--- a/proxy/link_int.h
+++ b/proxy/link_int.h
@@ -1,4 +1,5 @@
-/* Shared by the parts of links: frames, the side that asks, the side that serves. */
+/* Shared by the parts of links: frames, the side that asks, the side that
+ * serves. */
 #ifndef LINK_INT_H
 #define LINK_INT_H
 
@@ -7,15 +8,15 @@
 struct link {
 	struct links *links;
 	struct bufferevent *bev;
-	char *addr;	     /* of the node it leads to; NULL: made by the other */
+	char *addr; /* of the node it leads to; NULL: made by the other */
 	int connected;
 	int64_t opened_at, heard_at;
-	int64_t pinged_at; /* 0: no question is open */
-	int subscriber; /* the other end asked to be told of news */
+	int64_t pinged_at;    /* 0: no question is open */
+	int subscriber;	      /* the other end asked to be told of news */
 	uint64_t base_number; /* of the news that both ends hold, or 0 */
 	GBytes *base;	      /* those, at the end that was told */
 	uint32_t next_stream;
-	GHashTable *jobs;  /* stream to struct job, or struct served_job */
+	GHashTable *jobs; /* stream to struct job, or struct served_job */
 };
 
 /* Writes one frame. */
@@ -25,8 +26,7 @@
 /* Copies the headers of a message into a list for a frame, and back. */
 Link__Header **link_headers(const struct http_message *);
 void link_headers_free(Link__Header **, size_t);
-void link_read_headers(
-    struct http_message *, Link__Header *const *, size_t);
+void link_read_headers(struct http_message *, Link__Header *const *, size_t);
 
 /* The link to an address, opened if there is none; NULL when it cannot be. */
 struct link *link_to(struct links *, const char *addr);
--- a/proxy/link_state.c
+++ b/proxy/link_state.c
@@ -113,7 +113,8 @@
 			    feed->length, feed->against != 0 ? l->base : NULL);
 		if (full == NULL) {
 			base_log(G_LOG_LEVEL_WARNING, "feed",
-			    "unreadable base=%" G_GUINT64_FORMAT, feed->against);
+			    "unreadable base=%" G_GUINT64_FORMAT,
+			    feed->against);
 			link_unfed(l);
 			return;
 		}
--- a/proxy/links.c
+++ b/proxy/links.c
@@ -10,17 +10,18 @@
 #include "link_int.h"
 
 #define BACKLOG	   256
-#define LOOK_MS	   100 /* between two looks for silence */
-#define SILENT_MS  300 /* without a byte while an answer is due: ask */
-#define PONG_MS	   500 /* without a word after that: the link is dead */
-#define CONNECT_MS 400 /* for a link to open; VMs are 0.1 to 1 ms apart */
+#define LOOK_MS	   100	 /* between two looks for silence */
+#define SILENT_MS  300	 /* without a byte while an answer is due: ask */
+#define PONG_MS	   500	 /* without a word after that: the link is dead */
+#define CONNECT_MS 400	 /* for a link to open; VMs are 0.1 to 1 ms apart */
 #define IDLE_MS	   10000 /* an unused link is closed after */
 
-static struct link *link_new(struct links *, struct bufferevent *, const char *);
+static struct link *
+link_new(struct links *, struct bufferevent *, const char *);
 static void link_close(struct link *, const char *);
 static void fail_jobs(struct link *);
-static void on_accept(struct evconnlistener *, evutil_socket_t,
-    struct sockaddr *, int, void *);
+static void on_accept(
+    struct evconnlistener *, evutil_socket_t, struct sockaddr *, int, void *);
 static void on_read(struct bufferevent *, void *);
 static void on_event(struct bufferevent *, short, void *);
 static void on_timer(evutil_socket_t, short, void *);
@@ -297,8 +298,7 @@
 	}
 	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(stream));
 	j->link = NULL;
-	r.outcome =
-	    a->outcome < OUTCOME_COUNT ? a->outcome : OUTCOME_UNKNOWN;
+	r.outcome = a->outcome < OUTCOME_COUNT ? a->outcome : OUTCOME_UNKNOWN;
 	if (r.outcome == OUTCOME_ANSWERED) {
 		r.answer = http_message_new();
 		r.answer->status = (int)a->status;
--- a/proxy/probe.c
+++ b/proxy/probe.c
@@ -9,16 +9,18 @@
 #include "../mesh/poison.h"
 #include "gate_int.h"
 
-#define PROBE_PAUSE_MS	   100	/* before the second check, then doubling */
+#define PROBE_PAUSE_MS	   100 /* before the second check, then doubling */
 #define PROBE_PAUSE_MAX_MS 1000
 #define PROBE_MS	   1000 /* for an answer; it may wait for a slot */
-#define CRASH_MS	   500	/* a failure and a refused check this close: a crash */
+#define CRASH_MS	   500 /* a failure and a refused check this close: a crash */
 /*
  * A cold target bears the rate that the operator states; the users' bound is
  * one and a half times that, so a fifth above it is tolerated.
  */
 #define COLD_PERCENT 120
-#define REPORT_MS    2600 /* a report comes each 1.5 s, read with a pause of 0.9 */
+#define REPORT_MS                                                   \
+	2600 /* a report comes each 1.5 s, read with a pause of 0.9 \
+	      */
 /*
  * Between two checks in place of reports: of the requests that a cold target
  * bears in a second and a half, two thirds fit before it is noticed.
@@ -57,8 +59,7 @@
 static void
 blind_in(struct gate *g, int ms)
 {
-	struct timeval tv = { ms / BASE_MS_PER_S,
-		ms % BASE_MS_PER_S * 1000L };
+	struct timeval tv = { ms / BASE_MS_PER_S, ms % BASE_MS_PER_S * 1000L };
 
 	evtimer_add(g->blind, &tv);
 }
@@ -140,8 +141,8 @@
 	evbuffer_add_printf(written, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
 	    c->services[i].health_path, g->proxy->settings->target);
 	counter_add(CTR_PROBES, 1);
-	g->probe = upstream_send(
-	    g->upstream, written, NULL, 1, 0, on_answer, g);
+	g->probe =
+	    upstream_send(g->upstream, written, NULL, 1, 0, on_answer, g);
 	evbuffer_free(written);
 	evtimer_add(g->probe_timer, &tv);
 }
@@ -245,7 +246,8 @@
 		poison_raise(g->poison, b->fingerprint, n, now);
 		links_suspect(&g->proxy->links, b->fingerprint, n);
 		base_log(G_LOG_LEVEL_MESSAGE, "crash-suspect",
-		    "fingerprint=%016" G_GINT64_MODIFIER "x crashes=%d target=%s",
+		    "fingerprint=%016" G_GINT64_MODIFIER
+		    "x crashes=%d target=%s",
 		    b->fingerprint, n, g->id);
 	}
 	if (g->broken->len > 0)
@@ -268,8 +270,7 @@
 			g_array_set_size(g->broken, 0);
 		g_array_append_val(g->broken, b);
 		gate_probe(g);
-	} else if (u == UPSTREAM_NOT_SENT ||
-		   (m != NULL && m->status == 421)) {
+	} else if (u == UPSTREAM_NOT_SENT || (m != NULL && m->status == 421)) {
 		if (g->state == GATE_UP)
 			gate_set_state(g, GATE_UNKNOWN,
 			    m != NULL ? "another target" : "no connection");
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -31,13 +31,11 @@
 	p->ready_path = ready_path;
 	p->view = v;
 	p->rand = g_rand_new();
-	p->peers =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	p->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	p->ready_limits =
 	    (struct http_limits){ READY_HEAD, 0, READY_MS, READY_MS };
 	gate_init(&p->gate, p);
-	p->ready =
-	    http_server_new(base, s->ready, &p->ready_limits, &calls);
+	p->ready = http_server_new(base, s->ready, &p->ready_limits, &calls);
 	*out = p;
 	if (links_open(&p->links, p) != PROXY_OK ||
 	    entry_open(&p->entry, p) != PROXY_OK || p->ready == NULL)
@@ -62,8 +60,7 @@
 static int
 is_ready(const struct proxy *p)
 {
-	return !p->leaving && p->view->config != NULL &&
-	       p->view->listed_at > 0;
+	return !p->leaving && p->view->config != NULL && p->view->listed_at > 0;
 }
 
 /* Answers the question whether the node is ready. */
@@ -123,8 +120,7 @@
 proxy_leave(struct proxy *p)
 {
 	p->leaving = 1;
-	p->last_call_at =
-	    base_now_ms() + p->settings->grace_ms / LEAVE_SHARE;
+	p->last_call_at = base_now_ms() + p->settings->grace_ms / LEAVE_SHARE;
 	http_server_leave(p->entry.server);
 	gate_set_state(&p->gate, GATE_LEAVING, "the node leaves");
 }
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -19,9 +19,9 @@
 
 /* Names of headers on requests and answers; the platform's adapter has them. */
 struct header_names {
-	const char *id;		   /* of a caller's attempt, echoed in answers */
-	const char *remaining_ms;  /* how long the sender will wait */
-	const char *seal;	   /* proof that an answer is a target's */
+	const char *id;		  /* of a caller's attempt, echoed in answers */
+	const char *remaining_ms; /* how long the sender will wait */
+	const char *seal;	  /* proof that an answer is a target's */
 	const char *expect_target; /* any target but this refuses */
 	const char *not_run;	   /* the target did not run the request */
 	const char *caller;	   /* service beside which the request began */
@@ -32,14 +32,14 @@
 
 /* What the data path is told of its place. */
 struct proxy_settings {
-	char *name;	  /* of the VM */
+	char *name; /* of the VM */
 	char *data_centre;
-	char *service;	  /* of the target beside the node */
-	char *target;	  /* address of the target */
-	char *callers;	  /* address for callers and the target */
-	char *links;	  /* address for other nodes */
-	char *ready;	  /* address for the question whether it is ready */
-	int grace_ms;	  /* from the wish to stop until the process is killed */
+	char *service; /* of the target beside the node */
+	char *target;  /* address of the target */
+	char *callers; /* address for callers and the target */
+	char *links;   /* address for other nodes */
+	char *ready;   /* address for the question whether it is ready */
+	int grace_ms;  /* from the wish to stop until the process is killed */
 	int retry_window_ms;
 	double retry_ratio; /* repeats a request of a service, in the fleet */
 	double retry_slack; /* repeats in a window beyond these, in the fleet */
@@ -48,9 +48,9 @@
 struct proxy; /* opaque: see proxy_int.h */
 
 /* Listens on all addresses; the settings and the view stay the caller's. */
-int proxy_start(struct proxy **, struct event_base *,
-    const struct proxy_settings *, const struct header_names *,
-    const char *ready_path, struct view *);
+int
+proxy_start(struct proxy **, struct event_base *, const struct proxy_settings *,
+    const struct header_names *, const char *ready_path, struct view *);
 void proxy_free(struct proxy *);
 /* The configuration, the targets or the data centres that are out changed. */
 void proxy_view_changed(struct proxy *);
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -22,7 +22,8 @@
 /* What became of a job. */
 struct result {
 	enum call_outcome outcome;
-	struct http_message *answer; /* of the target; owned by the job's side */
+	struct http_message
+	    *answer; /* of the target; owned by the job's side */
 	int retry_after_ms;
 	int load; /* percent of the target's slots */
 };
@@ -34,7 +35,7 @@
 	uint32_t kind;
 	uint64_t fingerprint;
 	int priority, repeatable;
-	int crashes;	  /* of targets, counted for its fingerprint */
+	int crashes; /* of targets, counted for its fingerprint */
 	int64_t goal, deadline;
 	void (*done)(struct job *, const struct result *);
 	void *arg;
@@ -57,7 +58,7 @@
 };
 
 struct upstream; /* opaque: see upstream.c */
-struct sending; /* opaque: one request at the target */
+struct sending;	 /* opaque: one request at the target */
 
 typedef void (*upstream_done)(
     void *arg, enum upstream_result, struct http_message *answer);
@@ -178,8 +179,8 @@
  * Chooses the target of a service for a request; NULL when none can take it
  * now.  tried lists the addresses that refused it already.
  */
-const struct view_target *choose_target(struct proxy *, const char *service,
-    const GPtrArray *tried, int64_t now);
+const struct view_target *choose_target(
+    struct proxy *, const char *service, const GPtrArray *tried, int64_t now);
 struct peer *choose_peer(struct proxy *, const char *addr);
 /* Address for links of the node beside a target; buf has ADDRESS_MAX. */
 void choose_link(const struct proxy *, const char *addr, char *buf);
--- a/proxy/upstream.c
+++ b/proxy/upstream.c
@@ -17,15 +17,15 @@
 	struct upstream *up;
 	struct bufferevent *bev;
 	struct http_parse parse;
-	struct event *timer; /* for connecting, then for idleness */
+	struct event *timer;   /* for connecting, then for idleness */
 	struct evbuffer *copy; /* the request, until an answer begins */
 	char *id;
 	int repeatable, is_head;
-	int reused;    /* sent on a kept connection */
+	int reused; /* sent on a kept connection */
 	int connected;
-	int strays;    /* answers of other requests were dropped */
+	int strays; /* answers of other requests were dropped */
 	int64_t used_at;
-	int64_t idle_ms; /* it may be kept so long */
+	int64_t idle_ms;    /* it may be kept so long */
 	upstream_done done; /* NULL while idle */
 	void *arg;
 };
@@ -40,8 +40,8 @@
 
 static struct sending *open_sending(struct upstream *);
 static void close_sending(struct sending *);
-static void finish(struct sending *, enum upstream_result,
-    struct http_message *);
+static void
+finish(struct sending *, enum upstream_result, struct http_message *);
 static void keep(struct sending *, const struct http_message *);
 static void fail(struct sending *);
 static int64_t announced_idle(const struct http_message *);
--- a/side/feed.c
+++ b/side/feed.c
@@ -110,12 +110,10 @@
 	}
 
 	if ((guint)f->feed.rank < most)
-		addr = g_array_index(
-		    list, struct candidate_node, f->feed.rank)
+		addr = g_array_index(list, struct candidate_node, f->feed.rank)
 			   .addr;
 	f->feed.chosen_at = f->feed.heard_at = base_now_ms();
-	g_strlcpy(f->feed.addr, addr != NULL ? addr : "",
-	    sizeof(f->feed.addr));
+	g_strlcpy(f->feed.addr, addr != NULL ? addr : "", sizeof(f->feed.addr));
 	base_log(G_LOG_LEVEL_MESSAGE, "feeder", "addr=%s rank=%d of=%u",
 	    addr != NULL ? addr : "self", f->feed.rank, list->len);
 	proxy_subscribe(f->proxy, addr);
@@ -182,18 +180,16 @@
 	(void)what;
 	if (f->view->listed_at == 0)
 		return;
-	if (f->feed.chosen_at == 0)
-		choose(f);
-	else if (f->feed.addr[0] != '\0' && now - f->feed.heard_at > SILENT_MS)
-		next_feeder(f, "silent");
-	else if (f->feed.rank > 0 && now - f->feed.chosen_at > RETURN_MS) {
+	self = f->feed.addr[0] == '\0';
+	if (f->feed.rank > 0 && now - f->feed.chosen_at > RETURN_MS) {
 		f->feed.rank = 0;
 		choose(f);
-	} else if (f->feed.addr[0] == '\0' && f->feed.rank == 0) {
+	} else if (!self && now - f->feed.heard_at > SILENT_MS) {
+		next_feeder(f, "silent");
+	} else if (self && f->feed.rank == 0) {
 		choose(f);
 	}
 	self = f->feed.addr[0] == '\0' || now < f->verify_until;
-	store_reader_watch(
-	    f->reader, self || proxy_subscribers(f->proxy) > 0);
+	store_reader_watch(f->reader, self || proxy_subscribers(f->proxy) > 0);
 	tell(f, now);
 }
--- a/side/follow.c
+++ b/side/follow.c
@@ -6,8 +6,9 @@
 
 #include "follow_int.h"
 
-#define DARK_MS	  150  /* without a word of the store: a node is asked */
-#define VERIFY_MS 3000 /* for reading what another node told; calls take 1.5 s */
+#define DARK_MS 150 /* without a word of the store: a node is asked */
+#define VERIFY_MS \
+	3000 /* for reading what another node told; calls take 1.5 s */
 
 static void on_items(void *, const struct platform_page *);
 static void on_listed(void *, enum platform_part, GHashTable *, uint64_t, int);
@@ -20,8 +21,8 @@
 static int hold(struct follow *, const struct platform_item *);
 static void take_page(struct follow *, const struct platform_page *, int);
 static int is_own_removal(struct follow *, const struct platform_item *);
-static void drop_missing(
-    struct follow *, enum platform_part, GHashTable *, uint64_t);
+static void
+drop_missing(struct follow *, enum platform_part, GHashTable *, uint64_t);
 static void give_state(void *, GString *);
 static void take_state(void *, const char *, size_t);
 static void on_fed(void *, const char *, size_t, int);
@@ -103,7 +104,8 @@
 		return 0;
 	}
 	f->held_at = MAX(f->held_at, it->revision);
-	/* A removal is held as well: another node may tell of what was before. */
+	/* A removal is held as well: another node may tell of what was before.
+	 */
 	g_hash_table_replace(f->held, key, platform_item_copy(it));
 	return 1;
 }
@@ -133,8 +135,8 @@
 		counter_add(CTR_APPLIED, 1);
 		base_log(G_LOG_LEVEL_MESSAGE, "config-accepted",
 		    "version=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
-		    " routes=%d", version, it->revision,
-		    f->view->config->nroutes);
+		    " routes=%d",
+		    version, it->revision, f->view->config->nroutes);
 	}
 	report_free(rep);
 	return taken;
@@ -159,8 +161,8 @@
 		return t.cold_ms > 0;
 	base_log(G_LOG_LEVEL_MESSAGE, "target",
 	    "id=%s service=%s addr=%s state=%d slots=%d cold_ms=%d "
-	    "revision=%" G_GUINT64_FORMAT, t.id, t.service, t.addr, t.state,
-	    t.slots, t.cold_ms, t.revision);
+	    "revision=%" G_GUINT64_FORMAT,
+	    t.id, t.service, t.addr, t.state, t.slots, t.cold_ms, t.revision);
 	return 1;
 }
 
@@ -253,8 +255,8 @@
 		    held->revision > as_of ||
 		    g_hash_table_contains(names, held->name))
 			continue;
-		gone = (struct platform_item){ kind, g_strdup(held->name),
-			NULL, MAX(as_of, held->revision + 1) };
+		gone = (struct platform_item){ kind, g_strdup(held->name), NULL,
+			MAX(as_of, held->revision + 1) };
 		g_array_append_val(p.items, gone);
 	}
 	take_page(f, &p, 0);
@@ -266,8 +268,8 @@
 }
 
 static void
-on_listed(void *arg, enum platform_part part, GHashTable *names,
-    uint64_t as_of, int exact)
+on_listed(void *arg, enum platform_part part, GHashTable *names, uint64_t as_of,
+    int exact)
 {
 	struct follow *f = arg;
 
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -18,10 +18,10 @@
 	struct view *view;
 	struct proxy *proxy;
 	struct store_reader *reader;
-	char *store;	   /* address that is read */
-	GHashTable *held;  /* key to struct platform_item, as last read */
-	uint64_t held_at;  /* revision of the newest of them */
-	int next_peer;	   /* of the settings, asked next in the dark */
+	char *store;	    /* address that is read */
+	GHashTable *held;   /* key to struct platform_item, as last read */
+	uint64_t held_at;   /* revision of the newest of them */
+	int next_peer;	    /* of the settings, asked next in the dark */
 	struct event *dark; /* when */
 	int leaving;
 	/*
--- a/side/reader.c
+++ b/side/reader.c
@@ -14,7 +14,7 @@
  */
 #define OPERATORS_WAIT_MS 3000
 #define TARGETS_WAIT_MS	  1200
-#define TARGETS_PAUSE_MS  800 /* of 2000 until a leaving target gets nothing */
+#define TARGETS_PAUSE_MS  800  /* of 2000 until a leaving target gets nothing */
 #define OVERDUE_MS	  2600 /* without an answer about targets: blind */
 #define RETRY_MS	  150  /* after a failure, doubling */
 #define RETRY_MAX_MS	  1600
--- a/side/settings.c
+++ b/side/settings.c
@@ -3,7 +3,7 @@
 
 #include "side.h"
 
-#define PEERS_MAX 16
+#define PEERS_MAX   16
 #define SET(member) offsetof(struct side_settings, member)
 
 static void
@@ -26,8 +26,8 @@
 	{ "log", FIELD_NAME, SET(log), 0, VIEW_ID_MAX, NULL, 0 },
 	{ "beat_ms", FIELD_INT, SET(beat_ms), 1, 60000, NULL, 0 },
 	{ "grace_ms", FIELD_INT, SET(proxy.grace_ms), 100, 600000, NULL, 0 },
-	{ "retry_window_ms", FIELD_INT, SET(proxy.retry_window_ms), 100,
-	    600000, NULL, 0 },
+	{ "retry_window_ms", FIELD_INT, SET(proxy.retry_window_ms), 100, 600000,
+	    NULL, 0 },
 	{ "retry_ratio", FIELD_REAL, SET(proxy.retry_ratio), 0, 10, NULL, 0 },
 	{ "retry_slack", FIELD_REAL, SET(proxy.retry_slack), 0, 1000000, NULL,
 	    0 },
--- a/side/side.h
+++ b/side/side.h
@@ -15,16 +15,16 @@
 
 struct side_settings {
 	struct proxy_settings proxy;
-	char *store;	/* address of the platform's store */
-	char *metrics;	/* address for metrics */
-	char *log;	/* lowest level shown */
-	char **peers;	/* nodes to ask while the store is away, or NULL */
-	int beat_ms;	/* between two reports of a target to the store */
+	char *store;   /* address of the platform's store */
+	char *metrics; /* address for metrics */
+	char *log;     /* lowest level shown */
+	char **peers;  /* nodes to ask while the store is away, or NULL */
+	int beat_ms;   /* between two reports of a target to the store */
 };
 
 /* Reads settings; every problem goes into the report, and s owns nothing. */
-int side_settings_read(
-    const char *path, struct side_settings *, struct report *);
+int
+side_settings_read(const char *path, struct side_settings *, struct report *);
 void side_settings_free(struct side_settings *);
 
 /* ---- reading the store ---- */
--- a/side/state.c
+++ b/side/state.c
@@ -55,9 +55,8 @@
 			continue;
 		it = (struct platform_item){ (enum platform_kind)s->kind,
 			s->kind == PLATFORM_CONFIG ? NULL : g_strdup(s->name),
-			s->removed
-			    ? NULL
-			    : g_bytes_new(s->value.data, s->value.len),
+			s->removed ? NULL
+				   : g_bytes_new(s->value.data, s->value.len),
 			s->revision };
 		g_array_append_val(p->items, it);
 	}
--- a/side/teaselside.c
+++ b/side/teaselside.c
@@ -7,11 +7,11 @@
 
 #include "side.h"
 
-#define EXIT_USAGE 2
-#define LOOK_MS	   1000 /* between two looks at the settings file */
-#define LEAVE_MS   2600 /* two questions a second apart find it not ready */
+#define EXIT_USAGE    2
+#define LOOK_MS	      1000 /* between two looks at the settings file */
+#define LEAVE_MS      2600 /* two questions a second apart find it not ready */
 #define LEAVE_LOOK_MS 100
-#define END_MS	   300 /* before the platform kills it */
+#define END_MS	      300 /* before the platform kills it */
 
 struct side {
 	struct event_base *base;
@@ -173,8 +173,8 @@
 	}
 	s->metrics_limits = (struct http_limits){ 8192, 0, 5000, 5000 };
 	if (s->settings.metrics != NULL)
-		s->metrics = http_server_new(s->base, s->settings.metrics,
-		    &s->metrics_limits, &metrics);
+		s->metrics = http_server_new(
+		    s->base, s->settings.metrics, &s->metrics_limits, &metrics);
 	s->follow = follow_start(s->base, &s->settings, s->view, s->proxy);
 	hup = evsignal_new(s->base, SIGHUP, on_hangup, s);
 	term = evsignal_new(s->base, SIGTERM, on_stop, s);
--- a/source/http.c
+++ b/source/http.c
@@ -26,8 +26,8 @@
 
 static struct source *http_open(const char *, int);
 static void http_close(struct source *);
-static int http_read(
-    struct source *, const char *, uint64_t, int, GBytes **, uint64_t *);
+static int
+http_read(struct source *, const char *, uint64_t, int, GBytes **, uint64_t *);
 static int read_body(ne_request *, int64_t, GByteArray *);
 static void set_timeout(struct source *, int);
 static int status_error(int);
--- a/source/manifest.c
+++ b/source/manifest.c
@@ -33,8 +33,8 @@
 	number = json_int(j, "version", 0);
 	parts = json_int(j, "parts", 0);
 	bytes = json_int(j, "bytes", 0);
-	if (number > 0 && parts > 0 && parts <= SOURCE_PARTS_MAX &&
-	    bytes > 0 && bytes <= BASE_SET_MAX)
+	if (number > 0 && parts > 0 && parts <= SOURCE_PARTS_MAX && bytes > 0 &&
+	    bytes <= BASE_SET_MAX)
 		err = read_hash(j, "hash", m->version.hash);
 	if (err == SOURCE_OK && json_get(j, "parent") != NULL) {
 		err = read_hash(j, "parent", m->parent);
--- a/source/source.h
+++ b/source/source.h
@@ -12,22 +12,22 @@
 /* Errors of this package. */
 enum source_err {
 	SOURCE_OK = 0,
-	SOURCE_EDOWN = -301,	  /* no connection, or it broke */
-	SOURCE_ESLOW = -302,	  /* not answered within the deadline */
-	SOURCE_EABSENT = -303,  /* no such key */
-	SOURCE_ELARGE = -304,	  /* a value above its bound */
+	SOURCE_EDOWN = -301,	/* no connection, or it broke */
+	SOURCE_ESLOW = -302,	/* not answered within the deadline */
+	SOURCE_EABSENT = -303,	/* no such key */
+	SOURCE_ELARGE = -304,	/* a value above its bound */
 	SOURCE_EGARBLED = -305, /* a value that cannot be understood */
-	SOURCE_EOLDER = -306,	  /* an index or version below one seen */
-	SOURCE_EBUDGET = -307,  /* this node's own budget of reads is spent */
-	SOURCE_ELIMIT = -308,	  /* the service refused for its rate */
+	SOURCE_EOLDER = -306,	/* an index or version below one seen */
+	SOURCE_EBUDGET = -307,	/* this node's own budget of reads is spent */
+	SOURCE_ELIMIT = -308,	/* the service refused for its rate */
 	SOURCE_ESTOPPED = -309, /* the reader is being stopped */
 };
 
 #define SOURCE_VALUE_MAX (1024 * 1024) /* bytes in one value */
-#define SOURCE_PARTS_MAX 8		 /* values that hold one set */
-#define SOURCE_HEAD	   "teaselstep/head"
-#define SOURCE_PART	   "teaselstep/parts"
-#define SOURCE_VMS	   "vms"
+#define SOURCE_PARTS_MAX 8	       /* values that hold one set */
+#define SOURCE_HEAD	 "teaselstep/head"
+#define SOURCE_PART	 "teaselstep/parts"
+#define SOURCE_VMS	 "vms"
 
 struct source; /* opaque: one connection's state */
 
--- a/standin/store.c
+++ b/standin/store.c
@@ -406,8 +406,8 @@
 				"\"%s\",\"Version\":\"v1\",\"Zone\":\"%s\","
 				"\"Slots\":4},\"Status\":{\"State\":\"%s\","
 				"\"Sequence\":1,\"WarmupLeftMs\":%d},"
-				"\"born\":1}", addr, service, zone, state,
-	    cold_ms);
+				"\"born\":1}",
+	    addr, service, zone, state, cold_ms);
 	store_put(s, key, value);
 	g_free(key);
 	g_free(value);
@@ -429,7 +429,8 @@
 	    "\"VirtualHosts\":[{\"Host\":\"rig\",\"PathRules\":[{\"Name\":"
 	    "\"r\",\"Prefix\":\"%s\",\"Kind\":\"idempotent\",\"TimeoutMs\":"
 	    "1000,\"TargetLatencyMs\":400,\"Priority\":1,\"Attempts\":2,"
-	    "\"Service\":\"%s\"}]}]}", version, service, prefix, service);
+	    "\"Service\":\"%s\"}]}]}",
+	    version, service, prefix, service);
 	store_put(s, "op/config", value);
 	g_free(value);
 }
--- a/standin/store.h
+++ b/standin/store.h
@@ -9,10 +9,10 @@
 
 enum store_fault {
 	STORE_WELL,
-	STORE_DOWN,   /* connections are closed without an answer */
-	STORE_BUSY,   /* 503 */
-	STORE_LIMIT,  /* 429 */
-	STORE_SILENT, /* no answer */
+	STORE_DOWN,    /* connections are closed without an answer */
+	STORE_BUSY,    /* 503 */
+	STORE_LIMIT,   /* 429 */
+	STORE_SILENT,  /* no answer */
 	STORE_GARBLED, /* an answer that is no JSON */
 	STORE_FAULTS
 };
@@ -38,7 +38,7 @@
 void store_put_target(struct store *, const char *id, const char *service,
     const char *addr, const char *zone, const char *state, int cold_ms);
 /* Puts a configuration of one service and one route to it. */
-void store_put_config(struct store *, int version, const char *service,
-    const char *prefix);
+void store_put_config(
+    struct store *, int version, const char *service, const char *prefix);
 
 #endif
--- a/test/rig.c
+++ b/test/rig.c
@@ -3,9 +3,11 @@
 #include <string.h>
 #include <unistd.h>
 
+#include <event2/listener.h>
+
 #include "rig.h"
 
-#define PORTS	  6    /* of a node */
+#define PORTS	  6 /* of a node */
 #define PORT_BASE 20000
 #define PORT_SPAN 20000
 #define WAIT_MS	  5000
@@ -96,6 +98,129 @@
 		w->conn = NULL;
 }
 
+/* ---- targets that answer with bytes ---- */
+
+/* One connection of a scripted target. */
+struct rig_raw_conn {
+	struct rig_target *target;
+	struct bufferevent *bev;
+	struct http_parse parse;
+	int asked;
+};
+
+static void
+raw_free(struct rig_raw_conn *c, int reset)
+{
+	c->target->open -= c->asked;
+	http_parse_free(&c->parse);
+	if (reset)
+		http_reset(c->bev);
+	else
+		bufferevent_free(c->bev);
+	g_free(c);
+}
+
+/* Answers one request as the script says; 1 when the connection is gone. */
+static int
+raw_answer(struct rig_raw_conn *c, const struct http_message *m)
+{
+	struct rig_target *t = c->target;
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+	const char *id = http_find(m, platform_headers.id);
+	char **parts, *text;
+
+	if (strcmp(m->path, "/health") == 0) {
+		evbuffer_add_printf(out,
+		    "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+		    platform_headers.target, t->id);
+		return 0;
+	}
+	t->runs++;
+	t->open += !c->asked;
+	c->asked = 1;
+	if (t->then == RIG_HANG)
+		return 0;
+	parts = g_strsplit(t->script, "ID", -1);
+	text = g_strjoinv(id != NULL ? id : "", parts);
+	/* Written past the buffers, as the connection may be reset next. */
+	if (write(bufferevent_getfd(c->bev), text, strlen(text)) < 0)
+		g_error("a scripted target cannot write");
+	g_free(text);
+	g_strfreev(parts);
+	if (t->then == RIG_KEEP)
+		return 0;
+	if (t->then == RIG_RESET)
+		g_usleep(5000);
+	raw_free(c, t->then == RIG_RESET);
+	return 1;
+}
+
+static void
+on_raw_read(struct bufferevent *bev, void *arg)
+{
+	struct rig_raw_conn *c = arg;
+	struct http_message *m;
+	int gone;
+
+	while (
+	    http_parse_feed(&c->parse, bufferevent_get_input(bev)) == HTTP_OK) {
+		m = http_parse_take(&c->parse);
+		http_parse_next(&c->parse, HTTP_REQUEST);
+		gone = raw_answer(c, m);
+		http_message_free(m);
+		if (gone)
+			return;
+	}
+}
+
+static void
+on_raw_event(struct bufferevent *bev, short what, void *arg)
+{
+	(void)bev;
+	(void)what;
+	raw_free(arg, 0);
+}
+
+static void
+on_raw_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa,
+    int len, void *arg)
+{
+	struct rig_raw_conn *c = g_new0(struct rig_raw_conn, 1);
+
+	(void)l;
+	(void)sa;
+	(void)len;
+	c->target = arg;
+	c->bev = bufferevent_socket_new(
+	    c->target->rig->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	http_parse_init(&c->parse, HTTP_REQUEST, 65536, 1048576);
+	bufferevent_setcb(c->bev, on_raw_read, NULL, on_raw_event, c);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+}
+
+/* Makes a target answer with bytes. */
+void
+rig_script(struct rig *r, int node, const char *bytes, enum rig_then then)
+{
+	struct rig_target *t = &r->nodes[node].target;
+	struct sockaddr_in sin;
+
+	t->script = bytes;
+	t->then = then;
+	if (t->listener != NULL)
+		return;
+	http_server_free(t->server);
+	t->server = NULL;
+	address_resolve(t->addr, &sin);
+	t->listener = evconnlistener_new_bind(r->base, on_raw_accept, t,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 64,
+	    (struct sockaddr *)&sin, sizeof(sin));
+	if (t->listener == NULL)
+		g_error("a scripted target cannot listen");
+	/* Kept connections of the other kind end; the gate asks anew. */
+	rig_run(r, 50);
+}
+
 /* Two routes to one service, as operators would write them. */
 static struct view_config *
 make_config(void)
@@ -112,16 +237,16 @@
 	c->routes = g_new0(struct view_route, 2);
 	c->nroutes = 2;
 	for (i = 0; i < 2; i++) {
-		c->routes[i] = (struct view_route){ .name =
-							g_strdup(prefixes[i]),
-			.host = g_strdup("rig"),
-			.prefix = g_strdup(prefixes[i]),
-			.repeatable = i == 0,
-			.timeout_ms = 1000,
-			.goal_ms = 400,
-			.attempts = 2,
-			.parts = g_new0(struct view_part, 1),
-			.nparts = 1 };
+		c->routes[i] =
+		    (struct view_route){ .name = g_strdup(prefixes[i]),
+			    .host = g_strdup("rig"),
+			    .prefix = g_strdup(prefixes[i]),
+			    .repeatable = i == 0,
+			    .timeout_ms = 1000,
+			    .goal_ms = 400,
+			    .attempts = 2,
+			    .parts = g_new0(struct view_part, 1),
+			    .nparts = 1 };
 		c->routes[i].parts[0].weight = 1;
 	}
 	c->limits = (struct view_limits){ 4096, 65536, 300, 5000 };
@@ -162,8 +287,8 @@
 	n->target.rig = r;
 	n->target.status = 200;
 	g_snprintf(n->target.id, sizeof(n->target.id), "t%d", i);
-	g_snprintf(n->target.addr, ADDRESS_MAX, "127.0.0.%d:%d", i + 2,
-	    r->ports);
+	g_snprintf(
+	    n->target.addr, ADDRESS_MAX, "127.0.0.%d:%d", i + 2, r->ports);
 	n->target.server =
 	    http_server_new(r->base, n->target.addr, &limits, &calls);
 	s->name = g_strdup_printf("vm%d", i);
@@ -211,6 +336,8 @@
 	for (i = 0; i < r->nnodes; i++) {
 		proxy_free(r->nodes[i].proxy);
 		http_server_free(r->nodes[i].target.server);
+		if (r->nodes[i].target.listener != NULL)
+			evconnlistener_free(r->nodes[i].target.listener);
 		view_free(r->nodes[i].view);
 		s = &r->nodes[i].settings;
 		g_free(s->name);
@@ -269,8 +396,9 @@
 	char *text;
 
 	text = g_strdup_printf("GET %s HTTP/1.1\r\nHost: rig\r\n%s: %s\r\n"
-			       "%s: %d\r\n\r\n", path, platform_headers.id, id,
-	    platform_headers.remaining_ms, remaining_ms);
+			       "%s: %d\r\n\r\n",
+	    path, platform_headers.id, id, platform_headers.remaining_ms,
+	    remaining_ms);
 	rig_raw(r, c, node, text);
 	g_free(text);
 }
--- a/test/rig.h
+++ b/test/rig.h
@@ -9,20 +9,33 @@
 
 #define RIG_NODES 4
 
+/* What a scripted target does after its bytes. */
+enum rig_then {
+	RIG_KEEP,  /* keeps the connection */
+	RIG_CLOSE, /* closes it */
+	RIG_RESET, /* resets it */
+	RIG_HANG,  /* says nothing at all */
+};
+
 /* A target beside a node. */
 struct rig_target {
 	struct rig *rig;
 	struct http_server *server;
 	char addr[ADDRESS_MAX];
 	char id[VIEW_ID_MAX + 1];
-	int runs;	/* requests that it was given, status checks left out */
-	int checks;	/* status checks */
-	int work_ms;	/* before it answers */
-	int status;	/* of its answers */
-	int sheds;	/* it says that it has not run what it is given */
-	int no_seal;	/* its answers carry no proof */
-	int cold_ms;	/* by its status check */
+	int runs;    /* requests that it was given, status checks left out */
+	int checks;  /* status checks */
+	int work_ms; /* before it answers */
+	int status;  /* of its answers */
+	int sheds;   /* it says that it has not run what it is given */
+	int no_seal; /* its answers carry no proof */
+	int cold_ms; /* by its status check */
 	char caller[VIEW_ID_MAX + 1]; /* as the last request named it */
+	/* a scripted target answers with bytes as they are */
+	struct evconnlistener *listener;
+	const char *script; /* "ID" stands for the id of the request */
+	enum rig_then then;
+	int open; /* connections that requests came by and that are open */
 };
 
 struct rig_node {
@@ -56,6 +69,8 @@
 /* Sends a request to a node: "/run/" may be repeated, "/once/" may not. */
 void rig_call(struct rig *, struct rig_call *, int node, const char *path,
     const char *id, int remaining_ms);
+/* Makes a node's target answer with bytes from now on. */
+void rig_script(struct rig *, int node, const char *bytes, enum rig_then);
 /* Sends bytes as they are. */
 void rig_raw(struct rig *, struct rig_call *, int node, const char *text);
 void rig_call_end(struct rig_call *);
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -42,8 +42,8 @@
 {
 	struct rig_node *n = &w->rig.nodes[i];
 
-	store_put_target(w->store, n->target.id, "svc", n->target.addr,
-	    "north", state, 0);
+	store_put_target(
+	    w->store, n->target.id, "svc", n->target.addr, "north", state, 0);
 }
 
 /* All nodes in one data centre; all targets listed. */
@@ -54,8 +54,8 @@
 
 	memset(w, 0, sizeof(*w));
 	rig_start(&w->rig, NODES);
-	g_snprintf(w->store_addr, ADDRESS_MAX, "127.0.0.1:%d",
-	    w->rig.ports + 4);
+	g_snprintf(
+	    w->store_addr, ADDRESS_MAX, "127.0.0.1:%d", w->rig.ports + 4);
 	w->store = store_new(w->rig.base, w->store_addr, PAGE);
 	store_put_config(w->store, 1, "svc", "/run/");
 	for (i = 0; i < NODES; i++) {
@@ -185,8 +185,8 @@
 	store_set_fault(w.store, STORE_BUSY);
 	store_forget(w.store);
 	for (i = 0; i < NODES; i++) {
-		char *key = g_strdup_printf(
-		    "servers/%s", w.rig.nodes[i].target.id);
+		char *key =
+		    g_strdup_printf("servers/%s", w.rig.nodes[i].target.id);
 
 		store_remove(w.store, key);
 		g_free(key);
@@ -294,8 +294,8 @@
 	int i;
 
 	for (i = 50; i < 250; i++) {
-		g_snprintf(addr, sizeof(addr), "127.0.0.%d:%d", i,
-		    w->rig.ports);
+		g_snprintf(
+		    addr, sizeof(addr), "127.0.0.%d:%d", i, w->rig.ports);
 		if ((h = XXH64(addr, strlen(addr), 0)) >= least)
 			continue;
 		least = h;
--- /dev/null
+++ b/test/test_http.c
@@ -0,0 +1,192 @@
+/* Messages of HTTP/1.1: what is read, what is refused, what is passed on. */
+#include <string.h>
+
+#include "../http/http.h"
+#include "test.h"
+
+#define HEAD_MAX 256
+#define BODY_MAX 64
+
+/* Feeds a text, byte by byte or at once; the result and the message. */
+static int
+feed(const char *text, enum http_parser_type type, int step,
+    struct http_message **m)
+{
+	struct evbuffer *in = evbuffer_new();
+	struct http_parse p;
+	size_t i, n = strlen(text);
+	int err = HTTP_ENOMESSAGE;
+
+	http_parse_init(&p, type, HEAD_MAX, BODY_MAX);
+	for (i = 0; i < n && err == HTTP_ENOMESSAGE; i += (size_t)step) {
+		evbuffer_add(in, text + i, MIN((size_t)step, n - i));
+		err = http_parse_feed(&p, in);
+	}
+	if (err == HTTP_ENOMESSAGE)
+		err = http_parse_end(&p);
+	*m = err == HTTP_OK ? http_parse_take(&p) : NULL;
+	http_parse_free(&p);
+	evbuffer_free(in);
+	return err;
+}
+
+/* Texts and what becomes of them, whole and in single bytes. */
+static void
+requests_are_read_or_refused(void)
+{
+	static const struct {
+		const char *text;
+		int err;
+		const char *body;
+	} cases[] = {
+		{ "GET /a?b HTTP/1.1\r\nHost: x\r\n\r\n", HTTP_OK, "" },
+		{ "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", HTTP_OK,
+		    "abc" },
+		{ "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+		    HTTP_OK, "abc" },
+		{ "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+		  "Content-Length: 3\r\n\r\n0\r\n\r\n",
+		    HTTP_EGARBLED, NULL },
+		{ "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+		  "Content-Length: 4\r\n\r\nabcd",
+		    HTTP_EGARBLED, NULL },
+		{ "GET / HTTP/1.1\r\nbad name: x\r\n\r\n", HTTP_EGARBLED,
+		    NULL },
+		{ "CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n", HTTP_EGARBLED,
+		    NULL },
+		{ "nonsense\r\n\r\n", HTTP_EGARBLED, NULL },
+		{ "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n", HTTP_EBODY,
+		    NULL },
+		{ "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", HTTP_ECUT,
+		    NULL },
+		{ "GET / HTTP/1.1\r\nHost: x\r\n", HTTP_ECUT, NULL },
+	};
+	struct http_message *m;
+	size_t i;
+	int step, err;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (step = 1; step < 1000; step += 998) {
+			err = feed(cases[i].text, HTTP_REQUEST, step, &m);
+			CU_ASSERT_EQUAL(err, cases[i].err);
+			if (err != cases[i].err)
+				printf("case %zu step %d: %d\n", i, step, err);
+			if (m == NULL || cases[i].body == NULL)
+				continue;
+			CU_ASSERT_EQUAL(m->body->len, strlen(cases[i].body));
+			CU_ASSERT_EQUAL(
+			    memcmp(m->body->data, cases[i].body, m->body->len),
+			    0);
+			http_message_free(m);
+		}
+	}
+}
+
+/* A head above its bound is refused, wherever its bytes are. */
+static void
+large_heads_are_refused(void)
+{
+	struct http_message *m;
+	char *text, *fill;
+	int i;
+	static const char *const forms[] = {
+		"GET /%s HTTP/1.1\r\n\r\n",
+		"GET / HTTP/1.1\r\nA: %s\r\n\r\n",
+		"GET / HTTP/1.1\r\n%s: a\r\n\r\n",
+	};
+
+	fill = g_strnfill(HEAD_MAX, 'x');
+	for (i = 0; i < 3; i++) {
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wformat-nonliteral"
+		text = g_strdup_printf(forms[i], fill);
+#pragma GCC diagnostic pop
+		CU_ASSERT_EQUAL(feed(text, HTTP_REQUEST, 7, &m), HTTP_EHEAD);
+		g_free(text);
+	}
+	g_free(fill);
+}
+
+/* Answers: without length, interim, cut, without a body. */
+static void
+answers_are_read_or_refused(void)
+{
+	struct http_message *m;
+
+	CU_ASSERT_EQUAL(
+	    feed("HTTP/1.1 200 OK\r\n\r\nto the end", HTTP_RESPONSE, 3, &m),
+	    HTTP_OK);
+	CU_ASSERT(m->to_end);
+	CU_ASSERT_EQUAL(m->body->len, 10);
+	http_message_free(m);
+	CU_ASSERT_EQUAL(feed("HTTP/1.1 100 Continue\r\n\r\n"
+			     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+			    HTTP_RESPONSE, 1, &m),
+	    HTTP_OK);
+	CU_ASSERT_EQUAL(m->status, 200);
+	CU_ASSERT_FALSE(m->to_end);
+	http_message_free(m);
+	CU_ASSERT_EQUAL(feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok",
+			    HTTP_RESPONSE, 100, &m),
+	    HTTP_ECUT);
+	CU_ASSERT_EQUAL(
+	    feed("\x01\x02\x03 not an answer\r\n\r\n", HTTP_RESPONSE, 100, &m),
+	    HTTP_EGARBLED);
+}
+
+/* What belongs to one connection is not passed on, however often it stands. */
+static void
+hop_headers_are_stripped(void)
+{
+	struct http_message *m;
+
+	CU_ASSERT_EQUAL(
+	    feed("GET / HTTP/1.1\r\nHost: h\r\nKeep-Alive: 1\r\n"
+		 "keep-alive: 2\r\nTE: x\r\nConnection: X-A, host\r\n"
+		 "X-A: 1\r\nX-B: 2\r\n\r\n",
+		HTTP_REQUEST, 100, &m),
+	    HTTP_OK);
+	http_strip_hop(m);
+	CU_ASSERT_EQUAL(m->headers->len, 2);
+	CU_ASSERT_PTR_NOT_NULL(http_find(m, "Host"));
+	CU_ASSERT_PTR_NOT_NULL(http_find(m, "X-B"));
+	http_message_free(m);
+}
+
+/* What is written is read again as it was; bodies always have a length. */
+static void
+written_is_read(void)
+{
+	struct http_message *m = http_message_new(), *again;
+	struct evbuffer *out = evbuffer_new();
+
+	m->method = g_strdup("POST");
+	m->path = g_strdup("/p?q");
+	http_add(m, "Host", "h");
+	http_add(m, "Transfer-Encoding", "chunked");
+	http_add(m, "X-A", "1");
+	g_byte_array_append(m->body, (const guint8 *)"abc", 3);
+	http_write_request(out, m);
+	evbuffer_add(out, "", 1);
+	CU_ASSERT_EQUAL(
+	    feed((char *)evbuffer_pullup(out, -1), HTTP_REQUEST, 100, &again),
+	    HTTP_OK);
+	CU_ASSERT_STRING_EQUAL(again->path, "/p?q");
+	CU_ASSERT_STRING_EQUAL(http_find(again, "Host"), "h");
+	CU_ASSERT_PTR_NULL(http_find(again, "Transfer-Encoding"));
+	CU_ASSERT_EQUAL(again->body->len, 3);
+	http_message_free(again);
+	http_message_free(m);
+	evbuffer_free(out);
+}
+
+static const struct test tests[] = {
+	{ "requests are read or refused", requests_are_read_or_refused },
+	{ "large heads are refused", large_heads_are_refused },
+	{ "answers are read or refused", answers_are_read_or_refused },
+	{ "hop headers are stripped", hop_headers_are_stripped },
+	{ "written is read", written_is_read },
+};
+
+TEST_MAIN("http", tests)
--- /dev/null
+++ b/test/test_platform.c
@@ -0,0 +1,242 @@
+/* Formats of the users' platform, and what the view makes of them. */
+#include <stdio.h>
+
+#include "../platform/platform.h"
+#include "test.h"
+
+#define SERVICES                                                         \
+	"\"Services\":[{\"Name\":\"a\",\"HealthCheckPath\":\"/health\"," \
+	"\"MaxConnections\":9,\"WarmupS\":3.0,\"WarmupPerS\":17.0},"     \
+	"{\"Name\":\"b\",\"HealthCheckPath\":\"/h\",\"MaxConnections\":9}]"
+#define LIMITS                                                 \
+	"\"Limits\":{\"MaxHeaderBytes\":1,\"MaxBodyBytes\":2," \
+	"\"HeaderTimeoutMs\":3,\"IdleTimeoutMs\":4}"
+#define ROUTE(prefix, timeout, to)                          \
+	"{\"Name\":\"r" prefix "\",\"Prefix\":\"" prefix    \
+	"\",\"Kind\":\"idempotent\",\"TimeoutMs\":" timeout \
+	",\"TargetLatencyMs\":40,\"Priority\":2,\"Attempts\":2," to "}"
+#define HOSTS(rules)                                                           \
+	"\"VirtualHosts\":[{\"Host\":\"H.example\",\"PathRules\":[" rules "]}" \
+									  "]"
+#define CONFIG(version, rules) \
+	"{\"Version\":" version "," SERVICES "," LIMITS "," HOSTS(rules) "}"
+#define TO_A "\"Service\":\"a\""
+
+static struct view_config *
+decode(const char *text, int *errors)
+{
+	GBytes *b = g_bytes_new(text, strlen(text));
+	struct report *rep = report_new();
+	struct view_config *c = platform_config_decode(b, rep);
+
+	*errors = rep->errors;
+	report_free(rep);
+	g_bytes_unref(b);
+	return c;
+}
+
+/* Routes by host without regard to case and port, and by longest prefix. */
+static void
+routes_are_found(void)
+{
+	struct view_config *c;
+	int errors;
+
+	c = decode(CONFIG("7", ROUTE("/", "100", TO_A) "," ROUTE("/x/", "100",
+				   TO_A) "," ROUTE("/x/y/", "100", TO_A)),
+	    &errors);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+	CU_ASSERT_EQUAL(c->version, 7);
+	CU_ASSERT_EQUAL(c->services[0].cold_ms, 3000);
+	CU_ASSERT_STRING_EQUAL(
+	    view_route(c, "h.EXAMPLE:80", "/x/y/z?a=/q/")->prefix, "/x/y/");
+	CU_ASSERT_STRING_EQUAL(
+	    view_route(c, "h.example", "/x/yy")->prefix, "/x/");
+	CU_ASSERT_STRING_EQUAL(view_route(c, "h.example", "/x")->prefix, "/");
+	CU_ASSERT_PTR_NULL(view_route(c, "other", "/x/"));
+	CU_ASSERT_PTR_NULL(view_route(c, "", "*"));
+	view_config_unref(c);
+}
+
+/* Each mistake refuses the whole configuration. */
+static void
+mistakes_refuse_it_whole(void)
+{
+	static const char *const bad[] = {
+		"{\"Version\":7,",
+		"[]",
+		"{}",
+		CONFIG("0", ROUTE("/", "100", TO_A)),
+		CONFIG("-1", ROUTE("/", "100", TO_A)),
+		CONFIG("1.5", ROUTE("/", "100", TO_A)),
+		CONFIG("1", ROUTE("/", "0", TO_A)),
+		CONFIG("1", ROUTE("/", "-5", TO_A)),
+		CONFIG("1", ROUTE("/", "\"9\"", TO_A)),
+		CONFIG("1", ROUTE("/", "99999999", TO_A)),
+		CONFIG("1", ROUTE("/", "100", "\"Service\":\"none\"")),
+		CONFIG("1", ROUTE("/x", "100", TO_A)),
+		CONFIG("1", ROUTE("x/", "100", TO_A)),
+		CONFIG("1",
+		    ROUTE("/x/", "100", TO_A) "," ROUTE("/x/", "100", TO_A)),
+		CONFIG("1",
+		    ROUTE("/", "100",
+			"\"TrafficSplit\":[{\"Service\":\"a\",\"Weight\":0}]")),
+		CONFIG("1", ROUTE("/", "100",
+				"\"TrafficSplit\":[{\"Service\":\"a\"}]")),
+		"{\"Version\":1," SERVICES "," HOSTS("") "}",
+	};
+	struct view_config *c;
+	size_t i;
+	int errors;
+
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		c = decode(bad[i], &errors);
+		CU_ASSERT_PTR_NULL(c);
+		CU_ASSERT(errors > 0);
+		if (c != NULL)
+			printf("case %zu was accepted\n", i);
+		view_config_unref(c);
+	}
+}
+
+/* Shares of a split are exact over each round. */
+static void
+shares_of_a_split(void)
+{
+	struct view_config *c;
+	int errors, i, n[2] = { 0, 0 };
+
+	c = decode(
+	    CONFIG(
+		"1", ROUTE("/", "100",
+			 "\"TrafficSplit\":[{\"Service\":\"a\",\"Weight\":90},"
+			 "{\"Service\":\"b\",\"Weight\":10}]")),
+	    &errors);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+	for (i = 0; i < 1000; i++)
+		n[view_turn(&c->routes[0], 12345)]++;
+	CU_ASSERT(n[0] >= 898 && n[0] <= 902);
+	view_config_unref(c);
+}
+
+/* A target's entry names one to use only if all of it can be understood. */
+static void
+entries_of_targets(void)
+{
+	static const struct {
+		const char *text;
+		int err;
+	} cases[] = {
+		{ "{\"Address\":\"10.0.0.1:80\",\"Info\":{\"Service\":\"a\","
+		  "\"Version\":\"v\",\"Zone\":\"z\",\"Slots\":4},\"Status\":{"
+		  "\"State\":\"draining\",\"Sequence\":1,\"WarmupLeftMs\":5},"
+		  "\"born\":77}",
+		    PLATFORM_OK },
+		{ "{\"Address\":\"10.0.0.1:80\",\"Info\":{\"Service\":\"a\","
+		  "\"Zone\":\"z\",\"Slots\":4},\"Status\":{\"State\":\"odd\","
+		  "\"WarmupLeftMs\":5}}",
+		    PLATFORM_EGARBLED },
+		{ "{\"Address\":\"10.0.0.1:80\",\"Info\":{\"Service\":\"a\","
+		  "\"Zone\":\"z\",\"Slots\":\"4\"},\"Status\":{\"State\":"
+		  "\"ready\",\"WarmupLeftMs\":5}}",
+		    PLATFORM_EGARBLED },
+		{ "{\"Address\":\"nowhere\",\"Info\":{\"Service\":\"a\","
+		  "\"Zone\":\"z\",\"Slots\":4},\"Status\":{\"State\":\"ready\","
+		  "\"WarmupLeftMs\":5}}",
+		    PLATFORM_EGARBLED },
+		{ "{\"Address\":\"10.0.0.1:80\",\"Info\":[],\"Status\":{}}",
+		    PLATFORM_EGARBLED },
+		{ "\xff\xfe", PLATFORM_EGARBLED },
+		{ "", PLATFORM_EGARBLED },
+	};
+	struct platform_item it = {
+		.kind = PLATFORM_TARGET, .name = (char *)"t", .revision = 3
+	};
+	struct view_target t;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		it.value = g_bytes_new(cases[i].text, strlen(cases[i].text));
+		CU_ASSERT_EQUAL(platform_target_decode(&it, &t), cases[i].err);
+		g_bytes_unref(it.value);
+		if (i > 0)
+			continue;
+		CU_ASSERT(t.state == VIEW_DRAINING && t.slots == 4 &&
+			  t.cold_ms == 5 && t.born_ms == 77 && t.revision == 3);
+		CU_ASSERT_STRING_EQUAL(t.dc, "z");
+	}
+}
+
+/* Answers of the store; what is no answer is said so. */
+static void
+pages_of_the_store(void)
+{
+	static const char page[] =
+	    "{\"items\":[{\"Key\":\"op/config\",\"Value\":\"e30=\","
+	    "\"Revision\":4,\"CreatedRev\":4,\"Lease\":0},{\"Key\":"
+	    "\"op/evacuate/z\",\"Revision\":5,\"Removed\":true},{\"Key\":"
+	    "\"servers/i\",\"Value\":\"!!\",\"Revision\":6},{\"Key\":"
+	    "\"else\",\"Value\":\"\",\"Revision\":7}],\"HasMore\":true,"
+	    "\"AsOf\":9}";
+	static const char *const bad[] = { "", "{", "[]", "{\"items\":[]}",
+		"{\"AsOf\":\"9\"}", "{\"AsOf\":-2}" };
+	const struct platform_item *it;
+	struct platform_page p;
+	size_t i;
+
+	CU_ASSERT_EQUAL(
+	    platform_page_parse(page, strlen(page), &p), PLATFORM_OK);
+	CU_ASSERT(p.items->len == 4 && p.more && p.as_of == 9);
+	CU_ASSERT_STRING_EQUAL(p.last_key, "else");
+	it = &g_array_index(p.items, struct platform_item, 0);
+	CU_ASSERT(it->kind == PLATFORM_CONFIG && it->revision == 4 &&
+		  g_bytes_get_size(it->value) == 2);
+	it = &g_array_index(p.items, struct platform_item, 1);
+	CU_ASSERT(it->kind == PLATFORM_EVACUATION && it->value == NULL);
+	CU_ASSERT_STRING_EQUAL(it->name, "z");
+	it = &g_array_index(p.items, struct platform_item, 3);
+	CU_ASSERT_EQUAL(it->kind, PLATFORM_OTHER);
+	platform_page_clear(&p);
+	for (i = 0; i < G_N_ELEMENTS(bad); i++)
+		CU_ASSERT_EQUAL(platform_page_parse(bad[i], strlen(bad[i]), &p),
+		    PLATFORM_EGARBLED);
+}
+
+/* The view takes what is newer, and drops what a newer list does not name. */
+static void
+the_view_goes_forward(void)
+{
+	GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
+	struct view_target t = { .id = "t", .addr = "1", .revision = 5 };
+	struct view_config *c;
+	struct view *v = view_new();
+	int errors;
+
+	CU_ASSERT_EQUAL(view_take_target(v, &t), 1);
+	t.revision = 4;
+	t.state = VIEW_DRAINING;
+	CU_ASSERT_EQUAL(view_take_target(v, &t), 0);
+	t.revision = 6;
+	CU_ASSERT_EQUAL(view_take_target(v, &t), 1);
+	CU_ASSERT_EQUAL(view_take_list(v, ids, 5), 0);
+	CU_ASSERT_EQUAL(view_take_list(v, ids, 6), 1);
+	CU_ASSERT_EQUAL(view_take_target(v, &t), 0);
+	c = decode(CONFIG("5", ROUTE("/", "100", TO_A)), &errors);
+	CU_ASSERT_EQUAL(view_take_config(v, c), VIEW_OK);
+	c = decode(CONFIG("5", ROUTE("/", "200", TO_A)), &errors);
+	CU_ASSERT_EQUAL(view_take_config(v, c), VIEW_EOLDER);
+	CU_ASSERT_EQUAL(v->config->routes[0].timeout_ms, 100);
+	view_free(v);
+	g_hash_table_destroy(ids);
+}
+
+static const struct test tests[] = {
+	{ "routes are found", routes_are_found },
+	{ "mistakes refuse it whole", mistakes_refuse_it_whole },
+	{ "shares of a split", shares_of_a_split },
+	{ "entries of targets", entries_of_targets },
+	{ "pages of the store", pages_of_the_store },
+	{ "the view goes forward", the_view_goes_forward },
+};
+
+TEST_MAIN("platform", tests)
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -1,4 +1,5 @@
 /* The data path: whole ways from a caller to a target and back. */
+#include <stdio.h>
 #include <string.h>
 
 #include "rig.h"
@@ -112,7 +113,219 @@
 	rig_stop(&r);
 }
 
+#define OK(n)                                                         \
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Seal: s\r\n" \
+	"Content-Length: " n "\r\n\r\n"
+#define STRAY                                                            \
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Seal: s\r\n" \
+	"Content-Length: 5\r\n\r\nstray"
+
+/*
+ * What a target's bytes become for a caller: whole answers of its own request
+ * or a failure that promises nothing.  Two requests each, as what is wrong may
+ * show with the next one.
+ */
+static void
+bytes_of_targets(void)
+{
+	static const struct {
+		const char *bytes;
+		enum rig_then then;
+		int status;
+		const char *body;
+	} cases[] = {
+		{ OK("4") "good", RIG_KEEP, 200, "good" },
+		{ STRAY OK("4") "good", RIG_KEEP, 200, "good" },
+		{ OK("4") "good" STRAY, RIG_KEEP, 200, "good" },
+		{ OK("4") "good" OK("4") "good", RIG_KEEP, 200, "good" },
+		{ OK("9") "good", RIG_CLOSE, 502, NULL },
+		{ OK("9") "good", RIG_RESET, 502, NULL },
+		{ "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Seal: s"
+		  "\r\n\r\nto the end",
+		    RIG_CLOSE, 200, "to the end" },
+		{ "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Seal: s"
+		  "\r\n\r\nto the e",
+		    RIG_RESET, 502, NULL },
+		{ "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nContent-Length: 2"
+		  "\r\n\r\nhi",
+		    RIG_KEEP, 502, NULL },
+		{ "\x16\x03\x01 no answer\r\n\r\n", RIG_CLOSE, 502, NULL },
+		{ "", RIG_CLOSE, 502, NULL },
+		{ "HTTP/1.1 503 Busy\r\nX-Attempt-Id: ID\r\n"
+		  "Content-Length: 0\r\n\r\n",
+		    RIG_KEEP, 502, NULL },
+		{ "HTTP/1.1 500 Oops\r\nX-Attempt-Id: ID\r\nX-Server-Seal: "
+		  "s\r\nContent-Length: 1\r\n\r\nx",
+		    RIG_KEEP, 500, "x" },
+		{ "HTTP/1.1 503 Full\r\nX-Attempt-Id: ID\r\n"
+		  "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		    RIG_KEEP, 503, NULL },
+	};
+	struct rig r;
+	struct rig_call c;
+	size_t i;
+	int k, runs;
+
+	rig_start(&r, 1);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		rig_script(&r, 0, cases[i].bytes, cases[i].then);
+		for (k = 0; k < 2; k++) {
+			rig_run(&r, 120);
+			runs = r.nodes[0].target.runs;
+			rig_call(&r, &c, 0, "/once/x", "b1", 900);
+			rig_wait(&r, &c);
+			CU_ASSERT_EQUAL(rig_status(&c), cases[i].status);
+			if (rig_status(&c) != cases[i].status)
+				printf("case %zu: %d\n", i, rig_status(&c));
+			/* It may run once: it was sent once. */
+			CU_ASSERT_EQUAL(r.nodes[0].target.runs, runs + 1);
+			if (c.answer != NULL && cases[i].body != NULL) {
+				CU_ASSERT_EQUAL(
+				    c.answer->body->len, strlen(cases[i].body));
+				CU_ASSERT_EQUAL(
+				    memcmp(c.answer->body->data, cases[i].body,
+					c.answer->body->len),
+				    0);
+			}
+			rig_call_end(&c);
+		}
+	}
+	rig_stop(&r);
+}
+
+/* What may be repeated is, elsewhere; what may not is not. */
+static void
+broken_answers_are_made_good(void)
+{
+	struct rig r;
+	struct rig_call c;
+
+	rig_start(&r, 2);
+	rig_script(&r, 0, OK("9") "cut", RIG_CLOSE);
+	rig_run(&r, 300);
+	rig_call(&r, &c, 0, "/run/x", "r1", 900);
+	rig_wait(&r, &c);
+	CU_ASSERT_EQUAL(rig_status(&c), 200);
+	CU_ASSERT(r.nodes[0].target.runs + r.nodes[1].target.runs <= 2);
+	rig_call_end(&c);
+	rig_stop(&r);
+}
+
+/* A request that was not run at one target runs at another, even if once. */
+static void
+what_was_shed_runs_elsewhere(void)
+{
+	struct rig r;
+	struct rig_call c;
+	int i, runs = 0;
+
+	rig_start(&r, 2);
+	r.nodes[0].target.sheds = 1;
+	for (i = 0; i < 6; i++) {
+		rig_call(&r, &c, 0, "/once/x", "s", 900);
+		rig_wait(&r, &c);
+		CU_ASSERT_EQUAL(rig_status(&c), 200);
+		rig_call_end(&c);
+		runs++;
+	}
+	CU_ASSERT_EQUAL(r.nodes[1].target.runs, runs);
+	rig_stop(&r);
+}
+
+/* A caller that goes ends the work for it, here and at another node. */
+static void
+a_caller_goes(void)
+{
+	struct rig r;
+	struct rig_call c;
+	int node;
+
+	for (node = 0; node < 2; node++) {
+		rig_start(&r, 2);
+		rig_script(&r, node, "", RIG_HANG);
+		/* The other one leaves: the request has to go there. */
+		rig_list(&r, 1 - node, "svc", VIEW_DRAINING);
+		rig_run(&r, 200);
+		rig_call(&r, &c, 0, "/run/x", "g", 900);
+		rig_run(&r, 100);
+		CU_ASSERT_EQUAL(r.nodes[node].target.open, 1);
+		rig_call_end(&c);
+		rig_run(&r, 300);
+		CU_ASSERT_EQUAL(r.nodes[node].target.open, 0);
+		rig_stop(&r);
+	}
+}
+
+/* At a route's timeout there is an answer, and the work ends. */
+static void
+timeouts_are_answered(void)
+{
+	struct rig r;
+	struct rig_call c;
+
+	rig_start(&r, 1);
+	rig_script(&r, 0, "", RIG_HANG);
+	rig_run(&r, 200);
+	rig_call(&r, &c, 0, "/run/x", "t", 5000);
+	rig_wait(&r, &c);
+	CU_ASSERT_EQUAL(rig_status(&c), 504);
+	CU_ASSERT(c.took_ms >= 1000 && c.took_ms < 1500);
+	rig_call_end(&c);
+	rig_run(&r, 50);
+	CU_ASSERT_EQUAL(r.nodes[0].target.open, 0);
+	rig_stop(&r);
+}
+
+/* What a caller sends wrongly gets a status of its own. */
+static void
+callers_send_wrongly(void)
+{
+	struct rig r;
+	struct rig_call c;
+	char *big = g_strnfill(5000, 'x');
+	char *head = g_strdup_printf(
+	    "GET /run/x HTTP/1.1\r\nHost: rig\r\nA: %s\r\n\r\n", big);
+	const struct {
+		const char *text;
+		int status;
+	} cases[] = {
+		{ "GET /run/x HTTP/1.1\r\nHost: other\r\n\r\n", 404 },
+		{ "GET /none/x HTTP/1.1\r\nHost: rig\r\n\r\n", 404 },
+		{ "GET /run/x HTTP/1.1\r\n\r\n", 404 },
+		{ "nonsense\r\n\r\n", 400 },
+		{ "POST /run/x HTTP/1.1\r\nHost: rig\r\nContent-Length: 1\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n",
+		    400 },
+		{ head, 431 },
+		{ "POST /run/x HTTP/1.1\r\nHost: rig\r\n"
+		  "Content-Length: 99999\r\n\r\n",
+		    413 },
+		{ "GET /run/x HTTP/1.1\r\nHost: r", 408 },
+	};
+	size_t i;
+
+	rig_start(&r, 1);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		rig_raw(&r, &c, 0, cases[i].text);
+		rig_wait(&r, &c);
+		CU_ASSERT_EQUAL(rig_status(&c), cases[i].status);
+		if (rig_status(&c) != cases[i].status)
+			printf("case %zu: %d\n", i, rig_status(&c));
+		rig_call_end(&c);
+	}
+	CU_ASSERT_EQUAL(r.nodes[0].target.runs, 0);
+	rig_stop(&r);
+	g_free(head);
+	g_free(big);
+}
+
 static const struct test tests[] = {
+	{ "bytes of targets", bytes_of_targets },
+	{ "broken answers are made good", broken_answers_are_made_good },
+	{ "what was shed runs elsewhere", what_was_shed_runs_elsewhere },
+	{ "a caller goes", a_caller_goes },
+	{ "timeouts are answered", timeouts_are_answered },
+	{ "callers send wrongly", callers_send_wrongly },
 	{ "cold while the store is away", cold_while_the_store_is_away },
 	{ "a leaving node takes no late call",
 	    a_leaving_node_takes_no_late_call },
--- a/view/config.c
+++ b/view/config.c
@@ -130,6 +130,8 @@
 		return r->parts[0].service;
 	for (i = 0; i < r->nparts; i++)
 		sum += r->parts[i].weight;
+	if (sum <= 0)
+		return r->parts[0].service;
 	/* Nodes that start together must not take the same turns together. */
 	for (i = 0; i < r->nparts && r->parts[i].credit == 0; i++)
 		;
--- a/view/view.h
+++ b/view/view.h
@@ -93,7 +93,7 @@
 	char service[VIEW_ID_MAX + 1];
 	char addr[ADDRESS_MAX]; /* where it takes requests */
 	char dc[VIEW_ID_MAX + 1];
-	int slots;		/* requests it runs at a time */
+	int slots; /* requests it runs at a time */
 	enum view_state state;
 	int cold_ms;	   /* it stays cold so much longer */
 	int64_t born_ms;   /* wall time of its start, 0 when not said */
