Far targets are taken only while their load is known to be low

Change: what was told 0.6 s ago or earlier counts as half loaded, and a far target is taken only while its load is below its slots.

--- a/proxy/choose.c
+++ b/proxy/choose.c
@@ -8,7 +8,10 @@
  * every kilobyte between data centres costs.
  */
 #define SPILL_LOAD 150 /* percent */
+#define FAR_LOAD   100 /* percent: others are left alone from here on */
 #define JITTER	   8   /* percent: nodes that see equal loads part ways */
+#define STALE_MS   600 /* what was told before says little of now: */
+#define STALE_LOAD 50  /* percent, taken for such a target */
 
 static int was_tried(const GPtrArray *, const char *);
 static int load_of(struct proxy *, const struct view_target *);
@@ -59,6 +62,8 @@
 	if (strcmp(t->addr, p->settings->target) == 0)
 		return gate_load(&p->gate);
 	peer = choose_peer(p, t->addr);
+	if (base_now_ms() - peer->told_at > STALE_MS)
+		return STALE_LOAD + peer->inflight * 100 / t->slots;
 	return peer->load +
 	       (peer->inflight - peer->told_inflight) * 100 / t->slots;
 }
@@ -92,8 +97,9 @@
 			far = t;
 		}
 	}
-	if (near == NULL ||
-	    (near_load >= SPILL_LOAD && far != NULL && far_load < near_load))
+	if (far_load >= FAR_LOAD)
+		far = NULL;
+	if (near == NULL || (near_load >= SPILL_LOAD && far != NULL))
 		return far;
 	return near;
 }
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -300,6 +300,7 @@
 		break;
 	}
 	peer->load = res->load;
+	peer->told_at = now;
 	peer->told_inflight = peer->inflight;
 }
 
