Far targets are taken until one and a half times their slots

Cause: with the bound at their slots a far target with a short queue was left alone, and callers were refused who could be served. Conclusion: 150 %, as for near ones.

--- a/proxy/choose.c
+++ b/proxy/choose.c
@@ -8,7 +8,7 @@
  * every kilobyte between data centres costs.
  */
 #define SPILL_LOAD 150 /* percent */
-#define FAR_LOAD   100 /* percent: others are left alone from here on */
+#define FAR_LOAD   150 /* percent: others are left alone from here on */
 #define JITTER	   8   /* percent: nodes that see equal loads part ways */
 #define STALE_MS   600 /* what was told before says little of now: */
 #define STALE_LOAD 50  /* percent, taken for such a target */
