Logs on standard output, bounded; teaselctl why explains a request from them

Cause: only what went wrong was logged, on standard error, without a bound. Change: each decision over a request is one line (offered, gate-sent, gate-done, gate-refused, answered, refused, cancelled) with its inputs; writing never waits, common lines take at most half of 480 KB a second, what is left out is counted and said. teaselctl why puts the lines of an id in order and ends with the cause. Calls that met no connection leave no line and are said so.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 LIB_OBJ = $(LIB:%.c=$(OBJ)/%.o)
 
 CTL = operator/ctl_common.c operator/ctl_node.c operator/ctl_set.c \
-	operator/ctl_watch.c operator/teaselctl.c
+	operator/ctl_watch.c operator/ctl_why.c operator/teaselctl.c
 CTL_OBJ = $(CTL:%.c=$(OBJ)/%.o)
 
 REPLAY = replay/replay.c replay/replay_call.c replay/replay_guard.c \
--- a/base/base.h
+++ b/base/base.h
@@ -47,6 +47,12 @@
 
 /* Sends GLib's log to standard error, one line a record. */
 void base_log_init(const char *program);
+/*
+ * Sends it to standard output instead, for a process whose reader may be slow:
+ * writing never waits, and lines above bytes_per_s are left out, those of
+ * lesser levels first.  What was left out is counted and said each second.
+ */
+void base_log_bounded(const char *program, int bytes_per_s);
 /* Sets the lowest level shown; returns BASE_EINVAL for an unknown name. */
 int base_log_level(const char *name);
 /* Writes one record: an event name, then details as printf text. */
@@ -92,6 +98,7 @@
 	CTR_SPREAD_BYTES_SENT, /* of these, for configuration changes */
 	CTR_SUSPECTED,	       /* peers that became suspect */
 	CTR_LINK_BYTES,	       /* sent on links of the data path */
+	CTR_LOG_DROPPED,       /* lines of the log left out */
 	CTR_PROBES,	       /* status checks of the target */
 	CTR_PAUSES,	       /* gaps between two ticks of the node */
 	CTR_COUNT
--- a/base/counter.c
+++ b/base/counter.c
@@ -43,6 +43,7 @@
 	[CTR_SPREAD_BYTES_SENT] = "config_bytes_sent_total",
 	[CTR_SUSPECTED] = "peers_suspected_total",
 	[CTR_LINK_BYTES] = "link_bytes_sent_total",
+	[CTR_LOG_DROPPED] = "log_lines_dropped_total",
 	[CTR_PROBES] = "status_checks_total",
 	[CTR_PAUSES] = "pauses_total",
 };
--- a/operator/teaselctl.c
+++ b/operator/teaselctl.c
@@ -22,6 +22,7 @@
 	{ "trace", ctl_trace, "show the hops of a call" },
 	{ "top", ctl_top, "watch calls, refusals and limits" },
 	{ "explain", ctl_explain, "show which targets a request would take" },
+	{ "why", ctl_why, "tell from logs what became of a request" },
 	{ "quarantine", ctl_quarantine, "list or release refused requests" },
 	{ "key", ctl_key, "make a fleet's key" },
 };
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -261,7 +261,7 @@
 	counter_add(CTR_FORWARDS, 1);
 	if (r->gates == 1)
 		spend_request(spend_of(r->entry, r->service), now);
-	base_log(G_LOG_LEVEL_DEBUG, "offered",
+	base_log(G_LOG_LEVEL_INFO, "offered",
 	    "id=%s route=%s service=%s target=%s addr=%s load=%d "
 	    "version=%" G_GUINT64_FORMAT,
 	    r->id, r->route->name, r->service, t->id, t->addr, r->peer->load,
@@ -376,7 +376,7 @@
 {
 	http_strip_hop(m);
 	counter_add(CTR_ANSWERED, 1);
-	base_log(G_LOG_LEVEL_DEBUG, "answered",
+	base_log(G_LOG_LEVEL_INFO, "answered",
 	    "id=%s status=%d took_ms=%d gates=%d", r->id, m->status,
 	    (int)(base_now_ms() - r->arrived), r->gates);
 	http_reply(r->conn, m);
--- a/proxy/gate.c
+++ b/proxy/gate.c
@@ -180,7 +180,7 @@
 	j->sending = upstream_send(g->upstream, written, j->id, j->repeatable,
 	    strcmp(j->msg->method, "HEAD") == 0, on_done, j);
 	evbuffer_free(written);
-	base_log(G_LOG_LEVEL_DEBUG, "gate-sent",
+	base_log(G_LOG_LEVEL_INFO, "gate-sent",
 	    "id=%s target=%s running=%d left_ms=%d", j->id, g->id,
 	    g->admit.running, (int)(j->deadline - now));
 	if (j->sending == NULL)
@@ -233,7 +233,7 @@
 	else
 		gate_doubt(g, j, u, m);
 	r.load = gate_load(g);
-	base_log(r.outcome == OUTCOME_ANSWERED ? G_LOG_LEVEL_DEBUG
+	base_log(r.outcome == OUTCOME_ANSWERED ? G_LOG_LEVEL_INFO
 					       : G_LOG_LEVEL_MESSAGE,
 	    "gate-done", "id=%s outcome=%s target=%s status=%d took_ms=%d",
 	    j->id, outcomes[r.outcome].code, g->id, m != NULL ? m->status : 0,
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -171,8 +171,8 @@
 	char addr[ADDRESS_MAX]; /* of the target */
 	int load;		/* percent, as last told */
 	int64_t told_at;
-	int inflight;		/* sent from here and not answered */
-	int told_inflight;	/* of these, when the load was told */
+	int inflight;	   /* sent from here and not answered */
+	int told_inflight; /* of these, when the load was told */
 	int64_t avoid_until;
 };
 
--- /dev/null
+++ b/regress/why/unknown.cmd
@@ -0,0 +1,1 @@
+why nobody entry.log gate.log
--- /dev/null
+++ b/regress/why/unreadable.cmd
@@ -0,0 +1,1 @@
+why x none.log
--- a/side/teaselside.c
+++ b/side/teaselside.c
@@ -7,11 +7,13 @@
 
 #include "side.h"
 
-#define EXIT_USAGE    2
-#define LOOK_MS	      1000 /* between two looks at the settings file */
-#define LEAVE_MS      2600 /* two questions a second apart find it not ready */
-#define LEAVE_LOOK_MS 100
-#define END_MS	      300 /* before the platform kills it */
+#define EXIT_USAGE 2
+/* Three lines of 200 bytes for each of 400 requests a second, twice over. */
+#define LOG_BYTES_PER_S 480000
+#define LOOK_MS		1000 /* between two looks at the settings file */
+#define LEAVE_MS	2600 /* two questions a second apart find it not ready */
+#define LEAVE_LOOK_MS	100
+#define END_MS		300 /* before the platform kills it */
 
 struct side {
 	struct event_base *base;
@@ -233,7 +235,7 @@
 		return EXIT_USAGE;
 	}
 	signal(SIGPIPE, SIG_IGN);
-	base_log_init("teaselside");
+	base_log_bounded("teaselside", LOG_BYTES_PER_S);
 	if (stat(s.path, &s.seen) != 0 ||
 	    read_settings(s.path, &s.settings) != SIDE_OK)
 		return EXIT_FAILURE;
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -17,7 +17,7 @@
 	",\"TargetLatencyMs\":40,\"Priority\":2,\"Attempts\":2," to "}"
 #define HOSTS(rules)                                                           \
 	"\"VirtualHosts\":[{\"Host\":\"H.example\",\"PathRules\":[" rules "]}" \
-									  "]"
+	"]"
 #define CONFIG(version, rules) \
 	"{\"Version\":" version "," SERVICES "," LIMITS "," HOSTS(rules) "}"
 #define TO_A "\"Service\":\"a\""
