--- a/Makefile
+++ b/Makefile
@@ -121,7 +121,7 @@
 
 # Unit tests, one program a module, then inputs beside expected output.
 unit: all $(TESTS)
-	@for t in $(TESTS); do echo "== $$t"; $$t || exit 1; done
+	@for t in $(TESTS); do echo "== $$t"; BIN=$(BIN) $$t || exit 1; done
 	@BIN=$(BIN) tools/regress.sh
 	@$(BIN)/teaselreplay traces/*.jsonl
 	@$(BIN)/teaselreplay --walk 3000
--- a/operator/ctl_why.c
+++ b/operator/ctl_why.c
@@ -199,12 +199,14 @@
 
 	if (c->lines->len == 0) {
 		printf("cause: not known; no line has this id, and %d lines "
-		       "were left out of these logs.\n", c->left_out);
+		       "were left out of these logs.\n",
+		    c->left_out);
 	} else if ((l = last_of(c, "answered")) != NULL) {
 		a = field(l->text, "status");
 		b = field(l->text, "took_ms");
 		printf("cause: a target answered with %s; the caller had it "
-		       "after %s ms.\n", a, b);
+		       "after %s ms.\n",
+		    a, b);
 		g_free(a);
 		g_free(b);
 	} else if ((l = last_of(c, "refused")) != NULL) {
@@ -230,8 +232,8 @@
 	guint i;
 	int code = CTL_OK;
 
-	if ((code = ctl_options(NULL, "ID [LOG ...]", &argc, &argv, 1,
-		 G_MAXINT)) != CTL_OK)
+	if ((code = ctl_options(
+		 NULL, "ID [LOG ...]", &argc, &argv, 1, G_MAXINT)) != CTL_OK)
 		return code;
 	c.id = argv[1];
 	c.lines = g_ptr_array_new_with_free_func(line_free);
@@ -239,8 +241,8 @@
 		read_file(&c, stdin, "-");
 	for (i = 2; i < (guint)argc; i++) {
 		if ((f = fopen(argv[i], "r")) == NULL) {
-			fprintf(stderr, "teaselctl: %s cannot be read\n",
-			    argv[i]);
+			fprintf(
+			    stderr, "teaselctl: %s cannot be read\n", argv[i]);
 			code = CTL_USAGE;
 			continue;
 		}
