A leaving node ends only after its last answer has left it

Ruled out: the end of its grace (6 s). Change: it is idle only when no bytes wait to be sent to callers or nodes. Test: the_last_answer_leaves, failed before.

--- a/http/http.h
+++ b/http/http.h
@@ -139,8 +139,8 @@
 void http_server_free(struct http_server *);
 /* From now on each answer ends its connection. */
 void http_server_leave(struct http_server *);
-/* Connections that are open. */
-int http_server_count(const struct http_server *);
+/* Whether no request is with the layer above and all answers have left. */
+int http_server_idle(const struct http_server *);
 /* Gives the answer; the connection may be gone afterwards. */
 void http_reply(struct http_conn *, const struct http_message *);
 /* An answer with a text for a body. */
--- a/http/server.c
+++ b/http/server.c
@@ -118,11 +118,22 @@
 	s->leaving = 1;
 }
 
-/* Connections that are open. */
+/* Whether nothing is under way. */
 int
-http_server_count(const struct http_server *s)
+http_server_idle(const struct http_server *s)
 {
-	return (int)g_hash_table_size(s->conns);
+	const struct http_conn *c;
+	GHashTableIter it;
+	gpointer key;
+
+	g_hash_table_iter_init(&it, s->conns);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		c = key;
+		if (c->state == CONN_ASKED ||
+		    evbuffer_get_length(bufferevent_get_output(c->bev)) > 0)
+			return 0;
+	}
+	return 1;
 }
 
 /* Keeps something for a connection. */
--- a/proxy/links.c
+++ b/proxy/links.c
@@ -253,17 +253,21 @@
 	}
 }
 
-/* Jobs of other nodes that are at the gate here. */
+/* Jobs of other nodes that are at the gate, and answers that are not sent. */
 int
 links_busy(const struct links *ls)
 {
+	struct link *l;
 	GHashTableIter it;
 	gpointer value;
 	int n = 0;
 
 	g_hash_table_iter_init(&it, ls->in);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		n += (int)g_hash_table_size(((struct link *)value)->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		l = value;
+		n += (int)g_hash_table_size(l->jobs);
+		n += evbuffer_get_length(bufferevent_get_output(l->bev)) > 0;
+	}
 	return n;
 }
 
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -130,7 +130,8 @@
 proxy_idle(const struct proxy *p)
 {
 	return g_hash_table_size(p->entry.requests) == 0 &&
-	       p->gate.running->len == 0 && links_busy(&p->links) == 0;
+	       http_server_idle(p->entry.server) && p->gate.running->len == 0 &&
+	       links_busy(&p->links) == 0;
 }
 
 /* Sets what is told to other nodes. */
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -319,7 +319,38 @@
 	g_free(big);
 }
 
+/*
+ * A leaving node that has nothing under way may end at any moment: what it
+ * answered last has left it by then.
+ */
+static void
+the_last_answer_leaves(void)
+{
+	struct rig r;
+	struct rig_call c;
+	int64_t until;
+
+	rig_start(&r, 2);
+	r.nodes[1].target.work_ms = 50;
+	rig_call(&r, &c, 0, "/run/x", "z", 900);
+	rig_run(&r, 20);
+	proxy_leave(r.nodes[0].proxy);
+	until = base_now_ms() + 1000;
+	while (!proxy_idle(r.nodes[0].proxy) && base_now_ms() < until)
+		event_base_loop(r.base, EVLOOP_ONCE);
+	proxy_free(r.nodes[0].proxy);
+	rig_wait(&r, &c);
+	CU_ASSERT_EQUAL(rig_status(&c), 200);
+	rig_call_end(&c);
+	if (proxy_start(&r.nodes[0].proxy, r.base, &r.nodes[0].settings,
+		&platform_headers, platform_ready_path,
+		r.nodes[0].view) != PROXY_OK)
+		g_error("a node cannot listen");
+	rig_stop(&r);
+}
+
 static const struct test tests[] = {
+	{ "the last answer leaves", the_last_answer_leaves },
 	{ "bytes of targets", bytes_of_targets },
 	{ "broken answers are made good", broken_answers_are_made_good },
 	{ "what was shed runs elsewhere", what_was_shed_runs_elsewhere },
