--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -331,7 +331,7 @@
 	int64_t until;
 
 	rig_start(&r, 2);
-	r.nodes[1].target.work_ms = 50;
+	r.nodes[0].target.work_ms = r.nodes[1].target.work_ms = 50;
 	rig_call(&r, &c, 0, "/run/x", "z", 900);
 	rig_run(&r, 20);
 	proxy_leave(r.nodes[0].proxy);
