--- a/test/rig.h
+++ b/test/rig.h
@@ -78,6 +78,8 @@
 void rig_run(struct rig *, int ms);
 /* Until the call is answered or its connection ended, at most 5 s. */
 void rig_wait(struct rig *, struct rig_call *);
+/* Lets time pass until a number has a value, at most 5 s; 1 if it has. */
+int rig_until(struct rig *, const int *, int value);
 /* Status of the answer, or 0. */
 int rig_status(const struct rig_call *);
 
