An old first list hides no target; what stood twice or needlessly goes

Cause: found in reading: a stale list bears the store's newest revision, and the view took it for proof that a target of an older revision was gone; a node that is fed would never have learned of it, as reports without news are not told. Change: only a removal drops a target (revisions of removals are held).

--- a/base/base.h
+++ b/base/base.h
@@ -213,6 +213,9 @@
  */
 int fields_read(const struct json *obj, const struct field *tab, void *out,
     struct report *, const char *kind, const char *name);
+/* Reports the value of a key that is no IPv4 address and port; NULL is none. */
+void field_address(const struct json *obj, const char *key, const char *value,
+    struct report *);
 /* Whether a name may be used: 1 to max bytes, no control characters. */
 int name_valid(const char *s, size_t max);
 /* The candidate nearest to s by edit distance of at most 2, or NULL. */
--- a/base/field.c
+++ b/base/field.c
@@ -241,3 +241,20 @@
 			    "needs the key \"%s\"", f->key);
 	return rep->errors == before ? BASE_OK : BASE_EINVAL;
 }
+
+/* Reports a value that is no IPv4 address and port. */
+void
+field_address(const struct json *root, const char *key, const char *value,
+    struct report *rep)
+{
+	const struct json *j = json_get(root, key);
+	char host[ADDRESS_MAX];
+	int port;
+
+	if (j != NULL && value != NULL &&
+	    address_split(value, host, &port) != BASE_OK)
+		report_error(rep, j->line, "settings", "",
+		    "\"%s\" must be an IPv4 address and a port, as "
+		    "\"127.0.0.1:7400\"",
+		    key);
+}
--- a/http/connect.c
+++ b/http/connect.c
@@ -73,3 +73,13 @@
 		base_log(G_LOG_LEVEL_DEBUG, "socket-option", "linger=0");
 	bufferevent_free(bev);
 }
+
+/* Sets a timer. */
+void
+http_timer(struct event *timer, int64_t ms)
+{
+	struct timeval tv = { ms / BASE_MS_PER_S,
+		ms % BASE_MS_PER_S * BASE_MS_PER_S };
+
+	evtimer_add(timer, &tv);
+}
--- a/http/http.h
+++ b/http/http.h
@@ -94,6 +94,8 @@
 struct bufferevent *http_connect(struct event_base *, const char *addr);
 /* Lets a socket notice a dead peer within about three seconds. */
 void http_tune(evutil_socket_t);
+/* Sets a timer, in ms from now. */
+void http_timer(struct event *, int64_t ms);
 /* Closes at once: bytes not yet taken by the peer are dropped. */
 void http_reset(struct bufferevent *);
 
--- a/http/server.c
+++ b/http/server.c
@@ -49,7 +49,6 @@
 static void on_timer(evutil_socket_t, short, void *);
 static void take_requests(struct http_conn *);
 static void refuse(struct http_conn *, int);
-static void set_timer(struct http_conn *, int);
 static void conn_free(struct http_conn *);
 
 /* Status of a request that cannot be read. */
@@ -165,15 +164,6 @@
 	g_free(c);
 }
 
-/* Sets the timer of a connection, in ms from now. */
-static void
-set_timer(struct http_conn *c, int ms)
-{
-	struct timeval tv = { ms / BASE_MS_PER_S, ms % BASE_MS_PER_S * 1000L };
-
-	evtimer_add(c->timer, &tv);
-}
-
 /* A new connection. */
 static void
 on_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa,
@@ -195,7 +185,7 @@
 	g_hash_table_add(s->conns, c);
 	bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
-	set_timer(c, s->limits->idle_ms);
+	http_timer(c->timer, s->limits->idle_ms);
 }
 
 /* Takes the requests that have arrived, one after the other. */
@@ -212,7 +202,7 @@
 	err = http_parse_feed(&c->parse, bufferevent_get_input(c->bev));
 	if (err == HTTP_ENOMESSAGE) {
 		if (!begun && c->parse.begun)
-			set_timer(c, s->limits->head_ms);
+			http_timer(c->timer, s->limits->head_ms);
 		if (!c->continued && c->parse.msg->method != NULL &&
 		    http_find(c->parse.msg, "Expect") != NULL) {
 			c->continued = 1;
@@ -276,7 +266,7 @@
 		conn_free(c);
 		return;
 	}
-	set_timer(c, LINGER_MS);
+	http_timer(c->timer, LINGER_MS);
 }
 
 /* The connection ended. */
@@ -316,7 +306,7 @@
 	}
 	c->state = CONN_READING;
 	http_parse_next(&c->parse, HTTP_REQUEST);
-	set_timer(c, c->server->limits->idle_ms);
+	http_timer(c->timer, c->server->limits->idle_ms);
 	/* The next request may be here already; it is taken from the loop. */
 	if (evbuffer_get_length(bufferevent_get_input(c->bev)) > 0)
 		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
--- a/node/settings.c
+++ b/node/settings.c
@@ -11,8 +11,6 @@
 #define PEERS_MAX    16
 #define KEY_FILE_MAX 256
 
-static void
-check_address(const struct json *, const char *, const char *, struct report *);
 static void
 check_peers(const struct json *, const struct settings *, struct report *);
 
@@ -61,23 +59,6 @@
 	{ 0 },
 };
 
-/* Reports a value that is no IPv4 address and port. */
-static void
-check_address(const struct json *root, const char *key, const char *value,
-    struct report *rep)
-{
-	const struct json *j = json_get(root, key);
-	char host[ADDRESS_MAX];
-	int port;
-
-	if (j != NULL && value != NULL &&
-	    address_split(value, host, &port) != BASE_OK)
-		report_error(rep, j->line, "settings", "",
-		    "\"%s\" must be an IPv4 address and a port, as "
-		    "\"127.0.0.1:7400\"",
-		    key);
-}
-
 /* Checks every address of peers. */
 static void
 check_peers(
@@ -86,7 +67,7 @@
 	int i;
 
 	for (i = 0; s->peers != NULL && s->peers[i] != NULL; i++)
-		check_address(root, "peers", s->peers[i], rep);
+		field_address(root, "peers", s->peers[i], rep);
 }
 
 /* Reads a file of settings. */
@@ -114,13 +95,13 @@
 	if (root == NULL)
 		return NODE_ESETTINGS;
 	fields_read(root, fields, s, rep, "settings", "");
-	check_address(root, "listen", s->listen, rep);
-	check_address(root, "advertise", s->advertise, rep);
-	check_address(root, "callers", s->callers, rep);
-	check_address(root, "services", s->services, rep);
-	check_address(root, "operators", s->operators, rep);
-	check_address(root, "target", s->target, rep);
-	check_address(root, "platform", s->platform, rep);
+	field_address(root, "listen", s->listen, rep);
+	field_address(root, "advertise", s->advertise, rep);
+	field_address(root, "callers", s->callers, rep);
+	field_address(root, "services", s->services, rep);
+	field_address(root, "operators", s->operators, rep);
+	field_address(root, "target", s->target, rep);
+	field_address(root, "platform", s->platform, rep);
 	check_peers(root, s, rep);
 	if (s->log != NULL && base_log_level(s->log) != BASE_OK)
 		report_error(rep, json_get(root, "log")->line, "settings", "",
--- a/proxy/links.c
+++ b/proxy/links.c
@@ -3,6 +3,7 @@
  * requests on each.  Silence while an answer is due is answered by a question;
  * without a word after it, the link is given up.
  */
+#include <errno.h>
 #include <string.h>
 
 #include <event2/listener.h>
@@ -47,7 +48,11 @@
 	ls->listener = evconnlistener_new_bind(p->base, on_accept, ls,
 	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, BACKLOG,
 	    (struct sockaddr *)&sin, sizeof(sin));
-	return ls->listener != NULL ? PROXY_OK : PROXY_ELISTEN;
+	if (ls->listener != NULL)
+		return PROXY_OK;
+	base_log(G_LOG_LEVEL_WARNING, "listen-failed",
+	    "address=%s reason=\"%s\"", p->settings->links, g_strerror(errno));
+	return PROXY_ELISTEN;
 }
 
 /* Closes all links; jobs end without a call. */
--- a/proxy/probe.c
+++ b/proxy/probe.c
@@ -34,7 +34,6 @@
 static void up(struct gate *, const struct http_message *);
 static void crashed(struct gate *);
 static void on_blind(evutil_socket_t, short, void *);
-static void blind_in(struct gate *, int);
 
 /* Prepares status checks. */
 void
@@ -55,15 +54,6 @@
 	g_array_free(g->broken, TRUE);
 }
 
-/* Sets the time until a missing report is made up for. */
-static void
-blind_in(struct gate *g, int ms)
-{
-	struct timeval tv = { ms / BASE_MS_PER_S, ms % BASE_MS_PER_S * 1000L };
-
-	evtimer_add(g->blind, &tv);
-}
-
 /* A report came. */
 void
 gate_trust(struct gate *g)
@@ -71,7 +61,7 @@
 	if (g->mistrust)
 		base_log(G_LOG_LEVEL_MESSAGE, "gate-reports", "back=1");
 	g->mistrust = 0;
-	blind_in(g, REPORT_MS);
+	http_timer(g->blind, REPORT_MS);
 }
 
 /* None can come. */
@@ -95,7 +85,7 @@
 	g->mistrust = 1;
 	if (g->state == GATE_UP)
 		gate_probe(g);
-	blind_in(g, BLIND_MS);
+	http_timer(g->blind, BLIND_MS);
 }
 
 /* The target is cold. */
--- a/proxy/upstream.c
+++ b/proxy/upstream.c
@@ -49,7 +49,6 @@
 static void on_read(struct bufferevent *, void *);
 static void on_event(struct bufferevent *, short, void *);
 static void on_timer(evutil_socket_t, short, void *);
-static void set_timer(struct sending *, int64_t);
 
 /* Prepares for a target. */
 struct upstream *
@@ -103,15 +102,6 @@
 	u->addr = g_strdup(addr);
 }
 
-/* Sets the timer, in ms from now. */
-static void
-set_timer(struct sending *x, int64_t ms)
-{
-	struct timeval tv = { ms / BASE_MS_PER_S, ms % BASE_MS_PER_S * 1000 };
-
-	evtimer_add(x->timer, &tv);
-}
-
 /* Opens a connection; NULL when none can be made. */
 static struct sending *
 open_sending(struct upstream *u)
@@ -130,7 +120,7 @@
 	g_hash_table_add(u->all, x);
 	bufferevent_setcb(bev, on_read, NULL, on_event, x);
 	bufferevent_enable(bev, EV_READ | EV_WRITE);
-	set_timer(x, CONNECT_MS);
+	http_timer(x->timer, CONNECT_MS);
 	return x;
 }
 
@@ -229,7 +219,7 @@
 	}
 	evbuffer_drain(x->copy, evbuffer_get_length(x->copy));
 	g_queue_push_head(&x->up->idle, x);
-	set_timer(x, x->idle_ms);
+	http_timer(x->timer, x->idle_ms);
 }
 
 /* The connection ended before a whole answer. */
@@ -262,7 +252,7 @@
 		evbuffer_free(again->copy);
 		g_free(again);
 		x->reused = x->connected = 0;
-		set_timer(x, CONNECT_MS);
+		http_timer(x->timer, CONNECT_MS);
 		evbuffer_add_buffer(bufferevent_get_output(x->bev), x->copy);
 		return;
 	}
--- a/side/follow.c
+++ b/side/follow.c
@@ -13,7 +13,6 @@
 static void on_items(void *, const struct platform_page *);
 static void on_listed(void *, enum platform_part, GHashTable *, uint64_t, int);
 static void on_lost(void *);
-static void on_regained(void *);
 static void on_alive(void *);
 static int take(struct follow *, const struct platform_item *);
 static int take_config(struct follow *, const struct platform_item *);
@@ -38,7 +37,7 @@
 	struct follow *f = g_new0(struct follow, 1);
 	struct timeval tv = { 0, DARK_MS * 1000L };
 	struct reader_calls calls = { f, on_items, on_listed, on_lost,
-		on_regained, on_alive };
+		on_alive };
 	struct proxy_state state = { f, give_state, take_state, on_fed,
 		on_unfed };
 
@@ -289,12 +288,6 @@
 		proxy_store_lost(f->proxy);
 }
 
-static void
-on_regained(void *arg)
-{
-	(void)arg;
-}
-
 static void
 on_alive(void *arg)
 {
--- a/side/reader.c
+++ b/side/reader.c
@@ -54,7 +54,6 @@
 	[PLATFORM_TARGETS] = "targets",
 };
 
-static void ask_in(struct asker *, int64_t);
 static void on_timer(evutil_socket_t, short, void *);
 static void on_page(void *, int, const struct platform_page *);
 static void on_failure(struct asker *, int, const struct platform_page *);
@@ -82,7 +81,7 @@
 		a->timer = evtimer_new(base, on_timer, a);
 		a->names = g_hash_table_new_full(
 		    g_str_hash, g_str_equal, g_free, NULL);
-		ask_in(a, 0);
+		http_timer(a->timer, 0);
 	}
 	return r;
 }
@@ -117,7 +116,7 @@
 		a->store = platform_open(r->base, store);
 		a->listed = 0;
 		g_clear_pointer(&a->page, g_free);
-		ask_in(a, 0);
+		http_timer(a->timer, 0);
 	}
 }
 
@@ -136,7 +135,7 @@
 		r->askers[i].listed = 0;
 		g_clear_pointer(&r->askers[i].page, g_free);
 		if (on)
-			ask_in(&r->askers[i], 0);
+			http_timer(r->askers[i].timer, 0);
 	}
 }
 
@@ -163,15 +162,6 @@
 	return base_now_ms() - r->trouble_at >= CALM_MS;
 }
 
-/* Asks after a while. */
-static void
-ask_in(struct asker *a, int64_t ms)
-{
-	struct timeval tv = { ms / BASE_MS_PER_S, ms % BASE_MS_PER_S * 1000 };
-
-	evtimer_add(a->timer, &tv);
-}
-
 /* Asks: for a list, stale unless it is the base of a watch, or for news. */
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
@@ -184,7 +174,7 @@
 	/* While the store fails, one question is enough to find it back. */
 	if (a->part == PLATFORM_TARGETS && a->failures > 0 &&
 	    r->askers[PLATFORM_OPERATORS].failures > 0) {
-		ask_in(a, RETRY_MS);
+		http_timer(a->timer, RETRY_MS);
 		return;
 	}
 	if (a->part == PLATFORM_TARGETS && r->relist && is_calm(r)) {
@@ -220,7 +210,8 @@
 	pause = MAX(pause, MIN(p->retry_after, RETRY_MAX_MS));
 	a->failures++;
 	/* Half of it by chance: nodes that failed together part ways. */
-	ask_in(a, pause / 2 + g_random_int_range(0, (int)pause / 2 + 1));
+	http_timer(
+	    a->timer, pause / 2 + g_random_int_range(0, (int)pause / 2 + 1));
 	r->calls.lost(r->calls.arg);
 }
 
@@ -244,7 +235,7 @@
 	g_clear_pointer(&a->page, g_free);
 	if (p->more && p->last_key != NULL) {
 		a->page = g_strdup(p->last_key);
-		ask_in(a, 0);
+		http_timer(a->timer, 0);
 		return;
 	}
 	r->calls.listed(r->calls.arg, a->part, a->names, a->first,
@@ -253,7 +244,7 @@
 		return;
 	a->listed = 1;
 	a->after = a->first;
-	ask_in(a, 0);
+	http_timer(a->timer, 0);
 }
 
 /* News of a watch. */
@@ -261,9 +252,9 @@
 on_news(struct asker *a, const struct platform_page *p)
 {
 	a->after = MAX(a->after, p->as_of);
-	ask_in(a, a->part == PLATFORM_TARGETS && p->items->len > 0
-		      ? TARGETS_PAUSE_MS
-		      : 0);
+	http_timer(a->timer, a->part == PLATFORM_TARGETS && p->items->len > 0
+				 ? TARGETS_PAUSE_MS
+				 : 0);
 }
 
 /* A call ended. */
@@ -282,7 +273,6 @@
 		    "question=%s failures=%d", part_names[a->part],
 		    a->failures);
 		a->failures = 0;
-		r->calls.regained(r->calls.arg);
 	}
 	r->calls.items(r->calls.arg, p);
 	if (!a->listed)
--- a/side/settings.c
+++ b/side/settings.c
@@ -6,9 +6,6 @@
 #define PEERS_MAX   16
 #define SET(member) offsetof(struct side_settings, member)
 
-static void
-check_address(const struct json *, const char *, const char *, struct report *);
-
 static const struct field fields[] = {
 	{ "name", FIELD_NAME, SET(proxy.name), 0, VIEW_ID_MAX, NULL, 1 },
 	{ "data_centre", FIELD_NAME, SET(proxy.data_centre), 0, VIEW_ID_MAX,
@@ -34,21 +31,6 @@
 	{ 0 },
 };
 
-/* Reports a value that is no IPv4 address and port. */
-static void
-check_address(const struct json *root, const char *key, const char *value,
-    struct report *rep)
-{
-	const struct json *j = json_get(root, key);
-	char host[ADDRESS_MAX];
-	int port;
-
-	if (j != NULL && value != NULL &&
-	    address_split(value, host, &port) != BASE_OK)
-		report_error(rep, j->line, "settings", "",
-		    "\"%s\" must be an IPv4 address and a port", key);
-}
-
 /* Reads a file of settings. */
 int
 side_settings_read(
@@ -74,12 +56,12 @@
 	if (root == NULL)
 		return SIDE_ESETTINGS;
 	fields_read(root, fields, s, rep, "settings", "");
-	check_address(root, "target", s->proxy.target, rep);
-	check_address(root, "callers", s->proxy.callers, rep);
-	check_address(root, "links", s->proxy.links, rep);
-	check_address(root, "ready", s->proxy.ready, rep);
-	check_address(root, "metrics", s->metrics, rep);
-	check_address(root, "store", s->store, rep);
+	field_address(root, "target", s->proxy.target, rep);
+	field_address(root, "callers", s->proxy.callers, rep);
+	field_address(root, "links", s->proxy.links, rep);
+	field_address(root, "ready", s->proxy.ready, rep);
+	field_address(root, "metrics", s->metrics, rep);
+	field_address(root, "store", s->store, rep);
 	if (s->log != NULL && base_log_level(s->log) != BASE_OK)
 		report_error(rep, json_get(root, "log")->line, "settings", "",
 		    "\"log\" must be \"error\", \"warning\", \"info\" or "
--- a/side/side.h
+++ b/side/side.h
@@ -38,9 +38,8 @@
 	void (*items)(void *arg, const struct platform_page *);
 	void (*listed)(void *arg, enum platform_part, GHashTable *names,
 	    uint64_t as_of, int exact);
-	/* A call failed, or all is well again. */
+	/* A call failed. */
 	void (*lost)(void *arg);
-	void (*regained)(void *arg);
 	/* Targets were read; there may be no news of them. */
 	void (*alive)(void *arg);
 };
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -266,6 +266,30 @@
 	world_stop(&w);
 }
 
+/*
+ * The first list may be old though it bears the store's newest revision.  A
+ * target that it lacks is learned from the feeder all the same.
+ */
+static void
+an_old_list_hides_nothing(void)
+{
+	struct world w;
+
+	world_start(&w);
+	store_freeze_stale(w.store);
+	store_put_target(
+	    w.store, "new", "other", "127.0.0.77:1", "north", "ready", 0);
+	store_put(w.store, "somebody/else", "{}");
+	rig_run(&w.rig, 1200);
+	follow_stop(w.follows[2]);
+	forget(&w.rig.nodes[2]);
+	follow_one(&w, 2);
+	rig_run(&w.rig, 1500);
+	CU_ASSERT_PTR_NOT_NULL(
+	    g_hash_table_lookup(w.rig.nodes[2].view->targets, "new"));
+	world_stop(&w);
+}
+
 /*
  * Answers of the store are lost for a while.  Whoever waits for one of them
  * must not wait much longer than the loss: three seconds after its end a node
@@ -362,6 +386,7 @@
 
 static const struct test tests[] = {
 	{ "a feeder is lost", a_feeder_is_lost },
+	{ "an old list hides nothing", an_old_list_hides_nothing },
 	{ "answers are lost", answers_are_lost },
 	{ "one reads for all", one_reads_for_all },
 	{ "bad input changes nothing", bad_input_changes_nothing },
--- a/view/view.c
+++ b/view/view.c
@@ -47,8 +47,6 @@
 	int changed;
 
 	if (held == NULL) {
-		if (t->revision <= v->listed_at)
-			return 0;
 		held = g_memdup2(t, sizeof(*t));
 		g_hash_table_insert(v->targets, held->id, held);
 		return 1;
@@ -74,29 +72,6 @@
 	return g_hash_table_remove(v->targets, id);
 }
 
-/* Drops every target that a newer whole list does not name. */
-int
-view_take_list(struct view *v, GHashTable *ids, uint64_t revision)
-{
-	const struct view_target *t;
-	GHashTableIter it;
-	gpointer value;
-	int dropped = 0;
-
-	if (revision < v->listed_at)
-		return 0;
-	v->listed_at = revision;
-	g_hash_table_iter_init(&it, v->targets);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		t = value;
-		if (t->revision > revision || g_hash_table_contains(ids, t->id))
-			continue;
-		g_hash_table_iter_remove(&it);
-		dropped++;
-	}
-	return dropped;
-}
-
 /* Whether a data centre is out. */
 int
 view_is_out(const struct view *v, const char *dc)
--- a/view/view.h
+++ b/view/view.h
@@ -115,11 +115,6 @@
 int view_take_target(struct view *, const struct view_target *);
 /* A target is no longer listed as of a revision; 1 when it was. */
 int view_drop_target(struct view *, const char *id, uint64_t revision);
-/*
- * Takes a whole list of ids as of a revision: every target that is missing in
- * it and not newer is dropped.  Returns how many were.
- */
-int view_take_list(struct view *, GHashTable *ids, uint64_t revision);
 /* Whether a data centre is out. */
 int view_is_out(const struct view *, const char *dc);
 /* Takes one data centre out or back; 1 when that changed anything. */
