node/: parted by layers, includes go one way, and lint checks it

Cause: five files of node/ called each other in a circle (entry, serve, reply, spread, gossip), all over one header that showed every part's state to every file; entry.c had 513 lines. Ruled out: packages of their own for each part. All of them need the members, the links and the store of versions, and would hand the same five handles around; file groups with headers of their own give the same direction. Change: struct node holds the entry, the guard's side and the spreading as pointers that only their own files can look into. Headers by layer: gossip.h, spread.h, serve.h, entry.h, status.h, loop.h. What has to go up goes through two tables, gossip_events and entry_replies. Calls that wait for a node held dead are found by the entry itself, not told by gossip. Versions as they travel stand in wire_set.c, sendings in send.c. tools/layers.sh, part of lint, checks the includes of node/ by layer and those of all packages by a list. Conclusion: a request's way can be read downwards from intake.c.

--- a/node/choose.c
+++ b/node/choose.c
@@ -30,9 +30,9 @@
 {
 	struct view *v;
 
-	if ((v = g_hash_table_lookup(n->entry.views, target)) == NULL) {
+	if ((v = g_hash_table_lookup(n->entry->views, target)) == NULL) {
 		v = g_new0(struct view, 1);
-		g_hash_table_insert(n->entry.views, g_strdup(target), v);
+		g_hash_table_insert(n->entry->views, g_strdup(target), v);
 	}
 	return v;
 }
--- a/node/gossip.c
+++ b/node/gossip.c
@@ -7,7 +7,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "record.h"
+#include "gossip.h"
+#include "wire_set.h"
 
 #define RECEIVE_BATCH 256 /* datagrams handled before others get a turn */
 #define UDP_BUFFER    (1024 * 1024) /* bytes */
@@ -30,7 +31,6 @@
 static void use_key(struct node *, const char *);
 static void react(struct node *, const Wire__Datagram *, int, int64_t);
 static void flush(struct node *);
-static void watch_dead(struct node *);
 
 /* Opens the datagram socket. */
 int
@@ -79,8 +79,7 @@
 	d->hash.len = v.held.number > 0 ? HASH_SENT : 0;
 	d->incarnation = members_incarnation(n->members) - n->boot;
 	d->state = members_state(n->members);
-	if (n->guard.guard != NULL)
-		d->load = guard_load(n->guard.guard);
+	d->load = n->gossip_events->load(n);
 }
 
 /* Puts rumours on a datagram. */
@@ -118,7 +117,7 @@
 	const struct version *v;
 	const char *reason, *by;
 
-	if (!spread_rejection(n, st, &v, &reason, &by))
+	if (!n->gossip_events->rejection(n, st, &v, &reason, &by))
 		return 0;
 	w->number = v->number;
 	w->hash.data = (uint8_t *)v->hash;
@@ -191,7 +190,7 @@
 		d.data_centre = n->settings.data_centre;
 	}
 	if (delta != NULL) {
-		spread_pack(delta, &push, &v);
+		wire_set_pack(delta, &push, &v);
 		d.push = &push;
 	}
 	transmit(n, to->addr, &d, s->kind == KIND_PUSH || s->kind == KIND_HAVE);
@@ -279,13 +278,8 @@
 		use_key(n, w->name);
 	}
 	learn_rejection(n, d->rejection);
-	for (i = 0; i < d->n_suspects && n->guard.guard != NULL; i++) {
-		if (d->suspects[i]->released)
-			record_release(n, d->suspects[i]->fingerprint);
-		else
-			record_suspect(n, d->suspects[i]->fingerprint,
-			    d->suspects[i]->crashes);
-	}
+	for (i = 0; i < d->n_suspects; i++)
+		n->gossip_events->suspected(n, d->suspects[i]);
 }
 
 /* Answers a datagram, if its kind asks for it. */
@@ -313,7 +307,7 @@
 			members_ack(n->members, about, d->probe, now);
 		break;
 	case KIND_PUSH:
-		spread_push(n, from, d->push);
+		n->gossip_events->pushed(n, from, d->push);
 		break;
 	case KIND_JOIN:
 		s.kind = KIND_WELCOME;
@@ -387,11 +381,11 @@
 		use_key(n, d->from);
 		learn(n, d, from, now);
 		react(n, d, from, now);
-		spread_heard(n, from);
+		n->gossip_events->heard(n, from);
 	}
 	wire__datagram__free_unpacked(d, NULL);
 	if (members_state(n->members) == MEMBER_LEAVING || n->out)
-		role_set_out(n);
+		n->gossip_events->own_state(n);
 }
 
 /* Receives what has come. */
@@ -420,28 +414,12 @@
 		gossip_send(n, &s, NULL);
 }
 
-/* Calls that wait for a node held dead are decided anew. */
-static void
-watch_dead(struct node *n)
-{
-	const struct member *p;
-	int i;
-
-	for (i = 0; i < members_count(n->members); i++) {
-		p = member_at(n->members, i);
-		if (p->state >= MEMBER_DEAD)
-			entry_member_dead(n, p->name);
-	}
-}
-
 /* Time passes. */
 void
 gossip_tick(struct node *n, int64_t now)
 {
 	members_tick(n->members, now);
 	flush(n);
-	if (g_hash_table_size(n->entry.calls) > 0)
-		watch_dead(n);
 }
 
 /* Tells the guards of this node's service of crashes under a fingerprint. */
@@ -491,7 +469,7 @@
 	members_list_end(n->members);
 	n->listed = 1;
 	flush(n);
-	role_set_out(n);
+	n->gossip_events->own_state(n);
 	g_array_free(list->lines, TRUE);
 	g_free(list);
 }
--- a/node/intake.c
+++ b/node/intake.c
@@ -109,9 +109,9 @@
 	enum call_outcome out = OUTCOME_ANSWERED;
 	int i;
 
-	if (g_atomic_int_get(&n->entry.leaving))
+	if (g_atomic_int_get(&n->entry->leaving))
 		return OUTCOME_LEAVING;
-	if (g_atomic_int_get(&n->entry.inflight) >= n->settings.calls_max)
+	if (g_atomic_int_get(&n->entry->inflight) >= n->settings.calls_max)
 		return OUTCOME_TOO_MANY;
 	config_lock();
 	cfg = config_get(n->config);
@@ -163,6 +163,6 @@
 	ec->fingerprint = fingerprint(r);
 	ec->began_us = base_now_us();
 	trace_begin(&ec->trace, server_header(r, TRACE_HEADER));
-	g_atomic_int_inc(&n->entry.inflight);
+	g_atomic_int_inc(&n->entry->inflight);
 	mailbox_post(&n->mailbox, EVENT_CALL, ec);
 }
--- a/node/join.c
+++ b/node/join.c
@@ -4,7 +4,7 @@
  */
 #include <string.h>
 
-#include "node_int.h"
+#include "gossip.h"
 
 #define JOIN_FAST_MS 250  /* between the first greetings */
 #define JOIN_SLOW_MS 2000 /* and between later ones */
--- a/node/kept.c
+++ b/node/kept.c
@@ -5,7 +5,7 @@
  */
 #include <string.h>
 
-#include "node_int.h"
+#include "serve_int.h"
 
 static void kept_free(gpointer);
 static void drop_first(struct kept_store *);
--- a/node/loop.c
+++ b/node/loop.c
@@ -4,8 +4,16 @@
 
 #include <zmq.h>
 
-#include "node_int.h"
+#include "entry.h"
+#include "gossip.h"
+#include "loop.h"
+#include "serve.h"
+#include "spread.h"
+#include "status.h"
 
+#define TICK_MS		 100  /* between two ticks of an idle node */
+#define TICK_BUSY_MS	 5    /* and of one with calls under way */
+#define PAUSE_MS	 1000 /* a gap between ticks that means a pause */
 #define EVENTS_BATCH	 512  /* events handled before others get a turn */
 #define READY_WAIT_MS	 3000 /* for answers of those asked at the start */
 #define LEAVE_LINGER_MS	 2500 /* until all have heard, and last answers left */
@@ -126,10 +134,8 @@
 	counter_add(CTR_PAUSES, 1);
 	base_log(G_LOG_LEVEL_WARNING, "paused", "for_ms=%d", (int)gap);
 	members_paused(n->members, now);
-	if (members_count(n->members) > 0) {
-		n->guard.refreshed = 0;
-		n->guard.refresh_until = now + REFRESH_MS;
-	}
+	if (members_count(n->members) > 0)
+		spread_paused(n, now);
 }
 
 /*
@@ -143,8 +149,7 @@
 
 	if (n->ready || config_get(n->config) == NULL)
 		return;
-	asked_all =
-	    n->firsts == 0 && (n->spread.asked == 0 || n->spread.answered > 0);
+	asked_all = n->firsts == 0 && spread_asked(n);
 	if (!asked_all && now - n->started_at < READY_WAIT_MS)
 		return;
 	g_atomic_int_set(&n->ready, 1);
@@ -182,18 +187,18 @@
 		return;
 	n->leaving = 1;
 	n->leave_by = base_now_ms() + n->settings.drain_ms;
-	g_atomic_int_set(&n->entry.leaving, 1);
+	entry_leave(n);
 	members_leave(n->members);
 	role_set_out(n);
 	base_log(G_LOG_LEVEL_MESSAGE, "leaving", "calls=%d held=%d",
-	    g_atomic_int_get(&n->entry.inflight), (int)n->guard.held->len);
+	    entry_inflight(n), serve_held(n));
 }
 
 /* Whether nothing is under way. */
 static int
 is_idle(const struct node *n)
 {
-	return !serve_busy(n) && g_hash_table_size(n->entry.calls) == 0;
+	return serve_held(n) == 0 && entry_calls(n) == 0;
 }
 
 /* Whether a leaving node may end: idle for a moment, or out of time. */
@@ -202,7 +207,7 @@
 {
 	if (!n->leaving)
 		return 0;
-	if (!is_idle(n) || g_atomic_int_get(&n->entry.inflight) > 0) {
+	if (!is_idle(n) || entry_inflight(n) > 0) {
 		n->idle_at = 0;
 		return now >= n->leave_by;
 	}
--- a/node/mailbox.c
+++ b/node/mailbox.c
@@ -3,7 +3,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-#include "node_int.h"
+#include "mailbox.h"
 
 /* Creates an empty mailbox. */
 void
--- a/node/node.c
+++ b/node/node.c
@@ -5,7 +5,12 @@
 #include <sodium.h>
 #include <urcu/urcu-bp.h>
 
-#include "record.h"
+#include "entry.h"
+#include "gossip.h"
+#include "loop.h"
+#include "serve.h"
+#include "spread.h"
+#include "status.h"
 
 #define FIRST_READS	2    /* keys of the platform read at the start */
 #define LISTEN_MS	5000 /* a predecessor that is dying holds its addresses */
@@ -27,6 +32,22 @@
 static void release(struct node *);
 static void *loop_thread(void *);
 
+/* What datagrams tell the parts above them. */
+static const struct gossip_events gossip_events = {
+	.load = serve_load,
+	.heard = spread_heard,
+	.pushed = spread_push,
+	.suspected = serve_suspected,
+	.rejection = spread_rejection,
+	.own_state = role_set_out,
+};
+
+/* Where the guard's answers to this node's own calls go. */
+static const struct entry_replies entry_replies = {
+	.ack = entry_ack,
+	.answer = entry_answer,
+};
+
 /* On the store's thread: it has decided over a version. */
 static void
 on_config(void *arg)
@@ -202,6 +223,7 @@
 	config_store_free(n->config);
 	serve_destroy(n);
 	entry_destroy(n);
+	spread_destroy(n);
 	members_free(n->members);
 	spans_destroy(&n->spans);
 	record_close(n);
@@ -235,7 +257,8 @@
 	n->boot = (uint64_t)base_wall_ms();
 	n->started_at = base_now_ms();
 	n->rand = g_rand_new();
-	n->spread.pushed_by = -1;
+	n->gossip_events = &gossip_events;
+	n->entry_replies = &entry_replies;
 	mailbox_init(&n->mailbox);
 	spans_init(&n->spans);
 	n->replays =
@@ -246,6 +269,7 @@
 		n->prints[i] = key_print(keys->key[i]);
 	members_use_key(n->members, n->prints[0]);
 	n->config = config_store_new(s->full_sets, on_config, n);
+	spread_init(n);
 	entry_init(n);
 	serve_init(n);
 	n->udp = -1;
--- a/node/record.c
+++ b/node/record.c
@@ -48,7 +48,7 @@
 	fprintf(n->trace,
 	    "{\"trace\": 1, \"module\": \"guard\", \"about\": \"recorded by "
 	    "%s\", \"slots\": %d, \"limit\": %d, \"wall\": %" PRId64 "}\n",
-	    n->settings.name, slots, guard_limit(n->guard.guard)->current,
+	    n->settings.name, slots, guard_limit(n->guard->guard)->current,
 	    wall);
 }
 
@@ -69,7 +69,7 @@
 	enum guard_verdict v;
 	GString *id;
 
-	v = guard_admit(n->guard.guard, r, now, wall);
+	v = guard_admit(n->guard->guard, r, now, wall);
 	if (n->trace == NULL)
 		return v;
 	id = g_string_new(NULL);
@@ -90,7 +90,7 @@
     struct node *n, struct guard_request *r, enum guard_verdict *v, int64_t now)
 {
 	char expect[LINE_MAX_B];
-	int got = guard_next(n->guard.guard, r, v, now);
+	int got = guard_next(n->guard->guard, r, v, now);
 
 	if (got && n->trace != NULL) {
 		g_snprintf(expect, sizeof(expect), "%s %s",
@@ -107,7 +107,7 @@
 {
 	GString *id;
 
-	guard_done(n->guard.guard, r, e, us, now);
+	guard_done(n->guard->guard, r, e, us, now);
 	if (n->trace == NULL)
 		return;
 	id = g_string_new(NULL);
@@ -126,7 +126,7 @@
 	enum guard_verdict v;
 	GString *text;
 
-	v = guard_fence(n->guard.guard, id, fresh, born, now, wall);
+	v = guard_fence(n->guard->guard, id, fresh, born, now, wall);
 	if (n->trace == NULL)
 		return v;
 	text = g_string_new(NULL);
@@ -142,7 +142,7 @@
 int
 record_cancel(struct node *n, const struct served *s)
 {
-	int had = guard_cancel(n->guard.guard, s);
+	int had = guard_cancel(n->guard->guard, s);
 	GString *id;
 
 	if (n->trace == NULL)
@@ -159,7 +159,7 @@
 void
 record_out(struct node *n, int out)
 {
-	guard_set_out(n->guard.guard, out);
+	guard_set_out(n->guard->guard, out);
 	line(n, base_now_ms(), base_wall_ms(), "out", NULL, ", \"value\": %d",
 	    out);
 }
@@ -170,9 +170,9 @@
 {
 	int64_t wall = base_wall_ms();
 
-	guard_note_removed(n->guard.guard, n->guard.target, target, wall);
+	guard_note_removed(n->guard->guard, n->guard->target, target, wall);
 	line(n, base_now_ms(), wall, "removed", NULL,
-	    ", \"self\": \"%s\", \"target\": \"%s\"", n->guard.target, target);
+	    ", \"self\": \"%s\", \"target\": \"%s\"", n->guard->target, target);
 }
 
 /* The guard stands beside another target. */
@@ -181,7 +181,7 @@
 {
 	int64_t wall = base_wall_ms();
 
-	guard_forget(n->guard.guard, wall);
+	guard_forget(n->guard->guard, wall);
 	line(n, base_now_ms(), wall, "forget", NULL, "%s", "");
 }
 
@@ -189,7 +189,7 @@
 void
 record_slots(struct node *n, int slots)
 {
-	limit_slots(guard_limit(n->guard.guard), slots);
+	limit_slots(guard_limit(n->guard->guard), slots);
 	line(n, base_now_ms(), base_wall_ms(), "slots", NULL, ", \"value\": %d",
 	    slots);
 }
@@ -200,7 +200,7 @@
 {
 	int64_t now = base_now_ms();
 
-	guard_suspect(n->guard.guard, fp, crashes, now);
+	guard_suspect(n->guard->guard, fp, crashes, now);
 	line(n, now, base_wall_ms(), "suspect", NULL,
 	    ", \"fingerprint\": \"%" PRIx64 "\", \"crashes\": %d", fp, crashes);
 }
@@ -209,7 +209,7 @@
 int
 record_release(struct node *n, uint64_t fp)
 {
-	int had = guard_release(n->guard.guard, fp);
+	int had = guard_release(n->guard->guard, fp);
 
 	line(n, base_now_ms(), base_wall_ms(), "release", had ? "yes" : "no",
 	    ", \"fingerprint\": \"%" PRIx64 "\"", fp);
--- a/node/record.h
+++ b/node/record.h
@@ -5,11 +5,10 @@
 #ifndef RECORD_H
 #define RECORD_H
 
-#include "node_int.h"
+#include "serve_int.h"
 
 /* Begins a trace when the settings ask for one; after guard_new. */
 void record_open(struct node *, int slots, int64_t wall_ms);
-void record_close(struct node *);
 enum guard_verdict record_admit(struct node *, const struct guard_request *);
 int record_next(
     struct node *, struct guard_request *, enum guard_verdict *, int64_t now);
--- a/node/reply.c
+++ b/node/reply.c
@@ -8,9 +8,9 @@
 	Wire__Envelope env = WIRE__ENVELOPE__INIT;
 	Wire__Ack a = WIRE__ACK__INIT;
 
-	a.load = guard_load(n->guard.guard);
+	a.load = guard_load(n->guard->guard);
 	if (r->len == 0) {
-		entry_ack(n, call, a.load);
+		n->entry_replies->ack(n, call, a.load);
 		return;
 	}
 	env.call = call;
@@ -27,7 +27,7 @@
 	Wire__Envelope env = WIRE__ENVELOPE__INIT;
 
 	if (r->len == 0) {
-		entry_answer(n, call, a);
+		n->entry_replies->answer(n, call, a);
 		return;
 	}
 	env.call = call;
@@ -46,9 +46,9 @@
 	a.outcome = out;
 	a.crashes = crashes;
 	a.boot = n->boot;
-	if (n->guard.guard != NULL) {
-		a.load = guard_load(n->guard.guard);
-		a.retry_after_ms = guard_retry_after(n->guard.guard);
+	if (n->guard->guard != NULL) {
+		a.load = guard_load(n->guard->guard);
+		a.retry_after_ms = guard_retry_after(n->guard->guard);
 	}
 	if (outcomes[out].not_run)
 		counter_add(CTR_GUARD_REFUSED, 1);
@@ -61,7 +61,7 @@
 {
 	int i;
 
-	spans_add(&n->spans, &s->trace, "guard", n->guard.target,
+	spans_add(&n->spans, &s->trace, "guard", n->guard->target,
 	    outcomes[a->outcome].code, base_now_us() - s->began_us);
 	for (i = 0; i < s->nwaiters; i++)
 		reply_answer(n, &s->waiters[i].route, s->waiters[i].call, a);
@@ -75,10 +75,10 @@
 	Wire__Answer a = WIRE__ANSWER__INIT;
 
 	a.outcome = out;
-	a.load = guard_load(n->guard.guard);
-	a.retry_after_ms = guard_retry_after(n->guard.guard);
+	a.load = guard_load(n->guard->guard);
+	a.retry_after_ms = guard_retry_after(n->guard->guard);
 	a.crashes =
-	    guard_crashes(n->guard.guard, s->req.fingerprint, base_now_ms());
+	    guard_crashes(n->guard->guard, s->req.fingerprint, base_now_ms());
 	if (outcomes[out].not_run)
 		counter_add(CTR_GUARD_REFUSED, 1);
 	reply_all(n, s, &a);
--- a/node/role.c
+++ b/node/role.c
@@ -10,7 +10,7 @@
 static void
 note_removed(struct node *n, const struct set_service *v, const struct set *s)
 {
-	struct guard_side *g = &n->guard;
+	struct guard_side *g = n->guard;
 	const char *name;
 	int i, found;
 	guint k;
@@ -34,7 +34,7 @@
 role_config(struct node *n)
 {
 	const struct config *cfg = config_get(n->config);
-	struct guard_side *g = &n->guard;
+	struct guard_side *g = n->guard;
 	const struct set_target *t;
 	const struct set_service *v;
 	int i;
@@ -73,7 +73,7 @@
 		i = set_target_of_vm(cfg->set, n->settings.name);
 	out = i < 0 || !set_target_in(cfg->set, i) || n->leaving ||
 	      members_state(n->members) != MEMBER_ALIVE;
-	if (n->guard.guard != NULL && out != n->out)
+	if (n->guard->guard != NULL && out != n->out)
 		record_out(n, out);
 	n->out = out;
 }
--- a/node/serve.c
+++ b/node/serve.c
@@ -4,7 +4,9 @@
  */
 #include <string.h>
 
-#include "serve_int.h"
+#include "gossip.h"
+#include "record.h"
+#include "spread.h"
 
 static void exchange_done(void *arg, struct exchange_job *job);
 static void duplicate(
@@ -28,13 +30,13 @@
 	char host[ADDRESS_MAX];
 	int port;
 
+	n->guard = g_new0(struct guard_side, 1);
 	address_split(n->settings.target, host, &port);
-	n->guard.pool = target_pool_start(host, port, exchange_done, n);
-	n->guard.held = g_ptr_array_new();
-	n->guard.peers = g_ptr_array_new_with_free_func(g_free);
-	kept_init(&n->guard.kept_once, GUARD_REMEMBER_MS);
-	kept_init(&n->guard.kept_short, KEPT_SHORT_MS);
-	n->guard.refreshed = 1;
+	n->guard->pool = target_pool_start(host, port, exchange_done, n);
+	n->guard->held = g_ptr_array_new();
+	n->guard->peers = g_ptr_array_new_with_free_func(g_free);
+	kept_init(&n->guard->kept_once, GUARD_REMEMBER_MS);
+	kept_init(&n->guard->kept_short, KEPT_SHORT_MS);
 }
 
 /* Releases the guard's side; the workers end first. */
@@ -43,14 +45,15 @@
 {
 	guint i;
 
-	target_pool_stop(n->guard.pool);
-	for (i = 0; i < n->guard.held->len; i++)
-		served_free(g_ptr_array_index(n->guard.held, i));
-	g_ptr_array_free(n->guard.held, TRUE);
-	g_ptr_array_free(n->guard.peers, TRUE);
-	kept_destroy(&n->guard.kept_once);
-	kept_destroy(&n->guard.kept_short);
-	guard_free(n->guard.guard);
+	target_pool_stop(n->guard->pool);
+	for (i = 0; i < n->guard->held->len; i++)
+		served_free(g_ptr_array_index(n->guard->held, i));
+	g_ptr_array_free(n->guard->held, TRUE);
+	g_ptr_array_free(n->guard->peers, TRUE);
+	kept_destroy(&n->guard->kept_once);
+	kept_destroy(&n->guard->kept_short);
+	guard_free(n->guard->guard);
+	g_free(n->guard);
 }
 
 /* On a worker's thread: an exchange has ended. */
@@ -80,7 +83,7 @@
 			reply_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
 		return;
 	}
-	if (reply_kept(n, &n->guard.kept_once, r, call, id))
+	if (reply_kept(n, &n->guard->kept_once, r, call, id))
 		return;
 	/* It ran, or it runs past its deadline; how it ended is not known. */
 	reply_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
@@ -96,7 +99,7 @@
 
 	if (f->guard_boot != n->boot)
 		return OUTCOME_RESTARTED;
-	if (cfg == NULL || !n->guard.refreshed)
+	if (cfg == NULL || !spread_refreshed(n))
 		return OUTCOME_BEHIND;
 	behind = f->set->number > cfg->version.number;
 	if (behind && (m = member_find(n->members, f->from)) >= 0) {
@@ -179,7 +182,7 @@
 	s->req.fingerprint = f->fingerprint;
 	v = record_admit(n, &s->req);
 	if (v == GUARD_QUEUE) {
-		g_ptr_array_add(n->guard.held, s);
+		g_ptr_array_add(n->guard->held, s);
 		counter_add(CTR_GUARD_QUEUED, 1);
 		reply_ack(n, r, call);
 		return;
@@ -189,7 +192,7 @@
 	else
 		reply_outcome(n, r, call, outcome_by_verdict[v],
 		    guard_crashes(
-			n->guard.guard, s->req.fingerprint, base_now_ms()));
+			n->guard->guard, s->req.fingerprint, base_now_ms()));
 	served_free(s);
 }
 
@@ -220,12 +223,12 @@
 	trace_begin(&t, NULL);
 	g_strlcpy(t.trace_id, s->trace.trace_id, sizeof(t.trace_id));
 	g_strlcpy(t.parent_id, s->trace.span_id, sizeof(t.parent_id));
-	spans_add(&n->spans, &t, "queue", n->guard.target, "run",
+	spans_add(&n->spans, &t, "queue", n->guard->target, "run",
 	    now_us - s->began_us);
 	s->running = 1;
 	s->queued_us = now_us;
 	counter_add(CTR_GUARD_RUNS, 1);
-	target_pool_submit(n->guard.pool, s->job);
+	target_pool_submit(n->guard->pool, s->job);
 	s->job = NULL;
 }
 
@@ -249,7 +252,7 @@
 			counter_add(CTR_GUARD_EXPIRED, 1);
 		if (v == GUARD_POISON)
 			counter_add(CTR_QUARANTINED, 1);
-		g_ptr_array_remove_fast(n->guard.held, s);
+		g_ptr_array_remove_fast(n->guard->held, s);
 		reply_all_outcome(n, s, outcome_by_verdict[v]);
 		served_free(s);
 	}
@@ -286,12 +289,12 @@
 	a.body.data = (uint8_t *)g_bytes_get_data(j->out_body, &len);
 	a.body.len = len;
 	a.length = len;
-	a.load = guard_load(n->guard.guard);
+	a.load = guard_load(n->guard->guard);
 	/* An id of a caller may name several requests that may be repeated. */
 	if (s->req.once)
-		kept_add(&n->guard.kept_once, s->req.id, &a, base_now_ms());
+		kept_add(&n->guard->kept_once, s->req.id, &a, base_now_ms());
 	else if (s->req.fresh)
-		kept_add(&n->guard.kept_short, s->req.id, &a, base_now_ms());
+		kept_add(&n->guard->kept_short, s->req.id, &a, base_now_ms());
 	reply_all(n, s, &a);
 	g_free(a.headers);
 	g_free(headers);
@@ -307,16 +310,16 @@
 
 	record_done(n, &s->req, j->result, j->latency_us, now);
 	if (n->settings.no_slow_start)
-		guard_limit(n->guard.guard)->current =
-		    guard_limit(n->guard.guard)->slots;
+		guard_limit(n->guard->guard)->current =
+		    guard_limit(n->guard->guard)->slots;
 	if (j->result == EXCHANGE_BROKEN) {
 		counter_add(CTR_TARGET_FAILURES, 1);
 		crashes =
-		    guard_crashes(n->guard.guard, s->req.fingerprint, now);
+		    guard_crashes(n->guard->guard, s->req.fingerprint, now);
 		if (crashes > 0)
 			gossip_suspect(n, s->req.fingerprint, crashes, 0);
 	}
-	g_ptr_array_remove_fast(n->guard.held, s);
+	g_ptr_array_remove_fast(n->guard->held, s);
 	if (!s->answered)
 		answer_exchange(n, s, j);
 	served_free(s);
@@ -353,10 +356,10 @@
 		return;
 	}
 	if (!f->once && f->fresh &&
-	    reply_kept(n, &n->guard.kept_short, r, call, f->id))
+	    reply_kept(n, &n->guard->kept_short, r, call, f->id))
 		return;
 	/* What may be repeated is not remembered: it may have run and gone. */
-	if (!f->once || n->guard.guard == NULL) {
+	if (!f->once || n->guard->guard == NULL) {
 		reply_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
 		return;
 	}
@@ -380,7 +383,7 @@
 		if (s->waiters[i].call == call)
 			s->waiters[i--] = s->waiters[--s->nwaiters];
 	if (s->nwaiters == 0 && record_cancel(n, s)) {
-		g_ptr_array_remove_fast(n->guard.held, s);
+		g_ptr_array_remove_fast(n->guard->held, s);
 		served_free(s);
 	}
 }
@@ -392,25 +395,68 @@
 	struct served *s;
 	guint i;
 
-	if (n->guard.guard == NULL)
+	if (n->guard->guard == NULL)
 		return;
-	if (!n->guard.refreshed && now >= n->guard.refresh_until)
-		n->guard.refreshed = 1;
-	for (i = 0; i < n->guard.held->len; i++) {
-		s = g_ptr_array_index(n->guard.held, i);
+	for (i = 0; i < n->guard->held->len; i++) {
+		s = g_ptr_array_index(n->guard->held, i);
 		if (!s->running || s->answered || s->req.deadline > now)
 			continue;
 		s->answered = 1;
 		reply_all_outcome(n, s, OUTCOME_EXPIRED);
 	}
 	pump(n);
-	kept_expire(&n->guard.kept_once, now);
-	kept_expire(&n->guard.kept_short, now);
+	kept_expire(&n->guard->kept_once, now);
+	kept_expire(&n->guard->kept_short, now);
 }
 
-/* Whether anything is held. */
+/* Requests held. */
 int
-serve_busy(const struct node *n)
+serve_held(const struct node *n)
 {
-	return n->guard.held->len > 0;
+	return (int)n->guard->held->len;
+}
+
+/* The guard. */
+struct guard *
+serve_guard(const struct node *n)
+{
+	return n->guard->guard;
+}
+
+/* Name of the target beside this node. */
+const char *
+serve_target(const struct node *n)
+{
+	return n->guard->target;
+}
+
+/* The guard's load. */
+int
+serve_load(struct node *n)
+{
+	return n->guard->guard != NULL ? guard_load(n->guard->guard) : 0;
+}
+
+/* Another guard tells of crashes, or that a quarantine is lifted. */
+void
+serve_suspected(struct node *n, const Wire__Suspect *s)
+{
+	if (n->guard->guard == NULL)
+		return;
+	if (s->released)
+		record_release(n, s->fingerprint);
+	else
+		record_suspect(n, s->fingerprint, s->crashes);
+}
+
+/* Lifts a quarantine, here and at the other guards of the service. */
+int
+serve_release(struct node *n, uint64_t fingerprint)
+{
+	int had = 0;
+
+	if (n->guard->guard != NULL)
+		had = record_release(n, fingerprint);
+	gossip_suspect(n, fingerprint, 0, 1);
+	return had;
 }
--- a/node/served.c
+++ b/node/served.c
@@ -21,8 +21,8 @@
 	guint i;
 	int k;
 
-	for (i = 0; i < n->guard.held->len; i++) {
-		s = g_ptr_array_index(n->guard.held, i);
+	for (i = 0; i < n->guard->held->len; i++) {
+		s = g_ptr_array_index(n->guard->held, i);
 		if (id != NULL && strcmp(s->req.id, id) != 0)
 			continue;
 		for (k = 0; k < s->nwaiters; k++)
@@ -40,8 +40,8 @@
 	struct served *s;
 	guint i;
 
-	for (i = 0; i < n->guard.held->len; i++) {
-		s = g_ptr_array_index(n->guard.held, i);
+	for (i = 0; i < n->guard->held->len; i++) {
+		s = g_ptr_array_index(n->guard->held, i);
 		if (s->req.once && strcmp(s->req.id, id) == 0)
 			return s;
 	}
--- a/node/span.c
+++ b/node/span.c
@@ -2,7 +2,7 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include "node_int.h"
+#include "span.h"
 
 static void random_digits(char *, size_t);
 static int all_hex(const char *, size_t);
--- a/node/spread.c
+++ b/node/spread.c
@@ -7,9 +7,13 @@
  */
 #include <string.h>
 
-#include "node_int.h"
+#include "gossip.h"
+#include "spread.h"
+#include "wire_set.h"
 
-#define FANOUT	    4 /* children of a node in the tree */
+#define PUSHES_MAX  64	 /* under way at once */
+#define REFRESH_MS  1000 /* after a pause, views are refreshed within */
+#define FANOUT	    4	 /* children of a node in the tree */
 #define PUSH_TRIES  3
 #define PUSH_AGAIN  150	 /* ms between two tries of a push */
 #define FETCH_MS    1000 /* a fetch is given up after */
@@ -17,6 +21,28 @@
 #define START_PEERS 3	 /* asked by a node that starts */
 #define BASES_MAX   8	 /* read from a request */
 
+/* A push that was not acknowledged yet. */
+struct push {
+	int to; /* member */
+	int tries;
+	int64_t again_at;
+};
+
+struct spread {
+	struct push pushes[PUSHES_MAX];
+	int npushes;
+	uint64_t pushed;     /* number of the version last pushed */
+	int pushed_by;	     /* member whose push is being applied, or -1 */
+	int64_t fetch_until; /* a fetch is under way until then */
+	char fetch_from[MESH_NAME_MAX + 1];
+	struct version rejected; /* last told to others */
+	int tells;		 /* datagrams that still carry it */
+	int asked;		 /* peers asked since the start */
+	int answered;		 /* of these, answered */
+	int refreshed; /* 0: paused, and no peer has said its version since */
+	int64_t refresh_until; /* taken as refreshed at the latest */
+};
+
 static int in_tree(struct node *, const char **, int *, int);
 static void push_to(struct node *, struct push *, int64_t);
 static void add_push(struct node *, int, int64_t);
@@ -24,9 +50,46 @@
 static int is_behind(struct node *, const struct member *);
 static void fetch(struct node *, int);
 static int asker_holds(const Wire__SetRequest *, const struct version *);
-static int unpack_delta(const Wire__SetReply *, struct config_delta *);
 static void ask_at_start(struct node *);
 
+/* Prepares the spreading of versions. */
+void
+spread_init(struct node *n)
+{
+	n->spread = g_new0(struct spread, 1);
+	n->spread->pushed_by = -1;
+	n->spread->refreshed = 1;
+}
+
+/* Releases it. */
+void
+spread_destroy(struct node *n)
+{
+	g_free(n->spread);
+}
+
+/* Whether the peers asked at the start have answered, or there were none. */
+int
+spread_asked(const struct node *n)
+{
+	return n->spread->asked == 0 || n->spread->answered > 0;
+}
+
+/* The process slept: what is believed of versions is old. */
+void
+spread_paused(struct node *n, int64_t now)
+{
+	n->spread->refreshed = 0;
+	n->spread->refresh_until = now + REFRESH_MS;
+}
+
+/* Whether a peer has said its version since the last pause, or none did. */
+int
+spread_refreshed(const struct node *n)
+{
+	return n->spread->refreshed;
+}
+
 /* Names of the nodes alive in this data centre, this one first. */
 static int
 in_tree(struct node *n, const char **names, int *handles, int max)
@@ -73,9 +136,9 @@
 {
 	struct push *p;
 
-	if (n->spread.npushes == PUSHES_MAX)
+	if (n->spread->npushes == PUSHES_MAX)
 		return;
-	p = &n->spread.pushes[n->spread.npushes++];
+	p = &n->spread->pushes[n->spread->npushes++];
 	*p = (struct push){ .to = to };
 	push_to(n, p, now);
 }
@@ -84,7 +147,7 @@
 static void
 drop_push(struct node *n, int i)
 {
-	n->spread.pushes[i] = n->spread.pushes[--n->spread.npushes];
+	n->spread->pushes[i] = n->spread->pushes[--n->spread->npushes];
 }
 
 /* Sends the newest version to a member, as a difference to the one before. */
@@ -123,15 +186,15 @@
 	int64_t now = base_now_ms();
 
 	config_versions(n->config, &v);
-	if (v.held.number == 0 || v.held.number == n->spread.pushed)
+	if (v.held.number == 0 || v.held.number == n->spread->pushed)
 		return;
-	n->spread.pushed = v.held.number;
-	n->spread.npushes = 0;
-	n->spread.fetch_until = 0;
-	if (n->spread.pushed_by >= 0) {
-		have.to = n->spread.pushed_by;
+	n->spread->pushed = v.held.number;
+	n->spread->npushes = 0;
+	n->spread->fetch_until = 0;
+	if (n->spread->pushed_by >= 0) {
+		have.to = n->spread->pushed_by;
 		gossip_send(n, &have, NULL);
-		n->spread.pushed_by = -1;
+		n->spread->pushed_by = -1;
 	}
 	size = members_count(n->members) + 1;
 	names = g_new(const char *, size);
@@ -174,9 +237,9 @@
 	int64_t now = base_now_ms();
 	int i, bytes;
 
-	if (n->spread.fetch_until > now)
+	if (n->spread->fetch_until > now)
 		return;
-	n->spread.fetch_until = now + FETCH_MS;
+	n->spread->fetch_until = now + FETCH_MS;
 	config_versions(n->config, &v);
 	req.n_bases = (size_t)config_bases(n->config, bases);
 	for (i = 0; i < (int)req.n_bases; i++) {
@@ -192,7 +255,7 @@
 	env.set_request = &req;
 	bytes = link_send(n->link, p->name, p->addr, &env);
 	if (bytes < 0) {
-		n->spread.fetch_until = 0;
+		n->spread->fetch_until = 0;
 		return;
 	}
 	counter_add(CTR_FETCHES, 1);
@@ -209,15 +272,15 @@
 	int i, order;
 
 	config_versions(n->config, &v);
-	for (i = 0; i < n->spread.npushes; i++)
-		if (n->spread.pushes[i].to == member &&
+	for (i = 0; i < n->spread->npushes; i++)
+		if (n->spread->pushes[i].to == member &&
 		    p->number >= v.held.number)
 			drop_push(n, i--);
 	if (p->number == 0 || p->number < v.held.number)
 		return;
 	order = memcmp(p->hash, v.held.hash, sizeof(p->hash));
 	if (p->number == v.held.number && order <= 0) {
-		n->guard.refreshed = 1;
+		n->spread->refreshed = 1;
 		return;
 	}
 	if (p->number == v.rejected.number &&
@@ -226,30 +289,6 @@
 	fetch(n, member);
 }
 
-/* Reads a version as it travels. */
-static int
-unpack_delta(const Wire__SetReply *r, struct config_delta *d)
-{
-	memset(d, 0, sizeof(*d));
-	if (r == NULL || r->set == NULL ||
-	    r->set->hash.len != VERSION_HASH_LEN || r->payload.len == 0 ||
-	    r->length > BASE_SET_MAX)
-		return NODE_EGARBLED;
-	d->version.number = r->set->number;
-	memcpy(d->version.hash, r->set->hash.data, VERSION_HASH_LEN);
-	if (r->parent.len == VERSION_HASH_LEN) {
-		memcpy(d->parent, r->parent.data, VERSION_HASH_LEN);
-		d->has_parent = 1;
-	}
-	if (r->built_on.len == VERSION_HASH_LEN) {
-		memcpy(d->base, r->built_on.data, VERSION_HASH_LEN);
-		d->has_base = 1;
-	}
-	d->length = r->length;
-	d->payload = g_bytes_new(r->payload.data, r->payload.len);
-	return NODE_OK;
-}
-
 /* A parent in the tree pushes; without the base, the set is fetched. */
 void
 spread_push(struct node *n, int from, const Wire__SetReply *push)
@@ -260,7 +299,7 @@
 	enum offer_verdict v;
 	int i, count, held = 0;
 
-	if (unpack_delta(push, &d) != NODE_OK)
+	if (wire_set_unpack(push, &d) != NODE_OK)
 		return;
 	v = config_offer(n->config, &d.version);
 	count = config_bases(n->config, bases);
@@ -271,8 +310,8 @@
 			config_submit_delta(
 			    n->config, &d, member_at(n->members, from)->name);
 			/* What is being applied is not fetched as well. */
-			n->spread.fetch_until = base_now_ms() + APPLY_MS;
-			n->spread.pushed_by = from;
+			n->spread->fetch_until = base_now_ms() + APPLY_MS;
+			n->spread->pushed_by = from;
 		} else {
 			fetch(n, from);
 		}
@@ -282,25 +321,6 @@
 	g_bytes_unref(d.payload);
 }
 
-/* Writes a version as it travels; what it points to stays with d. */
-void
-spread_pack(const struct config_delta *d, Wire__SetReply *r, Wire__Version *v)
-{
-	gsize len;
-
-	v->number = d->version.number;
-	v->hash.data = (uint8_t *)d->version.hash;
-	v->hash.len = VERSION_HASH_LEN;
-	r->set = v;
-	r->built_on.data = (uint8_t *)d->base;
-	r->built_on.len = d->has_base ? VERSION_HASH_LEN : 0;
-	r->parent.data = (uint8_t *)d->parent;
-	r->parent.len = d->has_parent ? VERSION_HASH_LEN : 0;
-	r->length = d->length;
-	r->payload.data = (uint8_t *)g_bytes_get_data(d->payload, &len);
-	r->payload.len = len;
-}
-
 /* Whether an asker already holds a version, or one that goes before it. */
 static int
 asker_holds(const Wire__SetRequest *req, const struct version *v)
@@ -339,7 +359,7 @@
 	if (have != NODE_OK || asker_holds(req, &d.version)) {
 		reply.current = 1;
 	} else {
-		spread_pack(&d, &reply, &v);
+		wire_set_pack(&d, &reply, &v);
 		if (!d.has_base)
 			counter_add(CTR_FULL_SETS, 1);
 	}
@@ -358,9 +378,9 @@
 {
 	struct config_delta d;
 
-	n->spread.answered++;
-	if (r->current || unpack_delta(r, &d) != NODE_OK) {
-		n->spread.fetch_until = 0;
+	n->spread->answered++;
+	if (r->current || wire_set_unpack(r, &d) != NODE_OK) {
+		n->spread->fetch_until = 0;
 		return;
 	}
 	config_submit_delta(n->config, &d, peer);
@@ -377,14 +397,14 @@
 	if (count == 0)
 		return;
 	at = g_rand_int_range(n->rand, 0, count);
-	for (i = 0; i < count && n->spread.asked < START_PEERS; i++) {
+	for (i = 0; i < count && n->spread->asked < START_PEERS; i++) {
 		at = (at + 1) % count;
 		p = member_at(n->members, at);
 		if (p->state > MEMBER_LEAVING)
 			continue;
-		n->spread.fetch_until = 0;
+		n->spread->fetch_until = 0;
 		fetch(n, at);
-		n->spread.asked++;
+		n->spread->asked++;
 	}
 }
 
@@ -395,10 +415,12 @@
 	struct push *p;
 	int i;
 
-	if (!n->ready && n->spread.asked == 0)
+	if (!n->ready && n->spread->asked == 0)
 		ask_at_start(n);
-	for (i = 0; i < n->spread.npushes; i++) {
-		p = &n->spread.pushes[i];
+	if (now >= n->spread->refresh_until)
+		n->spread->refreshed = 1;
+	for (i = 0; i < n->spread->npushes; i++) {
+		p = &n->spread->pushes[i];
 		if (p->again_at > now)
 			continue;
 		if (p->tries >= PUSH_TRIES)
@@ -415,13 +437,13 @@
 {
 	if ((*v = version_rejected(st, reason, by)) == NULL)
 		return 0;
-	if (version_cmp(*v, &n->spread.rejected) != 0) {
-		n->spread.rejected = **v;
-		n->spread.tells = members_tell_count(n->members);
+	if (version_cmp(*v, &n->spread->rejected) != 0) {
+		n->spread->rejected = **v;
+		n->spread->tells = members_tell_count(n->members);
 	}
-	if (n->spread.tells == 0)
+	if (n->spread->tells == 0)
 		return 0;
-	n->spread.tells--;
+	n->spread->tells--;
 	if (**by == '\0')
 		*by = n->settings.name;
 	return 1;
--- a/node/status.c
+++ b/node/status.c
@@ -3,7 +3,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "record.h"
+#include "config.h"
+#include "entry.h"
+#include "serve.h"
+#include "status.h"
 
 #define HTTP_OK	       200
 #define HTTP_NOT_FOUND 404
@@ -81,7 +84,7 @@
 static void
 print_guard(struct node *n, GString *out)
 {
-	struct guard *g = n->guard.guard;
+	struct guard *g = serve_guard(n);
 
 	g_string_append(out, ", \"guard\": ");
 	if (g == NULL) {
@@ -89,7 +92,7 @@
 		return;
 	}
 	g_string_append(out, "{\"target\": ");
-	json_quote(out, n->guard.target);
+	json_quote(out, serve_target(n));
 	g_string_append_printf(out,
 	    ", \"limit\": %d, \"running\": %d, \"waiting\": %d, "
 	    "\"remembered\": %d, \"load\": %d}",
@@ -132,8 +135,7 @@
 	    n->leaving ? "true" : "false",
 	    members_isolated(n->members, base_now_ms()) ? "true" : "false",
 	    reader_on_duty(n->reader) ? "true" : "false", source_strerror(err),
-	    g_atomic_int_get(&n->entry.inflight), link_count(n->link),
-	    MESH_RULES);
+	    entry_inflight(n), link_count(n->link), MESH_RULES);
 	config_status(n->config, out);
 	print_counts(n, out);
 	print_guard(n, out);
@@ -202,10 +204,10 @@
 poison(struct node *n, struct server_request *r, GString *out)
 {
 	(void)r;
-	if (n->guard.guard == NULL)
+	if (serve_guard(n) == NULL)
 		g_string_append(out, "[]");
 	else
-		guard_print_poison(n->guard.guard, out, base_now_ms());
+		guard_print_poison(serve_guard(n), out, base_now_ms());
 }
 
 /* Lifts a quarantine, here and at the other guards of the service. */
@@ -214,12 +216,8 @@
 {
 	char *text = server_query(r, "fingerprint");
 	uint64_t fp = text != NULL ? strtoull(text, NULL, 16) : 0;
-	int had = 0;
 
-	if (n->guard.guard != NULL)
-		had = record_release(n, fp);
-	gossip_suspect(n, fp, 0, 1);
-	g_string_append_printf(
-	    out, "{\"released\": %s}\n", had ? "true" : "false");
+	g_string_append_printf(out, "{\"released\": %s}\n",
+	    serve_release(n, fp) ? "true" : "false");
 	g_free(text);
 }
