A call that was meant for an earlier incarnation of a guard is fenced, not unknown

An entry learns a restarted node's incarnation from that node's own datagrams only. Until then it addresses calls to the one before; if such a sending is lost (in keys.sh: on a connection opened with the key that is no longer used, silent for 100 ms), it asks about it, and the guard answered every question meant for another incarnation with outcome_unknown, though the id was made seconds after the restart and cannot have run before it. Change: a guard that remembers back to an id's birth fences the id whatever incarnation was meant. What may be older than the guard stays unknown.

Settings of teaselnode are read again on SIGHUP and when the file changes (before: SIGHUP ended it); what needs a restart is named, what is refused changes nothing.

--- a/base/base.h
+++ b/base/base.h
@@ -43,6 +43,17 @@
 /* The same, for a socket. */
 int address_resolve(const char *addr, struct sockaddr_in *);
 
+/* ---- files ---- */
+
+/* What tells one state of a file from another. */
+struct file_mark {
+	int64_t changed_ns, size;
+	uint64_t inode;
+};
+
+/* Whether a file differs from its mark, which is renewed; 0 if it is gone. */
+int file_changed(const char *path, struct file_mark *);
+
 /* ---- log ---- */
 
 /* Sends GLib's log to standard error, one line a record. */
--- a/base/file.c
+++ b/base/file.c
@@ -1,8 +1,11 @@
-/* Reading whole files of bounded size. */
+/* Files: reading whole ones of bounded size, noticing that one changed. */
 #include <stdio.h>
+#include <sys/stat.h>
 
 #include "base.h"
 
+#define NS_PER_S 1000000000
+
 /* Reads a file into memory; one byte past max is enough to refuse it. */
 int
 base_read_file(const char *path, size_t max, char **text, size_t *len)
@@ -27,3 +30,23 @@
 	*len = n;
 	return BASE_OK;
 }
+
+/* Compares a file with its mark. */
+int
+file_changed(const char *path, struct file_mark *m)
+{
+	struct file_mark now;
+	struct stat st;
+
+	if (stat(path, &st) != 0)
+		return 0;
+	now.changed_ns =
+	    (int64_t)st.st_mtim.tv_sec * NS_PER_S + st.st_mtim.tv_nsec;
+	now.size = st.st_size;
+	now.inode = st.st_ino;
+	if (now.changed_ns == m->changed_ns && now.size == m->size &&
+	    now.inode == m->inode)
+		return 0;
+	*m = now;
+	return 1;
+}
--- a/mesh/guard.c
+++ b/mesh/guard.c
@@ -335,6 +335,13 @@
 	return refuse(g, &r, GUARD_FENCED, now);
 }
 
+/* Whether the guard was there when an id was made, and still remembers it. */
+int
+guard_covers(const struct guard *g, int64_t born, int64_t wall_ms)
+{
+	return memory_covers(g->memory, born, wall_ms);
+}
+
 /* Leaves or joins. */
 void
 guard_set_out(struct guard *g, int out)
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -321,6 +321,8 @@
 struct guard *guard_new(int slots, int64_t wall_ms);
 void guard_free(struct guard *);
 struct limit *guard_limit(struct guard *);
+/* Whether an id made at a time is one that this guard would remember. */
+int guard_covers(const struct guard *, int64_t born_wall_ms, int64_t wall_ms);
 /* Admits or refuses; the request is copied when it is taken. */
 enum guard_verdict guard_admit(
     struct guard *, const struct guard_request *, int64_t now, int64_t wall_ms);
--- a/node/intake.c
+++ b/node/intake.c
@@ -111,7 +111,8 @@
 
 	if (g_atomic_int_get(&n->entry->leaving))
 		return OUTCOME_LEAVING;
-	if (g_atomic_int_get(&n->entry->inflight) >= n->settings.calls_max)
+	if (g_atomic_int_get(&n->entry->inflight) >=
+	    g_atomic_int_get(&n->settings.calls_max))
 		return OUTCOME_TOO_MANY;
 	config_lock();
 	cfg = config_get(n->config);
--- a/node/loop.c
+++ b/node/loop.c
@@ -29,6 +29,7 @@
 static void update_ready(struct node *, int64_t);
 static void release_links(struct node *, int64_t);
 static void update_duty(struct node *, int64_t);
+static void take_settings(struct node *, struct settings *);
 static void begin_leaving(struct node *);
 static int is_idle(const struct node *);
 static int may_end(struct node *, int64_t);
@@ -101,6 +102,9 @@
 		n->firsts--;
 		n->firsts_good += GPOINTER_TO_INT(e->p) == SOURCE_OK;
 		break;
+	case EVENT_SETTINGS:
+		take_settings(n, e->p);
+		break;
 	case EVENT_STOP:
 		begin_leaving(n);
 		break;
@@ -179,6 +183,24 @@
 	link_release(n->link, now, n->settings.link_idle_ms);
 }
 
+/* Settings were read anew; what needs a restart is said and left. */
+static void
+take_settings(struct node *n, struct settings *fresh)
+{
+	GString *taken = g_string_new(NULL), *kept = g_string_new(NULL);
+
+	settings_change(&n->settings, fresh, taken, kept);
+	base_log(G_LOG_LEVEL_MESSAGE, "settings-reloaded", "changed=%s",
+	    taken->len > 0 ? taken->str : "-");
+	if (kept->len > 0)
+		base_log(G_LOG_LEVEL_WARNING, "settings-need-restart",
+		    "keys=%s", kept->str);
+	g_string_free(taken, TRUE);
+	g_string_free(kept, TRUE);
+	settings_free(fresh);
+	g_free(fresh);
+}
+
 /* Leaves: no new work from this moment on. */
 static void
 begin_leaving(struct node *n)
--- a/node/mailbox.h
+++ b/node/mailbox.h
@@ -14,6 +14,7 @@
 	EVENT_CONFIG,	/* the store decided over a version */
 	EVENT_VMS,	/* a VM list was read: struct vm_list */
 	EVENT_FIRST,	/* a first read of the platform has ended */
+	EVENT_SETTINGS, /* read anew: struct settings */
 	EVENT_STOP,	/* stop gracefully */
 };
 
--- a/node/node.c
+++ b/node/node.c
@@ -183,19 +183,30 @@
 static int
 listen_all(struct node *n)
 {
-	static int (*const listeners[])(struct node *) = { gossip_open,
-		loop_open_link, listen_operators, listen_callers,
-		listen_services };
+	const struct {
+		int (*open)(struct node *);
+		const char *key, *address;
+	} listeners[] = {
+		{ gossip_open, "listen", n->settings.listen },
+		{ loop_open_link, "listen", n->settings.listen },
+		{ listen_operators, "operators", n->settings.operators },
+		{ listen_callers, "callers", n->settings.callers },
+		{ listen_services, "services", n->settings.services },
+	};
 	int64_t deadline = n->started_at + LISTEN_MS;
 	size_t i = 0;
 
 	while (i < G_N_ELEMENTS(listeners)) {
-		if (listeners[i](n) == NODE_OK) {
+		if (listeners[i].open(n) == NODE_OK) {
 			i++;
 			continue;
 		}
-		if (base_now_ms() >= deadline)
+		if (base_now_ms() >= deadline) {
+			base_log(G_LOG_LEVEL_WARNING, "cannot-listen",
+			    "address=%s setting=%s", listeners[i].address,
+			    listeners[i].key);
 			return NODE_ELISTEN;
+		}
 		g_usleep(LISTEN_EVERY_US);
 	}
 	return NODE_OK;
@@ -284,6 +295,13 @@
 	return NODE_OK;
 }
 
+/* Hands settings over to the loop. */
+void
+node_settings(struct node *n, const struct settings *s)
+{
+	mailbox_post(&n->mailbox, EVENT_SETTINGS, g_memdup2(s, sizeof(*s)));
+}
+
 /* Stops a node; the loop ends when nothing is under way any more. */
 void
 node_stop(struct node *n)
--- a/node/node.h
+++ b/node/node.h
@@ -50,6 +50,12 @@
 /* Reads settings; every problem goes into the report, and s owns nothing. */
 int settings_read(const char *path, struct settings *, struct report *);
 void settings_free(struct settings *);
+/*
+ * Takes over from fresh what can change while a node runs.  Appends the keys
+ * that changed to taken, and those that need a restart to kept.
+ */
+void settings_change(
+    struct settings *, struct settings *fresh, GString *taken, GString *kept);
 
 #define NODE_KEY_LEN 32 /* bytes of a key of the fleet */
 #define NODE_KEYS    2	/* while one is replaced by another */
@@ -71,6 +77,8 @@
  */
 int
 node_start(struct node **, const struct settings *, const struct fleet_keys *);
+/* Hands over settings that were read anew. */
+void node_settings(struct node *, const struct settings *);
 /* Stops gracefully: refuses new work, finishes what runs, tells peers. */
 void node_stop(struct node *);
 
--- a/node/role.c
+++ b/node/role.c
@@ -44,11 +44,8 @@
 		t = &cfg->set->targets[i];
 		v = &cfg->set->services[t->service];
 		if (g->guard == NULL) {
-			g->guard = guard_new(v->slots, base_wall_ms());
+			serve_begin(n, v->slots, base_wall_ms());
 			n->out = 0;
-			if (n->settings.no_slow_start)
-				guard_limit(g->guard)->current = v->slots;
-			record_open(n, v->slots, base_wall_ms());
 		} else if (strcmp(g->target, t->name) != 0) {
 			record_forget(n);
 			g_ptr_array_set_size(g->peers, 0);
--- a/node/serve.c
+++ b/node/serve.c
@@ -18,6 +18,7 @@
     uint64_t call, const Wire__Forward *f);
 static void admit(struct node *n, const struct link_route *r, uint64_t call,
     const Wire__Forward *f);
+static int is_younger(const struct node *, const Wire__Fence *);
 static void hand_out(struct node *n, struct served *s, int64_t now_us);
 static void pump(struct node *n);
 static void
@@ -39,6 +40,16 @@
 	kept_init(&n->guard->kept_short, KEPT_SHORT_MS);
 }
 
+/* A target is beside this node from now on. */
+void
+serve_begin(struct node *n, int slots, int64_t wall_ms)
+{
+	n->guard->guard = guard_new(slots, wall_ms);
+	if (n->settings.no_slow_start)
+		guard_limit(n->guard->guard)->current = slots;
+	record_open(n, slots, wall_ms);
+}
+
 /* Releases the guard's side; the workers end first. */
 void
 serve_destroy(struct node *n)
@@ -327,6 +338,17 @@
 	pump(n);
 }
 
+/*
+ * Whether a request that was meant for an incarnation before this one cannot
+ * have run there, as its id was made after that one had ended.
+ */
+static int
+is_younger(const struct node *n, const Wire__Fence *f)
+{
+	return f->once && n->guard->guard != NULL &&
+	       guard_covers(n->guard->guard, f->born_wall_ms, base_wall_ms());
+}
+
 /*
  * An entry that heard nothing asks.  What is held goes on, with the answer to
  * the new connection; what was never seen is fenced off.
@@ -344,7 +366,7 @@
 		reply_outcome(n, r, call, OUTCOME_RESTARTED, 0);
 		return;
 	}
-	if (f->guard_boot != n->boot) {
+	if (f->guard_boot != n->boot && !is_younger(n, f)) {
 		reply_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
 		return;
 	}
--- a/node/serve.h
+++ b/node/serve.h
@@ -24,6 +24,8 @@
 void serve_cancel(struct node *, const struct link_route *, uint64_t call);
 void serve_done(struct node *, struct exchange_job *);
 void serve_tick(struct node *, int64_t now);
+/* A target is beside this node: its guard remembers ids from wall_ms on. */
+void serve_begin(struct node *, int slots, int64_t wall_ms);
 /* Requests held. */
 int serve_held(const struct node *);
 /* The guard, or NULL when no target of the set is on this VM. */
--- a/node/settings.c
+++ b/node/settings.c
@@ -13,6 +13,13 @@
 
 static void
 check_peers(const struct json *, const struct settings *, struct report *);
+static int
+is_same(const struct field *, const struct settings *, const struct settings *);
+static void swap(const struct field *, struct settings *, struct settings *);
+
+/* Keys that take effect while a node runs. */
+static const char *const live_keys[] = { "calls_max", "drain_ms",
+	"link_idle_ms", "log", "readers", NULL };
 
 #define NAME(key, max, req)                                               \
 	{                                                                 \
@@ -116,6 +123,65 @@
 	return NODE_ESETTINGS;
 }
 
+/* Whether a key has one value in both. */
+static int
+is_same(
+    const struct field *f, const struct settings *a, const struct settings *b)
+{
+	const void *x = (const char *)a + f->offset;
+	const void *y = (const char *)b + f->offset;
+	const char *const *p, *const *q;
+
+	if (f->type == FIELD_INT || f->type == FIELD_BOOL)
+		return *(const int *)x == *(const int *)y;
+	if (f->type == FIELD_NAME)
+		return g_strcmp0(*(char *const *)x, *(char *const *)y) == 0;
+	p = *(const char *const *const *)x;
+	q = *(const char *const *const *)y;
+	if (p == NULL || q == NULL)
+		return p == q;
+	return g_strv_equal(p, q);
+}
+
+/* Exchanges a key's values; numbers are read by other threads meanwhile. */
+static void
+swap(const struct field *f, struct settings *a, struct settings *b)
+{
+	char *x = (char *)a + f->offset, *y = (char *)b + f->offset, *name;
+	int n;
+
+	if (f->type == FIELD_NAME) {
+		name = *(char **)x;
+		*(char **)x = *(char **)y;
+		*(char **)y = name;
+		return;
+	}
+	n = g_atomic_int_get((int *)x);
+	g_atomic_int_set((int *)x, *(int *)y);
+	*(int *)y = n;
+}
+
+/* Takes over what can change while a node runs. */
+void
+settings_change(
+    struct settings *s, struct settings *fresh, GString *taken, GString *kept)
+{
+	const struct field *f;
+	GString *out;
+
+	for (f = fields; f->key != NULL; f++) {
+		if (is_same(f, s, fresh))
+			continue;
+		out = kept;
+		if (g_strv_contains(live_keys, f->key)) {
+			swap(f, s, fresh);
+			out = taken;
+		}
+		g_string_append_printf(
+		    out, "%s%s", out->len > 0 ? "," : "", f->key);
+	}
+}
+
 /* Releases what the settings own. */
 void
 settings_free(struct settings *s)
--- a/node/teaselnode.c
+++ b/node/teaselnode.c
@@ -10,36 +10,50 @@
 #include "node.h"
 
 #define EXIT_USAGE 2
+#define LOOK_S	   1 /* between two looks at the settings file */
 
-static int start(const char *, const char *, struct node **);
-static void wait_for_signal(const sigset_t *);
+/* Command line. */
+static char *config, *level;
+static struct file_mark mark; /* of the settings that were read */
+
+static int read_settings(struct settings *);
+static int start(struct node **);
+static void reload(struct node *);
+static void wait_for_signal(struct node *, const sigset_t *);
+
+/* Reads the settings; problems are printed with file, line and key. */
+static int
+read_settings(struct settings *s)
+{
+	struct report *rep = report_new();
+	GString *text = g_string_new(NULL);
+	int err = settings_read(config, s, rep);
+
+	report_print(rep, config, text);
+	fputs(text->str, stderr);
+	g_string_free(text, TRUE);
+	report_free(rep);
+	if (err == NODE_OK && level != NULL &&
+	    base_log_level(level) != BASE_OK) {
+		fprintf(
+		    stderr, "teaselnode: unknown log level \"%s\"\n", level);
+		settings_free(s);
+		err = NODE_ESETTINGS;
+	}
+	return err;
+}
 
 /* Reads everything the node needs and starts it. */
 static int
-start(const char *path, const char *level, struct node **out)
+start(struct node **out)
 {
 	struct fleet_keys keys;
 	struct settings s;
-	struct report *rep;
-	GString *text;
 	int err;
 
-	rep = report_new();
-	if (settings_read(path, &s, rep) != NODE_OK) {
-		text = g_string_new(NULL);
-		report_print(rep, path, text);
-		fputs(text->str, stderr);
-		g_string_free(text, TRUE);
-		report_free(rep);
+	file_changed(config, &mark);
+	if (read_settings(&s) != NODE_OK)
 		return 1;
-	}
-	report_free(rep);
-	if (level != NULL && base_log_level(level) != BASE_OK) {
-		fprintf(
-		    stderr, "teaselnode: unknown log level \"%s\"\n", level);
-		settings_free(&s);
-		return EXIT_USAGE;
-	}
 	base_log(G_LOG_LEVEL_DEBUG, "starting",
 	    "name=%s data_centre=%s listen=%s", s.name, s.data_centre,
 	    s.listen);
@@ -54,13 +68,34 @@
 	return 1;
 }
 
-/* Waits for the wish to stop. */
+/* Settings that cannot be accepted change nothing. */
+static void
+reload(struct node *n)
+{
+	struct settings s;
+
+	if (read_settings(&s) == NODE_OK)
+		node_settings(n, &s);
+	else
+		base_log(G_LOG_LEVEL_WARNING, "settings-rejected", "file=%s",
+		    config);
+}
+
+/* Waits for the wish to stop; settings that change meanwhile are read. */
 static void
-wait_for_signal(const sigset_t *set)
+wait_for_signal(struct node *n, const sigset_t *set)
 {
-	int sig;
+	const struct timespec look = { LOOK_S, 0 };
+	int sig, changed;
 
-	sigwait(set, &sig);
+	for (;;) {
+		sig = sigtimedwait(set, NULL, &look);
+		changed = file_changed(config, &mark);
+		if (sig == SIGHUP || changed)
+			reload(n);
+		else if (sig > 0)
+			break;
+	}
 	base_log(G_LOG_LEVEL_MESSAGE, "signal", "number=%d", sig);
 }
 
@@ -68,7 +103,6 @@
 int
 main(int argc, char **argv)
 {
-	static char *config, *level;
 	static const GOptionEntry options[] = {
 		{ "config", 'c', 0, G_OPTION_ARG_FILENAME, &config,
 		    "Settings of this node", "FILE" },
@@ -97,14 +131,15 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	base_log_init("teaselnode");
 	if (sodium_init() < 0 || ne_sock_init() != 0)
 		return 1;
-	if ((err = start(config, level, &n)) != 0)
+	if ((err = start(&n)) != 0)
 		return err;
-	wait_for_signal(&set);
+	wait_for_signal(n, &set);
 	node_stop(n);
 	base_log(G_LOG_LEVEL_MESSAGE, "stopped", "-");
 	return 0;
--- a/side/teaselside.c
+++ b/side/teaselside.c
@@ -3,7 +3,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/stat.h>
 
 #include "side.h"
 
@@ -19,7 +18,7 @@
 	struct event_base *base;
 	const char *path;
 	struct side_settings settings;
-	struct stat seen; /* of the settings file */
+	struct file_mark seen; /* of the settings file */
 	struct view *view;
 	struct proxy *proxy;
 	struct follow *follow;
@@ -82,17 +81,11 @@
 on_look(evutil_socket_t fd, short what, void *arg)
 {
 	struct side *s = arg;
-	struct stat st;
 
 	(void)fd;
 	(void)what;
-	if (stat(s->path, &st) != 0 ||
-	    (st.st_mtim.tv_sec == s->seen.st_mtim.tv_sec &&
-		st.st_mtim.tv_nsec == s->seen.st_mtim.tv_nsec &&
-		st.st_size == s->seen.st_size && st.st_ino == s->seen.st_ino))
-		return;
-	s->seen = st;
-	reload(s);
+	if (file_changed(s->path, &s->seen))
+		reload(s);
 }
 
 /* The file is said to have changed. */
@@ -237,8 +230,8 @@
 	}
 	signal(SIGPIPE, SIG_IGN);
 	base_log_bounded("teaselside", LOG_BYTES_PER_S);
-	if (stat(s.path, &s.seen) != 0 ||
-	    read_settings(s.path, &s.settings) != SIDE_OK)
+	file_changed(s.path, &s.seen);
+	if (read_settings(s.path, &s.settings) != SIDE_OK)
 		return EXIT_FAILURE;
 	return run(&s);
 }
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -167,6 +167,18 @@
 	curl -sf -X POST "http://$PLATFORM/fault?mode=$1" > /dev/null
 }
 
+# Two deployments on one machine would mix, so the addresses must be free.
+fleet_alone() {
+	local taken=() addr
+	for addr in "$PLATFORM" "${VM_IP[@]/%/:$NODE_PORT}" \
+	    "${VM_IP[@]/%/:$CALLER_PORT}" "${VM_IP[@]/%/:$TARGET_PORT}"; do
+		(: < "/dev/tcp/${addr/:/\/}") 2> /dev/null && taken+=("$addr")
+	done
+	[[ ${#taken[@]} == 0 ]] && return 0
+	echo "another deployment runs here: somebody listens on ${taken[*]}" >&2
+	return 1
+}
+
 platform_start() {
 	"$FLEET_BIN/teaselplatform" -l "$PLATFORM" \
 	    2>> "$FLEET_DIR/platform.log" &
@@ -187,6 +199,7 @@
 	rm -f "$FLEET_DIR/fleet.key"
 	"$FLEET_BIN/teaselctl" key "$FLEET_DIR/fleet.key"
 	fleet_read "$set"
+	fleet_alone || return 1
 	platform_start || return 1
 	[[ -z ${FLEET_FAULT:-} ]] || fault_start
 	publish_vms
