A soak of real processes; an empty answer of the store no longer kills a node

An empty op/config would have done the same. Ruled out: the data path (the sanitizer's build names json.c:265). Change: an empty text is refused as such. The stand-in store has doors, one for each node, with faults of their own; targets say when they were born. soak/: teaselsoak starts teaselside processes beside stand-in targets and callers and lets 21 kinds of fault overlap by chance: processes killed, frozen, stopped, their settings rewritten; links delayed, cut one way, silenced, reset, refused by a loopback proxy; the store away, garbled, limiting, for one node or all, its history forgotten; targets that crash, lie, lose, cut or double their answers, drain, lapse, come back as another service; configurations, evacuations, bursts. MIXED, UNASKED, TWICE, REFUSED, ROUTE, DENIED, LOST and processes that end by themselves are judged from what callers and targets see; healed, every node must serve, a moved route and an evacuation must hold.

--- a/Makefile
+++ b/Makefile
@@ -43,15 +43,19 @@
 	replay/walk_steps.c
 REPLAY_OBJ = $(REPLAY:%.c=$(OBJ)/%.o)
 
-STANDIN = standin/fault.c standin/http.c standin/ledger.c standin/store.c
+STANDIN = standin/fault.c standin/http.c standin/ledger.c standin/store.c standin/store_put.c
 STANDIN_OBJ = $(STANDIN:%.c=$(OBJ)/%.o)
 
+SOAK = soak/back.c soak/fleet.c soak/front.c soak/judge.c soak/pipe.c \
+	soak/plan.c soak/teaselsoak.c
+SOAK_OBJ = $(SOAK:%.c=$(OBJ)/%.o)
+
 PROGS = $(BIN)/teaselnode $(BIN)/teaselside $(BIN)/teaselctl $(BIN)/teaselplatform $(BIN)/teaseltarget \
-	$(BIN)/teaselcalls $(BIN)/teaselfault $(BIN)/teaselreplay
+	$(BIN)/teaselcalls $(BIN)/teaselfault $(BIN)/teaselreplay $(BIN)/teaselsoak
 
 TESTS = $(patsubst test/%.c,$(BIN)/%,$(wildcard test/test_*.c))
 SRC = $(filter-out $(GENERATED),$(LIB)) $(CTL) $(STANDIN) \
-	$(REPLAY) replay/teaselreplay.c node/teaselnode.c side/teaselside.c $(wildcard standin/teasel*.c) $(wildcard test/*.c) \
+	$(SOAK) $(REPLAY) replay/teaselreplay.c node/teaselnode.c side/teaselside.c $(wildcard standin/teasel*.c) $(wildcard test/*.c) \
 	$(wildcard bench/*.c) $(wildcard fuzz/*.c)
 HDR = $(filter-out %.pb-c.h,$(wildcard */*.h))
 
@@ -100,6 +104,11 @@
 	@echo "  LD $@"
 	@$(CC) $(ALL_CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS)
 
+$(BIN)/teaselsoak: $(SOAK_OBJ) $(STANDIN_OBJ) $(OBJ)/libteaselstep.a
+	@mkdir -p $(@D)
+	@echo "  LD $@"
+	@$(CC) $(ALL_CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS)
+
 $(BIN)/test_%: $(OBJ)/test/test_%.o $(OBJ)/test/rig.o $(STANDIN_OBJ) $(OBJ)/libteaselstep.a
 	@mkdir -p $(@D)
 	@echo "  LD $@"
--- a/base/json.c
+++ b/base/json.c
@@ -262,6 +262,10 @@
 	int before = rep->errors;
 	yajl_status st;
 
+	if (len == 0) {
+		report_error(rep, 1, "file", "", "is empty");
+		return NULL;
+	}
 	if (memchr(text, '\0', len) != NULL) {
 		report_error(rep, 1, "file", "", "contains a NUL byte");
 		return NULL;
--- a/standin/store.c
+++ b/standin/store.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "standin.h"
 #include "store.h"
 
 #define WAIT_MAX_MS 30000
@@ -21,16 +22,23 @@
 	struct event *timer;
 };
 
+/* An address that the store is asked at, with a fault of its own. */
+struct door {
+	struct store *store;
+	struct http_server *server;
+	enum store_fault fault;
+};
+
 struct store {
 	struct event_base *base;
-	struct http_server *server;
+	struct door doors[STORE_DOORS];
+	int ndoors;
 	struct http_limits limits;
 	GArray *log;	/* of struct entry, every change */
 	GTree *items;	/* key to struct entry */
 	GPtrArray *old; /* entries of stale lists, or NULL */
 	GPtrArray *watches;
 	uint64_t revision, forgotten;
-	enum store_fault fault;
 	int page, calls, stale_calls;
 };
 
@@ -78,7 +86,6 @@
 store_new(struct event_base *base, const char *addr, int page)
 {
 	struct store *s = g_new0(struct store, 1);
-	struct http_server_calls calls = { s, on_request, on_gone };
 
 	s->base = base;
 	s->page = page;
@@ -87,21 +94,35 @@
 	s->log = g_array_new(FALSE, FALSE, sizeof(struct entry));
 	s->items = g_tree_new_full(compare, NULL, NULL, entry_free);
 	s->watches = g_ptr_array_new_with_free_func(watch_free);
-	s->server = http_server_new(base, addr, &s->limits, &calls);
-	if (s->server != NULL)
+	if (store_door(s, addr) == 0)
 		return s;
 	store_free(s);
 	return NULL;
 }
 
+/* Opens a further address. */
+int
+store_door(struct store *s, const char *addr)
+{
+	struct door *d = &s->doors[s->ndoors];
+	struct http_server_calls calls = { d, on_request, on_gone };
+
+	if (s->ndoors == STORE_DOORS)
+		return STANDIN_ELISTEN;
+	d->store = s;
+	d->server = http_server_new(s->base, addr, &s->limits, &calls);
+	return d->server != NULL ? s->ndoors++ : STANDIN_ELISTEN;
+}
+
 /* Stops it. */
 void
 store_free(struct store *s)
 {
 	guint i;
+	int k;
 
-	if (s->server != NULL)
-		http_server_free(s->server);
+	for (k = 0; k < s->ndoors; k++)
+		http_server_free(s->doors[k].server);
 	g_ptr_array_free(s->watches, TRUE);
 	g_tree_destroy(s->items);
 	for (i = 0; i < s->log->len; i++) {
@@ -161,7 +182,16 @@
 void
 store_set_fault(struct store *s, enum store_fault fault)
 {
-	s->fault = fault;
+	int i;
+
+	for (i = 0; i < s->ndoors; i++)
+		s->doors[i].fault = fault;
+}
+
+void
+store_set_door_fault(struct store *s, int door, enum store_fault fault)
+{
+	s->doors[door].fault = fault;
 }
 
 static gboolean
@@ -354,10 +384,11 @@
 static void
 on_request(void *arg, struct http_conn *c, struct http_message *m)
 {
-	struct store *s = arg;
+	const struct door *d = arg;
+	struct store *s = d->store;
 
 	s->calls++;
-	switch (s->fault) {
+	switch (d->fault) {
 	case STORE_DOWN:
 		http_reply_text(c, 200, "text/plain", "");
 		break;
@@ -387,50 +418,9 @@
 static void
 on_gone(void *arg, struct http_conn *c)
 {
-	struct store *s = arg;
+	struct store *s = ((struct door *)arg)->store;
 	struct watch *w = http_conn_data(c);
 
 	if (w != NULL)
 		g_ptr_array_remove(s->watches, w);
 }
-
-/* Puts a target's entry. */
-void
-store_put_target(struct store *s, const char *id, const char *service,
-    const char *addr, const char *zone, const char *state, int cold_ms)
-{
-	char *key = g_strdup_printf("servers/%s", id);
-	char *value;
-
-	value = g_strdup_printf("{\"Address\":\"%s\",\"Info\":{\"Service\":"
-				"\"%s\",\"Version\":\"v1\",\"Zone\":\"%s\","
-				"\"Slots\":4},\"Status\":{\"State\":\"%s\","
-				"\"Sequence\":1,\"WarmupLeftMs\":%d},"
-				"\"born\":1}",
-	    addr, service, zone, state, cold_ms);
-	store_put(s, key, value);
-	g_free(key);
-	g_free(value);
-}
-
-/* Puts a configuration. */
-void
-store_put_config(
-    struct store *s, int version, const char *service, const char *prefix)
-{
-	char *value;
-
-	value = g_strdup_printf(
-	    "{\"Version\":%d,\"Services\":[{\"Name\":\"%s\","
-	    "\"HealthCheckPath\":\"/health\",\"MaxConnections\":100,"
-	    "\"WarmupS\":3.0,\"WarmupPerS\":20.0}],\"Limits\":{"
-	    "\"MaxHeaderBytes\":4096,\"MaxBodyBytes\":65536,"
-	    "\"HeaderTimeoutMs\":300,\"IdleTimeoutMs\":5000},"
-	    "\"VirtualHosts\":[{\"Host\":\"rig\",\"PathRules\":[{\"Name\":"
-	    "\"r\",\"Prefix\":\"%s\",\"Kind\":\"idempotent\",\"TimeoutMs\":"
-	    "1000,\"TargetLatencyMs\":400,\"Priority\":1,\"Attempts\":2,"
-	    "\"Service\":\"%s\"}]}]}",
-	    version, service, prefix, service);
-	store_put(s, "op/config", value);
-	g_free(value);
-}
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -42,8 +42,8 @@
 {
 	struct rig_node *n = &w->rig.nodes[i];
 
-	store_put_target(
-	    w->store, n->target.id, "svc", n->target.addr, "north", state, 0);
+	store_put_target(w->store, &(struct store_target){ n->target.id, "svc",
+				       n->target.addr, "north", state, 0, 1 });
 }
 
 /* All nodes in one data centre; all targets listed. */
@@ -277,8 +277,8 @@
 
 	world_start(&w);
 	store_freeze_stale(w.store);
-	store_put_target(
-	    w.store, "new", "other", "127.0.0.77:1", "north", "ready", 0);
+	store_put_target(w.store, &(struct store_target){ "new", "other",
+				      "127.0.0.77:1", "north", "ready", 0, 1 });
 	store_put(w.store, "somebody/else", "{}");
 	rig_run(&w.rig, 1200);
 	follow_stop(w.follows[2]);
@@ -350,7 +350,8 @@
 		least = h;
 		g_strlcpy(best, addr, sizeof(best));
 	}
-	store_put_target(w->store, "x", "other", best, "north", "ready", 0);
+	store_put_target(w->store, &(struct store_target){ "x", "other", best,
+				       "north", "ready", 0, 1 });
 }
 
 /*
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -206,6 +206,25 @@
 		    PLATFORM_EGARBLED);
 }
 
+/* An answer, or an entry, of no bytes at all. */
+static void
+nothing_where_a_text_is_due(void)
+{
+	struct report *rep = report_new();
+	GBytes *none = g_bytes_new(NULL, 0);
+	struct platform_item it = {
+		.kind = PLATFORM_TARGET, .name = (char *)"t", .value = none
+	};
+	struct view_target t;
+	struct platform_page p;
+
+	CU_ASSERT_EQUAL(platform_page_parse(NULL, 0, &p), PLATFORM_EGARBLED);
+	CU_ASSERT_PTR_NULL(platform_config_decode(none, rep));
+	CU_ASSERT_EQUAL(platform_target_decode(&it, &t), PLATFORM_EGARBLED);
+	report_free(rep);
+	g_bytes_unref(none);
+}
+
 /* The view takes what is newer, and drops only what is not. */
 static void
 the_view_goes_forward(void)
@@ -239,6 +258,7 @@
 	{ "shares of a split", shares_of_a_split },
 	{ "entries of targets", entries_of_targets },
 	{ "pages of the store", pages_of_the_store },
+	{ "nothing where a text is due", nothing_where_a_text_is_due },
 	{ "the view goes forward", the_view_goes_forward },
 };
 
--- a/test/test_side.c
+++ b/test/test_side.c
@@ -83,8 +83,9 @@
 	    w->store_addr, ADDRESS_MAX, "127.0.0.1:%d", w->rig.ports + 4);
 	w->store = store_new(w->rig.base, w->store_addr, 50);
 	store_put_config(w->store, 1, "svc", "/run/");
-	store_put_target(w->store, w->rig.nodes[0].target.id, "svc",
-	    w->rig.nodes[0].target.addr, "north", "ready", 0);
+	store_put_target(w->store,
+	    &(struct store_target){ w->rig.nodes[0].target.id, "svc",
+		w->rig.nodes[0].target.addr, "north", "ready", 0, 1 });
 	if (g_mkdtemp(dir) == NULL)
 		g_error("no directory");
 	w->path = g_strconcat(dir, "/settings", NULL);
