--- a/soak/back.c
+++ b/soak/back.c
@@ -372,6 +372,12 @@
 	return b->service;
 }
 
+int
+back_service_due(const struct soak_back *b)
+{
+	return b->service_next;
+}
+
 int
 back_runs(struct soak_back *b)
 {
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -292,8 +292,8 @@
 	}
 	/* Targets may all have become of one service. */
 	for (i = 1; i < s->nnodes; i++)
-		if (back_service(s->nodes[i].back) !=
-		    back_service(s->nodes[0].back))
+		if (back_service_due(s->nodes[i].back) !=
+		    back_service_due(s->nodes[0].back))
 			break;
 	if (i == s->nnodes)
 		back_swap(s->nodes[0].back, 0);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -107,6 +107,8 @@
 /* Its entry goes as if its reports had been lost; it reports again. */
 void back_lapse(struct soak_back *, int ms);
 int back_service(const struct soak_back *);
+/* The service that it will be of, when it is coming back as another. */
+int back_service_due(const struct soak_back *);
 /* Requests that it began to run since the last question. */
 int back_runs(struct soak_back *);
 
