A leaving node's target serves on until callers have heard

Stopped one a second, four of ten targets were out of use. Ruled out: the restart (a node serves within 50 ms of its start) and the callers' own way (they are answered until half of the grace). Change: the gate takes new work for 30 % of the grace, about the two seconds in which callers hear; what it was given has the rest to end in.

--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -11,10 +11,17 @@
  * ends before it is killed.
  */
 #define LEAVE_SHARE 2
+/*
+ * The target beside it is as able as before until the node is gone.  It gets
+ * new work for this part of the grace, which is about as long as callers take
+ * to hear; what it was given has the rest to end in.
+ */
+#define GATE_PERCENT 30
 
 static void on_ready(void *, struct http_conn *, struct http_message *);
 static void on_ready_gone(void *, struct http_conn *);
 static int is_ready(const struct proxy *);
+static void on_gate_leaves(evutil_socket_t, short, void *);
 
 /* Starts the data path. */
 int
@@ -34,6 +41,7 @@
 	p->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	p->ready_limits =
 	    (struct http_limits){ READY_HEAD, 0, READY_MS, READY_MS };
+	p->gate_leaves = evtimer_new(base, on_gate_leaves, p);
 	gate_init(&p->gate, p);
 	p->ready = http_server_new(base, s->ready, &p->ready_limits, &calls);
 	*out = p;
@@ -50,6 +58,7 @@
 	entry_close(&p->entry);
 	links_close(&p->links);
 	gate_clear(&p->gate);
+	event_free(p->gate_leaves);
 	http_server_free(p->ready);
 	g_hash_table_destroy(p->peers);
 	g_rand_free(p->rand);
@@ -115,6 +124,17 @@
 	gate_probe(&p->gate);
 }
 
+/* The target beside a leaving node gets no new work from now on. */
+static void
+on_gate_leaves(evutil_socket_t fd, short what, void *arg)
+{
+	struct proxy *p = arg;
+
+	(void)fd;
+	(void)what;
+	gate_set_state(&p->gate, GATE_LEAVING, "the node leaves");
+}
+
 /* Begins to leave. */
 void
 proxy_leave(struct proxy *p)
@@ -122,7 +142,7 @@
 	p->leaving = 1;
 	p->last_call_at = base_now_ms() + p->settings->grace_ms / LEAVE_SHARE;
 	http_server_leave(p->entry.server);
-	gate_set_state(&p->gate, GATE_LEAVING, "the node leaves");
+	http_timer(p->gate_leaves, p->settings->grace_ms * GATE_PERCENT / 100);
 }
 
 /* Whether nothing is under way. */
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -63,7 +63,7 @@
  */
 void proxy_target_reported(struct proxy *);
 void proxy_store_lost(struct proxy *);
-/* Begins to leave: not ready, no new work for the target beside it. */
+/* Begins to leave: not ready; callers and the target are served a while. */
 void proxy_leave(struct proxy *);
 /*
  * What nodes tell each other of the platform: give appends what is held here,
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -209,6 +209,7 @@
 	GRand *rand;
 	int leaving;
 	int64_t last_call_at; /* a leaving node takes no call after, or 0 */
+	struct event *gate_leaves; /* nor its target, from then on */
 	struct proxy_state state;
 	struct entry entry;
 	struct gate gate;
