--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	$(CFLAGS)
 LIBS = $(shell pkg-config --libs $(PKGS)) -lhttp_parser -pthread
 
-BASE = base/address.c base/clock.c base/counter.c base/error.c base/field.c base/file.c \
+BASE = base/address.c base/clock.c base/counter.c base/error.c base/field.c base/file.c base/histogram.c \
 	base/json.c base/log.c base/queue.c base/report.c
 HTTP = http/client.c http/connect.c http/message.c http/parse.c http/server.c http/write.c
 MESH = mesh/admit.c mesh/budget.c mesh/call.c mesh/guard.c mesh/home.c mesh/limit.c mesh/member.c mesh/member_probe.c mesh/member_tell.c \
@@ -193,6 +193,7 @@
 
 lint: $(LINT)
 	@tools/layers.sh
+	@tools/events.sh
 	@if ls man/*.[0-9] > /dev/null 2>&1; then \
 	    mandoc -Tlint -Wwarning man/*.[0-9]; fi
 
--- a/base/base.h
+++ b/base/base.h
@@ -122,6 +122,19 @@
 /* Appends all counters in the Prometheus text format. */
 void counter_print(GString *out);
 
+/* ---- histograms of times ---- */
+
+enum histogram {
+	HIST_ANSWER, /* from a request to its target's answer, at its entry */
+	HIST_GATE_WAIT, /* from an offer until the target got it */
+	HIST_COUNT
+};
+
+/* Counts a time; safe from any thread. */
+void histogram_add(enum histogram, int64_t ms);
+/* Appends all histograms in the Prometheus text format. */
+void histogram_print(GString *out);
+
 /* ---- queues between threads ---- */
 
 GAsyncQueue *queue_new(void);
--- a/http/parse.c
+++ b/http/parse.c
@@ -210,13 +210,17 @@
 int
 http_parse_feed(struct http_parse *p, struct evbuffer *in)
 {
-	struct evbuffer_iovec v;
-	size_t used;
+	const char *bytes;
+	size_t len, used;
 
-	while (!p->complete && p->err == HTTP_OK &&
-	       evbuffer_peek(in, -1, NULL, &v, 1) > 0) {
-		used = http_parser_execute(
-		    &p->parser, &callbacks, v.iov_base, v.iov_len);
+	while (
+	    !p->complete && p->err == HTTP_OK && evbuffer_get_length(in) > 0) {
+		/* The first piece of a buffer may be one without bytes. */
+		len = evbuffer_get_contiguous_space(in);
+		if (len == 0)
+			len = evbuffer_get_length(in);
+		bytes = (const char *)evbuffer_pullup(in, (ev_ssize_t)len);
+		used = http_parser_execute(&p->parser, &callbacks, bytes, len);
 		evbuffer_drain(in, used);
 		if (p->complete)
 			break;
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -376,6 +376,7 @@
 {
 	http_strip_hop(m);
 	counter_add(CTR_ANSWERED, 1);
+	histogram_add(HIST_ANSWER, base_now_ms() - r->arrived);
 	base_log(G_LOG_LEVEL_INFO, "answered",
 	    "id=%s status=%d took_ms=%d gates=%d", r->id, m->status,
 	    (int)(base_now_ms() - r->arrived), r->gates);
--- a/proxy/gate.c
+++ b/proxy/gate.c
@@ -99,6 +99,7 @@
 
 	j->gate = g;
 	j->sending = NULL;
+	j->offered_at = now;
 	poison_raise(g->poison, j->fingerprint, j->crashes, now);
 	if ((closed = closed_to(g, j)) != OUTCOME_COUNT) {
 		refuse(g, j, closed);
@@ -177,6 +178,7 @@
 	g_ptr_array_add(g->running, j);
 	j->began_us = base_now_us();
 	counter_add(CTR_GUARD_RUNS, 1);
+	histogram_add(HIST_GATE_WAIT, now - j->offered_at);
 	j->sending = upstream_send(g->upstream, written, j->id, j->repeatable,
 	    strcmp(j->msg->method, "HEAD") == 0, on_done, j);
 	evbuffer_free(written);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -208,6 +208,7 @@
 proxy_print(const struct proxy *p, GString *out)
 {
 	counter_print(out);
+	histogram_print(out);
 	g_string_append_printf(out,
 	    "teaselstep_requests %u\nteaselstep_gate_running %u\n"
 	    "teaselstep_gate_load_percent %d\nteaselstep_targets %u\n",
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -42,6 +42,7 @@
 	/* of the gate */
 	struct gate *gate;
 	struct sending *sending;
+	int64_t offered_at;
 	int64_t began_us;
 	/* of a link */
 	struct link *link;
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -185,7 +185,24 @@
 	evbuffer_free(out);
 }
 
+/* A buffer may hold a piece without bytes; reading it comes to an end. */
+static void
+an_empty_piece_ends(void)
+{
+	struct evbuffer *in = evbuffer_new();
+	struct http_parse p;
+
+	http_parse_init(&p, HTTP_REQUEST, 4096, 4096);
+	evbuffer_add(in, "", 0);
+	CU_ASSERT_EQUAL(http_parse_feed(&p, in), HTTP_ENOMESSAGE);
+	evbuffer_add(in, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", 27);
+	CU_ASSERT_EQUAL(http_parse_feed(&p, in), HTTP_OK);
+	http_parse_free(&p);
+	evbuffer_free(in);
+}
+
 static const struct test tests[] = {
+	{ "an empty piece ends", an_empty_piece_ends },
 	{ "requests are read or refused", requests_are_read_or_refused },
 	{ "large heads are refused", large_heads_are_refused },
 	{ "answers are read or refused", answers_are_read_or_refused },
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -379,7 +379,57 @@
 	rig_stop(&r);
 }
 
+/* Value of a line of the metrics, or -1. */
+static double
+metric(const struct proxy *p, const char *name)
+{
+	GString *text = g_string_new(NULL);
+	char *key = g_strdup_printf("\n%s ", name);
+	const char *at;
+	double v = -1;
+
+	proxy_print(p, text);
+	if ((at = strstr(text->str, key)) != NULL)
+		v = g_ascii_strtod(at + strlen(key), NULL);
+	g_string_free(text, TRUE);
+	g_free(key);
+	return v;
+}
+
+/* Each answer is counted once, in all buckets that its time is below. */
+static void
+times_are_counted(void)
+{
+	static const char count[] = "teaselstep_answer_seconds_count";
+	static const char fast[] =
+	    "teaselstep_answer_seconds_bucket{le=\"0.1\"}";
+	static const char all[] =
+	    "teaselstep_answer_seconds_bucket{le=\"+Inf\"}";
+	struct rig r;
+	struct rig_call c;
+	double before, fast_before;
+
+	rig_start(&r, 1);
+	before = metric(r.nodes[0].proxy, count);
+	fast_before = metric(r.nodes[0].proxy, fast);
+	r.nodes[0].target.work_ms = 150;
+	rig_call(&r, &c, 0, "/run/x", "a", 900);
+	rig_wait(&r, &c);
+	CU_ASSERT_EQUAL(rig_status(&c), 200);
+	CU_ASSERT(before >= 0);
+	CU_ASSERT_EQUAL(metric(r.nodes[0].proxy, count), before + 1);
+	CU_ASSERT_EQUAL(metric(r.nodes[0].proxy, all), before + 1);
+	CU_ASSERT_EQUAL(metric(r.nodes[0].proxy, fast), fast_before);
+	CU_ASSERT(
+	    metric(r.nodes[0].proxy, "teaselstep_answer_seconds_sum") >= 0.15);
+	CU_ASSERT(metric(r.nodes[0].proxy,
+		      "teaselstep_gate_wait_seconds_count") >= 1);
+	rig_call_end(&c);
+	rig_stop(&r);
+}
+
 static const struct test tests[] = {
+	{ "times are counted", times_are_counted },
 	{ "the last answer leaves", the_last_answer_leaves },
 	{ "bytes of targets", bytes_of_targets },
 	{ "broken answers are made good", broken_answers_are_made_good },
