Cold targets get up to four fifths of the users' bound, and what came before counts

Ruled out: the nodes' own start (80 gates were up within a second). Change: the bound comes with the settings (cold_ratio, cold_slack); a cold target gets 80 % of it. Starts are remembered also while a target is taken to be warm, so that they count once it is known to be cold; of a target that was cold before this process started, it is assumed that another one has sent to it, so that both together stay below the bound.

--- a/mesh/admit.c
+++ b/mesh/admit.c
@@ -36,7 +36,6 @@
 admit_clear(struct admit *a)
 {
 	g_array_free(a->waiting, TRUE);
-	g_free(a->starts);
 }
 
 /* Sets the number of slots. */
@@ -50,31 +49,33 @@
 void
 admit_set_cold(struct admit *a, int64_t until, int per_s)
 {
-	per_s = MAX(per_s, 1);
-	if (per_s != a->starts_size) {
-		g_free(a->starts);
-		a->starts = g_new(int64_t, (gsize)per_s);
-		a->starts_size = per_s;
-		a->nstarts = 0;
-	}
-	a->cold_per_s = per_s;
+	a->cold_per_s = CLAMP(per_s, 1, ADMIT_STARTS);
 	a->cold_until = until;
 }
 
+/* Counts starts of another process. */
+void
+admit_assume_starts(struct admit *a, int n, int64_t now)
+{
+	while (n-- > 0)
+		a->starts[a->nstarts++ % ADMIT_STARTS] = now;
+}
+
 /* Whether starts are counted now. */
 static int
 is_cold(const struct admit *a, int64_t now)
 {
-	return a->starts_size > 0 && now < a->cold_until;
+	return a->cold_per_s > 0 && now < a->cold_until;
 }
 
 /* When a cold target may be given the next request. */
 static int64_t
 cold_free_at(const struct admit *a, int64_t now)
 {
-	if (!is_cold(a, now) || a->nstarts < a->starts_size)
+	if (!is_cold(a, now) || a->nstarts < a->cold_per_s)
 		return 0;
-	return a->starts[a->nstarts % a->starts_size] + WINDOW_MS;
+	return a->starts[(a->nstarts - a->cold_per_s) % ADMIT_STARTS] +
+	       WINDOW_MS;
 }
 
 /* Finds the estimate of a kind, or the one that stands for all others. */
@@ -204,10 +205,8 @@
 	*r = g_array_index(a->waiting, struct admit_request, 0);
 	g_array_remove_index(a->waiting, 0);
 	a->running++;
-	if (is_cold(a, now)) {
-		a->starts[a->nstarts % a->starts_size] = now;
-		a->nstarts++;
-	}
+	/* Also while warm: a target may be cold before that is known. */
+	admit_assume_starts(a, 1, now);
 	return 1;
 }
 
--- a/mesh/admit.h
+++ b/mesh/admit.h
@@ -26,6 +26,9 @@
 	int samples;
 };
 
+#define ADMIT_STARTS \
+	256 /* remembered; more than a cold target bears a second */
+
 struct admit {
 	int slots; /* requests that the target runs at a time */
 	int running;
@@ -37,8 +40,8 @@
 	/* a cold target bears few requests a second */
 	int64_t cold_until;
 	int cold_per_s;
-	int64_t *starts; /* ring of the last starts while cold */
-	int nstarts, starts_size;
+	int64_t starts[ADMIT_STARTS]; /* ring of the last starts */
+	int nstarts;
 };
 
 enum admit_verdict {
@@ -53,6 +56,8 @@
 void admit_set_slots(struct admit *, int slots);
 /* The target is cold until then and bears per_s requests a second. */
 void admit_set_cold(struct admit *, int64_t until, int per_s);
+/* Counts starts that another process may have made until now. */
+void admit_assume_starts(struct admit *, int n, int64_t now);
 /* Offers a request, which is copied when it is held. */
 enum admit_verdict
 admit_offer(struct admit *, const struct admit_request *, int64_t now);
--- a/proxy/gate.c
+++ b/proxy/gate.c
@@ -24,6 +24,7 @@
 {
 	memset(g, 0, sizeof(*g));
 	g->proxy = p;
+	g->started_at = base_now_ms();
 	g->upstream = upstream_new(p->base, p->settings->target, p->names);
 	admit_init(&g->admit);
 	g->running = g_ptr_array_new();
--- a/proxy/probe.c
+++ b/proxy/probe.c
@@ -14,10 +14,11 @@
 #define PROBE_MS	   1000 /* for an answer; it may wait for a slot */
 #define CRASH_MS	   500 /* a failure and a refused check this close: a crash */
 /*
- * A cold target bears the rate that the operator states; the users' bound is
- * one and a half times that, so a fifth above it is tolerated.
+ * Of what the settings let a cold target bear in a second.  The rest is for
+ * status checks, and for what a process before this one may have sent: such a
+ * process used up this share at most.
  */
-#define COLD_PERCENT 120
+#define COLD_PERCENT 80
 #define REPORT_MS                                                   \
 	2600 /* a report comes each 1.5 s, read with a pause of 0.9 \
 	      */
@@ -94,16 +95,23 @@
 {
 	const struct view_config *c = g->proxy->view->config;
 	int i = view_find_service(c, g->proxy->settings->service);
-	int64_t until = base_now_ms() + for_ms;
+	int64_t now = base_now_ms(), until = now + for_ms;
+	const struct proxy_settings *s = g->proxy->settings;
+	double bound;
+	int most;
 
 	if (i < 0 || c->services[i].cold_per_s <= 0 ||
 	    until <= g->admit.cold_until)
 		return;
+	bound = c->services[i].cold_per_s * s->cold_ratio + s->cold_slack;
+	most = (int)(bound * COLD_PERCENT / 100);
+	/* It was cold before this process: another one may have sent to it. */
+	if (g->admit.nstarts == 0 &&
+	    c->services[i].cold_ms - for_ms > now - g->started_at)
+		admit_assume_starts(&g->admit, most - ((int)bound - most), now);
 	base_log(G_LOG_LEVEL_MESSAGE, "gate-cold",
-	    "target=%s for_ms=%d per_s=%g", g->id, (int)for_ms,
-	    c->services[i].cold_per_s);
-	admit_set_cold(&g->admit, until,
-	    (int)(c->services[i].cold_per_s * COLD_PERCENT / 100));
+	    "target=%s for_ms=%d per_s=%d", g->id, (int)for_ms, most);
+	admit_set_cold(&g->admit, until, most);
 }
 
 /* Asks the target now, unless it is being asked. */
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -42,6 +42,8 @@
 	int grace_ms;  /* from the wish to stop until the process is killed */
 	int retry_window_ms;
 	double retry_ratio; /* repeats a request of a service, in the fleet */
+	double cold_ratio;  /* a cold target bears its rate times this */
+	double cold_slack;  /* and so many requests in a second beyond */
 	double retry_slack; /* repeats in a window beyond these, in the fleet */
 };
 
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -96,6 +96,7 @@
 
 struct gate {
 	struct proxy *proxy;
+	int64_t started_at;
 	struct upstream *upstream;
 	struct admit admit;
 	enum gate_state state;
--- a/side/settings.c
+++ b/side/settings.c
@@ -25,6 +25,8 @@
 	{ "grace_ms", FIELD_INT, SET(proxy.grace_ms), 100, 600000, NULL, 0 },
 	{ "retry_window_ms", FIELD_INT, SET(proxy.retry_window_ms), 100, 600000,
 	    NULL, 0 },
+	{ "cold_ratio", FIELD_REAL, SET(proxy.cold_ratio), 1, 100, NULL, 0 },
+	{ "cold_slack", FIELD_REAL, SET(proxy.cold_slack), 0, 10000, NULL, 0 },
 	{ "retry_ratio", FIELD_REAL, SET(proxy.retry_ratio), 0, 10, NULL, 0 },
 	{ "retry_slack", FIELD_REAL, SET(proxy.retry_slack), 0, 1000000, NULL,
 	    0 },
@@ -45,6 +47,8 @@
 	*s = (struct side_settings){ .beat_ms = 1500,
 		.proxy = { .grace_ms = 6000,
 		    .retry_window_ms = 10000,
+		    .cold_ratio = 1.5,
+		    .cold_slack = 5,
 		    .retry_ratio = 0.2,
 		    .retry_slack = 60 } };
 	if (base_read_file(path, BASE_SET_MAX, &text, &len) != BASE_OK) {
--- a/test/rig.c
+++ b/test/rig.c
@@ -299,6 +299,8 @@
 	s->links = g_strdup_printf("127.0.0.%d:%d", i + 2, r->ports + 2);
 	s->ready = g_strdup_printf("127.0.0.%d:%d", i + 2, r->ports + 3);
 	s->grace_ms = 6000;
+	s->cold_ratio = 1.5;
+	s->cold_slack = 5;
 	s->retry_window_ms = 10000;
 	s->retry_ratio = 0.2;
 	s->retry_slack = 60;
