--- a/soak/back.c
+++ b/soak/back.c
@@ -267,7 +267,7 @@
 	evconnlistener_free(b->listener);
 	b->listener = NULL;
 	while (b->conns->len > 0)
-		conn_free(g_ptr_array_index(b->conns, 0));
+		conn_free(g_ptr_array_remove_index_fast(b->conns, 0));
 }
 
 static void
--- a/soak/pipe.c
+++ b/soak/pipe.c
@@ -156,7 +156,7 @@
 pipe_free(struct soak_pipe *p)
 {
 	while (p->relays->len > 0)
-		relay_free(g_ptr_array_index(p->relays, 0), 1);
+		relay_free(g_ptr_array_remove_index_fast(p->relays, 0), 1);
 	g_ptr_array_free(p->relays, TRUE);
 	evconnlistener_free(p->listener);
 	g_free(p);
@@ -171,7 +171,8 @@
 	p->rule = rule;
 	if (rule == PIPE_RESET || rule == PIPE_REFUSE)
 		while (p->relays->len > 0)
-			relay_free(g_ptr_array_index(p->relays, 0), 1);
+			relay_free(
+			    g_ptr_array_remove_index_fast(p->relays, 0), 1);
 	for (i = 0; rule == PIPE_SILENT && i < p->relays->len; i++)
 		((struct relay *)g_ptr_array_index(p->relays, i))->silent = 1;
 }
--- a/test/test_serve.c
+++ b/test/test_serve.c
@@ -21,11 +21,15 @@
 static void
 on_ack(struct node *n, uint64_t call, int load)
 {
+	(void)n;
+	(void)call;
+	(void)load;
 }
 
 static void
 on_answer(struct node *n, uint64_t call, const Wire__Answer *a)
 {
+	(void)n;
 	told.count++;
 	told.call = call;
 	told.outcome = a->outcome;
