--- a/tools/layers.sh
+++ b/tools/layers.sh
@@ -19,6 +19,7 @@
 upstream: base http mesh
 caller: base mesh upstream
 node: base caller mesh source upstream
+soak: http platform standin
 operator: base caller mesh source
 replay: base mesh
 standin: base caller http mesh
