A reader that the store turns away asks one of the nodes after it

Cause: the first node in the order of a data centre had nobody to turn to. While the store turned it away and served the others, those it fed went to the next, but it learned of nothing itself: test_follow's new test saw an old version on it after 2.5 s. Ruled out: reading through several addresses of the store; the settings name one. Change: after 1.5 s without sight, the first asks the nodes that come after it, three at most, who read when they are asked; after 8 s it tries itself again. In an outage for all only the firsts do so, one in each data centre. Test: a_node_is_turned_away failed before, passes after; outage, lost answers, feeders' tests pass. The stand-in store's doors are what it needs.

--- a/side/feed.c
+++ b/side/feed.c
@@ -16,7 +16,10 @@
 #define TELL_MS	    400	 /* between two words to those who are fed */
 #define SILENT_MS   1200 /* without a word: with the reader's pause below 2 s */
 #define RETURN_MS   8000 /* then the first in the order is tried again */
-#define AGAIN_MS    3000 /* between two looks whether another is first now */
+#define HELPLESS_MS                                                       \
+	1500	      /* blind for so long, a node that reads asks others \
+		       */
+#define AGAIN_MS 3000 /* between two looks whether another is first now */
 /*
  * While no target near by is listed, nobody can be chosen.  A list that may be
  * old is read again, for a tenth of the price, for as long as it may be old;
@@ -33,11 +36,13 @@
 static void on_look(evutil_socket_t, short, void *);
 static int compare(const void *, const void *);
 static GArray *order(struct follow *);
+static guint place(const struct follow *, const GArray *);
 static void choose(struct follow *);
 static int is_alone(const struct follow *);
 static int is_first(struct follow *);
 static void next_feeder(struct follow *, const char *);
 static void tell(struct follow *, int64_t);
+static int seek_help(struct follow *, int64_t);
 
 /* Begins to look after the feeder. */
 void
@@ -45,7 +50,7 @@
 {
 	struct timeval tv = { 0, LOOK_MS * 1000L };
 
-	f->feed.started_at = base_now_ms();
+	f->feed.started_at = f->feed.sighted_at = base_now_ms();
 	f->feed.timer = event_new(f->base, -1, EV_PERSIST, on_look, f);
 	evtimer_add(f->feed.timer, &tv);
 }
@@ -67,20 +72,21 @@
 	return strcmp(a->addr, b->addr);
 }
 
-/* Nodes of the own data centre that may feed this one, in order. */
+/* Nodes of the own data centre with their targets, in order, this one too. */
 static GArray *
 order(struct follow *f)
 {
 	const struct proxy_settings *s = &f->settings->proxy;
 	const struct view_target *t;
-	struct candidate_node c, self;
+	struct candidate_node c;
 	GArray *list = g_array_new(FALSE, FALSE, sizeof(c));
 	GHashTableIter it;
 	gpointer value;
 	guint i;
 
-	self = (struct candidate_node){ s->target,
+	c = (struct candidate_node){ s->target,
 		XXH64(s->target, strlen(s->target), 0) };
+	g_array_append_val(list, c);
 	g_hash_table_iter_init(&it, f->view->targets);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		t = value;
@@ -89,8 +95,7 @@
 			continue;
 		c = (struct candidate_node){ t->addr,
 			XXH64(t->addr, strlen(t->addr), 0) };
-		if (compare(&c, &self) < 0)
-			g_array_append_val(list, c);
+		g_array_append_val(list, c);
 	}
 	g_array_sort(list, compare);
 	for (i = 1; i < list->len;) {
@@ -104,29 +109,47 @@
 	return list;
 }
 
+/* Place of this node in the order: how many go before it. */
+static guint
+place(const struct follow *f, const GArray *list)
+{
+	const char *self = f->settings->proxy.target;
+	guint i;
+
+	for (i = 0; i < list->len; i++)
+		if (strcmp(g_array_index(list, struct candidate_node, i).addr,
+			self) == 0)
+			break;
+	return i;
+}
+
 /* Turns to the feeder whose turn it is, or reads. */
 static void
 choose(struct follow *f)
 {
 	GArray *list = order(f);
 	const char *addr = NULL;
-	guint most = MIN(list->len, FEEDERS_MAX);
+	guint before = place(f, list), most = MIN(before, FEEDERS_MAX);
+	guint after = list->len - before - 1, at = list->len;
 
 	/* A node that reads, as none was listed before it, goes on. */
 	if (f->feed.chosen_at != 0 && f->feed.addr[0] == '\0' &&
-	    (guint)f->feed.rank >= most) {
+	    !f->feed.helpless && (guint)f->feed.rank >= most) {
 		f->feed.chosen_at = base_now_ms();
 		g_array_free(list, TRUE);
 		return;
 	}
 
 	if ((guint)f->feed.rank < most)
-		addr = g_array_index(list, struct candidate_node, f->feed.rank)
-			   .addr;
+		at = (guint)f->feed.rank;
+	else if (f->feed.helpless && after > 0)
+		at = before + 1 + f->feed.helper % after;
+	if (at < list->len)
+		addr = g_array_index(list, struct candidate_node, at).addr;
 	f->feed.chosen_at = f->feed.heard_at = base_now_ms();
 	g_strlcpy(f->feed.addr, addr != NULL ? addr : "", sizeof(f->feed.addr));
 	base_log(G_LOG_LEVEL_MESSAGE, "feeder", "addr=%s rank=%d of=%u",
-	    addr != NULL ? addr : "self", f->feed.rank, list->len);
+	    addr != NULL ? addr : "self", f->feed.rank, before);
 	proxy_subscribe(f->proxy, addr);
 	g_array_free(list, TRUE);
 }
@@ -155,8 +178,7 @@
 	GArray *list = order(f);
 	int first;
 
-	first = list->len > 0 &&
-		strcmp(g_array_index(list, struct candidate_node, 0).addr,
+	first = strcmp(g_array_index(list, struct candidate_node, 0).addr,
 		    f->feed.addr) == 0;
 	g_array_free(list, TRUE);
 	return first;
@@ -172,6 +194,14 @@
 		return;
 	base_log(G_LOG_LEVEL_MESSAGE, "feeder-lost", "addr=%s reason=\"%s\"",
 	    f->feed.addr, why);
+	if (f->feed.helpless) {
+		/* As many as anybody tries: then the store is away for all. */
+		f->feed.helpless = ++f->feed.helper % FEEDERS_MAX != 0;
+		if (!f->feed.helpless)
+			f->feed.sighted_at = base_now_ms() + RETURN_MS;
+		choose(f);
+		return;
+	}
 	/* The order may have changed: one that is of no use is passed by. */
 	g_strlcpy(lost, f->feed.addr, sizeof(lost));
 	do {
@@ -211,6 +241,37 @@
 		proxy_feed(f->proxy, NULL, 0, blind);
 }
 
+/*
+ * The store may turn away the very node that reads for all.  Those it feeds
+ * turn to others when it says so; it asks one of those that come after it,
+ * which then reads.  After a while it tries itself again.
+ */
+static int
+seek_help(struct follow *f, int64_t now)
+{
+	int self = f->feed.addr[0] == '\0';
+
+	if (f->feed.helpless && now - f->feed.helped_at > RETURN_MS) {
+		f->feed.helpless = 0;
+		f->feed.rank = 0;
+		f->feed.sighted_at = now;
+		choose(f);
+		return 1;
+	}
+	if (!self || !store_reader_watches(f->reader) ||
+	    !store_reader_blind(f->reader)) {
+		f->feed.sighted_at = MAX(f->feed.sighted_at, now);
+		return 0;
+	}
+	if (f->feed.helpless || f->feed.rank > 0 ||
+	    now - f->feed.sighted_at < HELPLESS_MS)
+		return 0;
+	f->feed.helpless = 1;
+	f->feed.helped_at = now;
+	choose(f);
+	return 1;
+}
+
 static void
 on_look(evutil_socket_t fd, short what, void *arg)
 {
@@ -231,7 +292,12 @@
 		return;
 	}
 	self = f->feed.addr[0] == '\0';
-	if (f->feed.rank > 0 && now - f->feed.chosen_at > RETURN_MS) {
+	if (seek_help(f, now)) {
+		/* The feeder has changed. */
+	} else if (f->feed.helpless) {
+		if (!self && now - f->feed.heard_at > SILENT_MS)
+			next_feeder(f, "silent");
+	} else if (f->feed.rank > 0 && now - f->feed.chosen_at > RETURN_MS) {
 		f->feed.rank = 0;
 		choose(f);
 	} else if (!self && now - f->feed.heard_at > SILENT_MS) {
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -10,6 +10,10 @@
 	int rank;		/* of the feeder in the order */
 	int64_t chosen_at;	/* 0: not yet */
 	int64_t heard_at, told_at;
+	/* it reads and the store turns it away: others are asked */
+	int helpless;
+	guint helper; /* which of them */
+	int64_t sighted_at, helped_at;
 	int64_t started_at, glanced_at; /* at a list that may be old */
 };
 
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -470,7 +470,43 @@
 	world_stop(&w);
 }
 
+/*
+ * The store turns away the node that reads for all, for longer than it serves
+ * the others: they turn to the next, and the node itself asks one of them.
+ */
+static void
+a_node_is_turned_away(void)
+{
+	char addr[ADDRESS_MAX];
+	struct world w;
+	int i, first, door;
+
+	world_start(&w);
+	first = first_in_order(&w);
+	g_snprintf(addr, sizeof(addr), "127.0.0.99:%d", w.rig.ports + 4);
+	door = store_door(w.store, addr);
+	CU_ASSERT(door > 0);
+	follow_stop(w.follows[first]);
+	w.settings[first].store = addr;
+	w.follows[first] = follow_start(w.rig.base, &w.settings[first],
+	    w.rig.nodes[first].view, w.rig.nodes[first].proxy);
+	rig_run(&w.rig, 1500);
+	store_set_door_fault(w.store, door, STORE_BUSY);
+	rig_run(&w.rig, 4000);
+	store_put_config(w.store, 40, "svc", "/run/");
+	rig_run(&w.rig, 2500);
+	for (i = 0; i < NODES; i++)
+		CU_ASSERT_EQUAL(version(&w, i), 40);
+	store_set_door_fault(w.store, door, STORE_WELL);
+	store_put_config(w.store, 41, "svc", "/run/");
+	rig_run(&w.rig, 3000);
+	for (i = 0; i < NODES; i++)
+		CU_ASSERT_EQUAL(version(&w, i), 41);
+	world_stop(&w);
+}
+
 static const struct test tests[] = {
+	{ "a node is turned away", a_node_is_turned_away },
 	{ "a better feeder is taken", a_better_feeder_is_taken },
 	{ "nodes start before their targets",
 	    nodes_start_before_their_targets },
