A node whose feeder was lost reads until another one has spoken

Change: whoever lost a feeder by silence or with its link reads for itself until another has spoken; so does whoever returns to its first feeder. A feeder that says that it cannot read is left as before, as nobody else may be able to.

--- a/side/feed.c
+++ b/side/feed.c
@@ -16,6 +16,7 @@
 #define TELL_MS	    400	 /* between two words to those who are fed */
 #define SILENT_MS   1200 /* without a word: with the reader's pause below 2 s */
 #define RETURN_MS   8000 /* then the first in the order is tried again */
+#define BLIND	    "blind" /* why a feeder is lost: it says that it cannot read */
 #define HELPLESS_MS                                                       \
 	1500	      /* blind for so long, a node that reads asks others \
 		       */
@@ -194,6 +195,9 @@
 		return;
 	base_log(G_LOG_LEVEL_MESSAGE, "feeder-lost", "addr=%s reason=\"%s\"",
 	    f->feed.addr, why);
+	/* One that only cannot read will find others that can, or nobody can.
+	 */
+	f->feed.orphan = strcmp(why, BLIND) != 0;
 	if (f->feed.helpless) {
 		/* As many as anybody tries: then the store is away for all. */
 		f->feed.helpless = ++f->feed.helper % FEEDERS_MAX != 0;
@@ -215,10 +219,12 @@
 feed_heard(struct follow *f, int blind)
 {
 	f->feed.heard_at = base_now_ms();
-	if (blind)
-		next_feeder(f, "blind");
-	else
-		proxy_target_reported(f->proxy);
+	if (blind) {
+		next_feeder(f, BLIND);
+		return;
+	}
+	f->feed.orphan = 0;
+	proxy_target_reported(f->proxy);
 }
 
 /* The link to the feeder was lost. */
@@ -298,6 +304,8 @@
 		if (!self && now - f->feed.heard_at > SILENT_MS)
 			next_feeder(f, "silent");
 	} else if (f->feed.rank > 0 && now - f->feed.chosen_at > RETURN_MS) {
+		/* What reads goes on until the one returned to has spoken. */
+		f->feed.orphan |= self;
 		f->feed.rank = 0;
 		choose(f);
 	} else if (!self && now - f->feed.heard_at > SILENT_MS) {
@@ -311,7 +319,12 @@
 		if (!is_first(f))
 			choose(f);
 	}
-	self = f->feed.addr[0] == '\0' || now < f->verify_until;
+	/*
+	 * Feeders that are silent take over a second each to be found out; who
+	 * has lost one reads in the meantime.
+	 */
+	self =
+	    f->feed.addr[0] == '\0' || now < f->verify_until || f->feed.orphan;
 	/* Who reads as its feeders cannot is one of many, and none of those. */
 	store_reader_watch(f->reader, self || proxy_subscribers(f->proxy) > 0,
 	    f->feed.rank >= FEEDERS_MAX && proxy_subscribers(f->proxy) == 0);
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -10,6 +10,7 @@
 	int rank;		/* of the feeder in the order */
 	int64_t chosen_at;	/* 0: not yet */
 	int64_t heard_at, told_at;
+	int orphan; /* its feeder was lost, and no other has spoken yet */
 	/* it reads and the store turns it away: others are asked */
 	int helpless;
 	guint helper; /* which of them */
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -1,4 +1,7 @@
 /* Following the platform's store: who reads, what is believed, what is not. */
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <xxhash.h>
 
 #include "../side/side.h"
@@ -505,7 +508,74 @@
 	world_stop(&w);
 }
 
+#define SILENT 3
+
+/*
+ * Lists targets that come first of all in the order of feeders; whoever stands
+ * beside them takes connections and says nothing.
+ */
+static void
+list_silent_feeders(struct world *w, int fds[SILENT])
+{
+	char addr[ADDRESS_MAX], id[16];
+	struct sockaddr_in sin;
+	uint64_t h, found[SILENT] = { 0 };
+	int i, k = 0, one = 1;
+	uint64_t least = UINT64_MAX;
+
+	for (i = 0; i < NODES; i++) {
+		const char *real = w->rig.nodes[i].target.addr;
+
+		least = MIN(least, XXH64(real, strlen(real), 0));
+	}
+	for (i = 20; i < 250 && k < SILENT; i++) {
+		g_snprintf(
+		    addr, sizeof(addr), "127.0.1.%d:%d", i, w->rig.ports);
+		if ((h = XXH64(addr, strlen(addr), 0)) >= least)
+			continue;
+		found[k] = h;
+		g_snprintf(id, sizeof(id), "silent%d", k);
+		store_put_target(w->store, &(struct store_target){ id, "other",
+					       addr, "north", "ready", 0, 1 });
+		g_snprintf(
+		    addr, sizeof(addr), "127.0.1.%d:%d", i, w->rig.ports + 2);
+		address_resolve(addr, &sin);
+		fds[k] = socket(AF_INET, SOCK_STREAM, 0);
+		setsockopt(fds[k], SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+		if (bind(fds[k], (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
+		    listen(fds[k], 64) != 0)
+			g_error("cannot listen on %s", addr);
+		k++;
+	}
+	CU_ASSERT_FATAL(k == SILENT && found[SILENT - 1] != 0);
+}
+
+/*
+ * All three feeders that a node may try are silent, each for over a second.
+ * What operators write meanwhile is in force within two seconds all the same.
+ */
+static void
+all_feeders_are_silent(void)
+{
+	struct world w;
+	int fds[SILENT], i, k;
+
+	world_start(&w);
+	list_silent_feeders(&w, fds);
+	rig_run(&w.rig, 4500);
+	for (k = 0; k < 6; k++) {
+		store_put_config(w.store, 50 + k, "svc", "/run/");
+		rig_run(&w.rig, 2000);
+		for (i = 0; i < NODES; i++)
+			CU_ASSERT_EQUAL(version(&w, i), (uint64_t)(50 + k));
+	}
+	world_stop(&w);
+	for (i = 0; i < SILENT; i++)
+		close(fds[i]);
+}
+
 static const struct test tests[] = {
+	{ "all feeders are silent", all_feeders_are_silent },
 	{ "a node is turned away", a_node_is_turned_away },
 	{ "a better feeder is taken", a_better_feeder_is_taken },
 	{ "nodes start before their targets",
