--- a/side/reader.c
+++ b/side/reader.c
@@ -221,9 +221,7 @@
 	if (err == PLATFORM_EFORGOTTEN)
 		a->listed = 0;
 	g_clear_pointer(&a->page, g_free);
-	pause = r->patient
-		    ? most
-		    : MIN((int64_t)RETRY_MS << MIN(a->failures, 8), most);
+	pause = MIN((int64_t)RETRY_MS << MIN(a->failures, 8), most);
 	pause = MAX(pause, MIN(p->retry_after, most));
 	a->failures++;
 	/* Half of it by chance: nodes that failed together part ways. */
--- a/standin/store.c
+++ b/standin/store.c
@@ -179,6 +179,19 @@
 		answer_watch(g_ptr_array_index(s->watches, i - 1), 1);
 }
 
+void
+store_forget_later(struct store *s)
+{
+	struct watch *w;
+
+	s->forgotten = s->revision;
+	while (s->watches->len > 0) {
+		w = g_ptr_array_index(s->watches, 0);
+		http_reply_text(w->conn, 503, "application/json", "{}");
+		g_ptr_array_remove(s->watches, w);
+	}
+}
+
 void
 store_set_fault(struct store *s, enum store_fault fault)
 {
--- a/standin/store.h
+++ b/standin/store.h
@@ -30,6 +30,8 @@
 void store_remove(struct store *, const char *key);
 /* Watches from before now get 410. */
 void store_forget(struct store *);
+/* The same, but watches that wait are refused first and get 410 next time. */
+void store_forget_later(struct store *);
 /* A further address of the same store: its door, or an error. */
 int store_door(struct store *, const char *addr);
 /* A fault at all doors, or at one: some nodes are refused, others served. */
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -574,7 +574,34 @@
 		close(fds[i]);
 }
 
+/*
+ * Watches of a node that reads as its feeders are of no use are cut, and the
+ * history they would go on from is gone: two failures in a row.  Three seconds
+ * later a node counts as in touch, and has to hold what was written.
+ */
+static void
+history_is_forgotten_by_whom_nobody_feeds(void)
+{
+	struct world w;
+	int fds[SILENT], i;
+
+	world_start(&w);
+	list_silent_feeders(&w, fds);
+	rig_run(&w.rig, 5500);
+	store_put(w.store, "somebody/else", "{}");
+	store_forget_later(w.store);
+	store_put_config(w.store, 60, "svc", "/run/");
+	rig_run(&w.rig, 3000);
+	for (i = 0; i < NODES; i++)
+		CU_ASSERT_EQUAL(version(&w, i), 60);
+	world_stop(&w);
+	for (i = 0; i < SILENT; i++)
+		close(fds[i]);
+}
+
 static const struct test tests[] = {
+	{ "history is forgotten by whom nobody feeds",
+	    history_is_forgotten_by_whom_nobody_feeds },
 	{ "all feeders are silent", all_feeders_are_silent },
 	{ "a node is turned away", a_node_is_turned_away },
 	{ "a better feeder is taken", a_better_feeder_is_taken },
