--- a/side/feed.c
+++ b/side/feed.c
@@ -195,8 +195,7 @@
 		return;
 	base_log(G_LOG_LEVEL_MESSAGE, "feeder-lost", "addr=%s reason=\"%s\"",
 	    f->feed.addr, why);
-	/* One that only cannot read will find others that can, or nobody can.
-	 */
+	/* If it only cannot read, the store may be away for this node too. */
 	f->feed.orphan = strcmp(why, BLIND) != 0;
 	if (f->feed.helpless) {
 		/* As many as anybody tries: then the store is away for all. */
@@ -278,6 +277,11 @@
 	return 1;
 }
 
+/*
+ * Looks after the feeder: begins when there is a list to choose from, leaves
+ * one that is silent, returns to the first, and lets the reader read as long as
+ * this node, or one that it feeds, needs it.
+ */
 static void
 on_look(evutil_socket_t fd, short what, void *arg)
 {
