What is new in the platform's words costs its holder, not the fleet

Ruled out: reading this one word alone, as the next one would do it again.

Change: a value that is not understood is read in the cautious way (an unknown kind may run once, a rate that is no number is the strictest, a share whose service is unknown goes to nobody), said by config-unread with the first of them and counted. A route that cannot be used answers 503 with a time to return, and so does what may belong to a route whose host or prefix is not understood; never 404. Refused whole: what is no configuration, and what contradicts itself (two routes in one place, a service that is not declared, or declared twice). A list whose end is not known is no list. A status check's word for how long the target stays cold that is no number means a fresh start. Unusable entries of targets are logged once, not with each report.

--- a/base/base.h
+++ b/base/base.h
@@ -92,6 +92,7 @@
 	CTR_QUARANTINED,      /* requests refused as poison */
 	CTR_SOURCE_READS,     /* calls to the configuration service */
 	CTR_SOURCE_FAILURES,  /* of these, failed or unusable */
+	CTR_UNREAD,	      /* parts of what the source says not understood */
 	CTR_SOURCE_OLDER,     /* of these, older than the version held */
 	CTR_SOURCE_DEFERRED,  /* reads put off by the node's own budget */
 	CTR_APPLIED,	      /* versions applied */
--- a/base/counter.c
+++ b/base/counter.c
@@ -26,6 +26,7 @@
 	[CTR_QUARANTINED] = "quarantined_total",
 	[CTR_SOURCE_READS] = "source_reads_total",
 	[CTR_SOURCE_FAILURES] = "source_failures_total",
+	[CTR_UNREAD] = "source_parts_unread_total",
 	[CTR_SOURCE_OLDER] = "source_older_total",
 	[CTR_SOURCE_DEFERRED] = "source_deferred_total",
 	[CTR_APPLIED] = "config_applied_total",
--- a/base/json.c
+++ b/base/json.c
@@ -27,8 +27,7 @@
 static struct json *add(struct parser *, enum json_type);
 static int on_null(void *);
 static int on_bool(void *, int);
-static int on_int(void *, long long);
-static int on_real(void *, double);
+static int on_number(void *, const char *, size_t);
 static int on_string(void *, const unsigned char *, size_t);
 static int on_start_map(void *);
 static int on_key(void *, const unsigned char *, size_t);
@@ -41,8 +40,7 @@
 static const yajl_callbacks callbacks = {
 	.yajl_null = on_null,
 	.yajl_boolean = on_bool,
-	.yajl_integer = on_int,
-	.yajl_double = on_real,
+	.yajl_number = on_number,
 	.yajl_string = on_string,
 	.yajl_start_map = on_start_map,
 	.yajl_map_key = on_key,
@@ -133,25 +131,22 @@
 	return j != NULL;
 }
 
-/* An integer that fits 64 bits. */
+/* A number; an integer beyond 64 bits is kept as one with a fraction. */
 static int
-on_int(void *arg, long long v)
+on_number(void *arg, const char *text, size_t len)
 {
+	char *copy = g_strndup(text, len);
 	struct json *j;
-
-	if ((j = add(arg, JSON_INT)) != NULL)
-		j->num = v;
-	return j != NULL;
-}
-
-/* Any other number. */
-static int
-on_real(void *arg, double v)
-{
-	struct json *j;
-
-	if ((j = add(arg, JSON_REAL)) != NULL)
-		j->real = v;
+	gint64 n;
+
+	if (g_ascii_string_to_signed(
+		copy, 10, G_MININT64, G_MAXINT64, &n, NULL)) {
+		if ((j = add(arg, JSON_INT)) != NULL)
+			j->num = n;
+	} else if ((j = add(arg, JSON_REAL)) != NULL) {
+		j->real = g_ascii_strtod(copy, NULL);
+	}
+	g_free(copy);
 	return j != NULL;
 }
 
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -9,17 +9,18 @@
 
 #include "proxy_int.h"
 
-#define GATES_MAX     4	   /* gates that one request is offered to */
-#define OVERTIME_MS   100  /* beyond a route's timeout, for the target's word */
-#define BUSY_AVOID_MS 25   /* a gate that refused for load */
-#define DOWN_AVOID_MS 250  /* one whose target is down or leaving */
-#define LOST_AVOID_MS 1000 /* one that a link was lost to */
-#define BACK_MIN_MS   50   /* a refused caller comes back no sooner */
-#define BACK_SHARE    4	   /* and within this part of its goal */
-#define HEAD_DEFAULT  16384 /* bytes, until a configuration says */
-#define BODY_DEFAULT  1048576
-#define HEAD_MS	      3000
-#define IDLE_MS	      15000
+#define GATES_MAX      4   /* gates that one request is offered to */
+#define OVERTIME_MS    100 /* beyond a route's timeout, for the target's word */
+#define BUSY_AVOID_MS  25  /* a gate that refused for load */
+#define DOWN_AVOID_MS  250 /* one whose target is down or leaving */
+#define LOST_AVOID_MS  1000  /* one that a link was lost to */
+#define BACK_MIN_MS    50    /* a refused caller comes back no sooner */
+#define BACK_SHARE     4     /* and within this part of its goal */
+#define HEAD_DEFAULT   16384 /* bytes, until a configuration says */
+#define BODY_DEFAULT   1048576
+#define UNREAD_BACK_MS 1000 /* for a route that a newer version may mend */
+#define HEAD_MS	       3000
+#define IDLE_MS	       15000
 
 struct request {
 	struct entry *entry;
@@ -45,6 +46,9 @@
 static void on_gone(void *, struct http_conn *);
 static void on_timer(evutil_socket_t, short, void *);
 static void on_done(struct job *, const struct result *);
+static int stated(int, int);
+static void
+refuse_unread(struct entry *, struct http_conn *, struct http_message *);
 static void set_times(struct request *, int64_t);
 static void offer(struct request *);
 static void settle(struct request *, const struct result *);
@@ -84,6 +88,13 @@
 	g_hash_table_destroy(e->spends);
 }
 
+/* A limit of the configuration, or what stands for one not said. */
+static int
+stated(int limit, int dflt)
+{
+	return limit >= 0 ? limit : dflt;
+}
+
 /* Takes over the limits of the configuration. */
 void
 entry_update(struct entry *e)
@@ -92,8 +103,11 @@
 
 	if (c == NULL)
 		return;
-	e->limits = (struct http_limits){ c->limits.head_bytes,
-		c->limits.body_bytes, c->limits.head_ms, c->limits.idle_ms };
+	e->limits =
+	    (struct http_limits){ stated(c->limits.head_bytes, HEAD_DEFAULT),
+		    stated(c->limits.body_bytes, BODY_DEFAULT),
+		    stated(c->limits.head_ms, HEAD_MS),
+		    stated(c->limits.idle_ms, IDLE_MS) };
 }
 
 /* Requests with equal fingerprints crash targets alike. */
@@ -161,6 +175,7 @@
 	const char *host = http_find(m, "Host"), *id;
 	struct request *r;
 	int64_t now = base_now_ms();
+	int service;
 
 	counter_add(CTR_CALLS, 1);
 	id = http_find(m, e->proxy->names->id);
@@ -179,6 +194,10 @@
 		return;
 	}
 	route = view_route(c, host != NULL ? host : "", m->path);
+	if (route == NULL && view_may_route(c, host != NULL ? host : "")) {
+		refuse_unread(e, conn, m);
+		return;
+	}
 	if (route == NULL) {
 		base_log(G_LOG_LEVEL_INFO, "refused",
 		    "id=%s outcome=no_route host=%s path=%s "
@@ -189,15 +208,19 @@
 		http_message_free(m);
 		return;
 	}
+	service =
+	    view_turn((struct view_route *)route, g_rand_int(e->proxy->rand));
+	if (route->unusable || service == VIEW_UNREAD) {
+		refuse_unread(e, conn, m);
+		return;
+	}
 	r = g_new0(struct request, 1);
 	r->entry = e;
 	r->conn = conn;
 	r->msg = m;
 	r->config = view_config_ref(c);
 	r->route = route;
-	r->service = c->services[view_turn((struct view_route *)route,
-				     g_rand_int(e->proxy->rand))]
-			 .name;
+	r->service = c->services[service].name;
 	r->id = g_strdup(id != NULL ? id : "");
 	r->caller = g_strdup(e->proxy->settings->service);
 	r->tried = g_ptr_array_new_with_free_func(g_free);
@@ -221,6 +244,23 @@
 	offer(r);
 }
 
+/*
+ * Refuses a request whose route is there, or may be, and is not understood: it
+ * was not run, and a later version may let it.
+ */
+static void
+refuse_unread(struct entry *e, struct http_conn *conn, struct http_message *m)
+{
+	const char *id = http_find(m, e->proxy->names->id);
+
+	counter_add(CTR_REFUSED_NOT_RUN, 1);
+	base_log(G_LOG_LEVEL_INFO, "refused",
+	    "id=%s outcome=route_unread path=%s version=%" G_GUINT64_FORMAT,
+	    id != NULL ? id : "-", m->path, e->proxy->view->config->version);
+	reply_error(conn, e, 503, UNREAD_BACK_MS, "route not understood\n");
+	http_message_free(m);
+}
+
 /* Until when an answer is of use: to the caller, and to the operator. */
 static void
 set_times(struct request *r, int64_t now)
--- a/proxy/probe.c
+++ b/proxy/probe.c
@@ -32,6 +32,7 @@
 static void again(struct gate *);
 static void on_timer(evutil_socket_t, short, void *);
 static void on_answer(void *, enum upstream_result, struct http_message *);
+static int64_t cold_left(const struct gate *, const struct http_message *);
 static void up(struct gate *, const struct http_message *);
 static void crashed(struct gate *);
 static void on_blind(evutil_socket_t, short, void *);
@@ -174,13 +175,32 @@
 		again(g);
 }
 
+/*
+ * How long the target stays cold by its own word, in ms; for a word that is not
+ * understood, as long as one that has just started.
+ */
+static int64_t
+cold_left(const struct gate *g, const struct http_message *m)
+{
+	const struct view_config *c = g->proxy->view->config;
+	const char *name = g->proxy->names->cold_ms;
+	int64_t left = http_find_int(m, name, -1);
+	int i;
+
+	if (left >= 0 || http_find(m, name) == NULL || c == NULL)
+		return MAX(left, 0);
+	i = view_find_service(c, g->proxy->settings->service);
+	counter_add(CTR_UNREAD, 1);
+	return i >= 0 ? c->services[i].cold_ms : 0;
+}
+
 /* The target answers well: it is the one that calls itself so. */
 static void
 up(struct gate *g, const struct http_message *m)
 {
 	const struct header_names *n = g->proxy->names;
 	const char *id = http_find(m, n->target);
-	int64_t cold = http_find_int(m, n->cold_ms, 0);
+	int64_t cold = cold_left(g, m);
 
 	g->probe_pause_ms = PROBE_PAUSE_MS;
 	if (id != NULL && strlen(id) <= VIEW_ID_MAX && strcmp(id, g->id) != 0) {
--- a/side/follow.c
+++ b/side/follow.c
@@ -15,6 +15,7 @@
 static void on_lost(void *);
 static void on_alive(void *);
 static int take(struct follow *, const struct platform_item *);
+static const char *first_problem(const struct report *, int);
 static int take_config(struct follow *, const struct platform_item *);
 static int take_target(struct follow *, const struct platform_item *);
 static int hold(struct follow *, const struct platform_item *);
@@ -48,6 +49,8 @@
 	f->store = g_strdup(s->store);
 	f->held = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, platform_item_free);
+	f->unread =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	proxy_set_state(p, &state);
 	f->dark = evtimer_new(base, on_dark, f);
 	evtimer_add(f->dark, &tv);
@@ -64,6 +67,7 @@
 	feed_stop(f);
 	store_reader_free(f->reader);
 	g_hash_table_destroy(f->held);
+	g_hash_table_destroy(f->unread);
 	event_free(f->dark);
 	g_free(f->store);
 	g_free(f);
@@ -109,23 +113,35 @@
 	return 1;
 }
 
+/* Message of a report's first error, or of its first warning. */
+static const char *
+first_problem(const struct report *rep, int warning)
+{
+	const struct report_entry *e;
+	guint i;
+
+	for (i = 0; i < rep->entries->len; i++) {
+		e = g_ptr_array_index(rep->entries, i);
+		if (e->warning == warning)
+			return e->message;
+	}
+	return "-";
+}
+
 /* Takes a newer configuration, if it can be accepted. */
 static int
 take_config(struct follow *f, const struct platform_item *it)
 {
 	struct report *rep = report_new();
-	const struct report_entry *e;
 	struct view_config *c;
 	uint64_t version;
 	int taken = 0;
 
 	if ((c = platform_config_decode(it->value, rep)) == NULL) {
-		e = rep->entries->len > 0 ? g_ptr_array_index(rep->entries, 0)
-					  : NULL;
 		counter_add(CTR_REJECTED, 1);
 		base_log(G_LOG_LEVEL_WARNING, "config-rejected",
 		    "revision=%" G_GUINT64_FORMAT " errors=%d first=\"%s\"",
-		    it->revision, rep->errors, e != NULL ? e->message : "-");
+		    it->revision, rep->errors, first_problem(rep, 0));
 	} else {
 		version = c->version;
 		taken = view_take_config(f->view, c) == VIEW_OK;
@@ -137,6 +153,12 @@
 		    " routes=%d",
 		    version, it->revision, f->view->config->nroutes);
 	}
+	if (taken && rep->warnings > 0) {
+		counter_add(CTR_UNREAD, rep->warnings);
+		base_log(G_LOG_LEVEL_WARNING, "config-unread",
+		    "version=%" G_GUINT64_FORMAT " parts=%d first=\"%s\"",
+		    version, rep->warnings, first_problem(rep, 1));
+	}
 	report_free(rep);
 	return taken;
 }
@@ -147,15 +169,21 @@
 {
 	struct view_target t;
 
-	if (it->value == NULL)
+	if (it->value == NULL) {
+		g_hash_table_remove(f->unread, it->name);
 		return view_drop_target(f->view, it->name, it->revision);
+	}
 	if (platform_target_decode(it, &t) != PLATFORM_OK) {
-		counter_add(CTR_SOURCE_FAILURES, 1);
-		base_log(G_LOG_LEVEL_INFO, "target-unusable",
-		    "id=%s revision=%" G_GUINT64_FORMAT, it->name,
-		    it->revision);
+		/* It is written again with each report; one line is enough. */
+		if (g_hash_table_add(f->unread, g_strdup(it->name))) {
+			counter_add(CTR_UNREAD, 1);
+			base_log(G_LOG_LEVEL_WARNING, "target-unusable",
+			    "id=%s revision=%" G_GUINT64_FORMAT, it->name,
+			    it->revision);
+		}
 		return view_drop_target(f->view, it->name, it->revision);
 	}
+	g_hash_table_remove(f->unread, it->name);
 	if (!view_take_target(f->view, &t))
 		return t.cold_ms > 0;
 	base_log(G_LOG_LEVEL_MESSAGE, "target",
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -26,6 +26,7 @@
 	struct store_reader *reader;
 	char *store;	    /* address that is read */
 	GHashTable *held;   /* key to struct platform_item, as last read */
+	GHashTable *unread; /* ids of targets whose entries say nothing */
 	uint64_t held_at;   /* revision of the newest of them */
 	int next_peer;	    /* of the settings, asked next in the dark */
 	struct event *dark; /* when */
--- a/test/rig.h
+++ b/test/rig.h
@@ -30,6 +30,7 @@
 	int sheds;   /* it says that it has not run what it is given */
 	int no_seal; /* its answers carry no proof */
 	int cold_ms; /* by its status check */
+	const char *cold_text; /* what it says of that instead, or NULL */
 	char caller[VIEW_ID_MAX + 1]; /* as the last request named it */
 	/* a scripted target answers with bytes as they are */
 	struct evconnlistener *listener;
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -127,15 +127,19 @@
 bad_input_changes_nothing(void)
 {
 	struct world w;
+	int64_t unread = counter_get(CTR_UNREAD);
 	int i;
 
 	world_start(&w);
 	store_put_config(w.store, 7, "svc", "/run/");
 	store_put(w.store, "op/config", "{\"Version\":9,");
-	store_put(w.store, "servers/x1", "no json");
+	/* Written with each report; counted and logged once, by who reads. */
+	for (i = 0; i < 5; i++)
+		store_put(w.store, "servers/x1", "no json");
 	store_put(w.store, "servers/x2", "{\"Address\":5}");
 	store_put(w.store, "somebody/else", "{}");
 	rig_run(&w.rig, 1500);
+	CU_ASSERT_EQUAL(counter_get(CTR_UNREAD) - unread, 2);
 	for (i = 0; i < NODES; i++) {
 		CU_ASSERT_EQUAL(version(&w, i), 7);
 		CU_ASSERT_EQUAL(
--- a/view/config.c
+++ b/view/config.c
@@ -14,7 +14,8 @@
 	c = g_new0(struct view_config, 1);
 	c->refs = 1;
 	c->index = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	c->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->unplaced =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return c;
 }
 
@@ -47,7 +48,7 @@
 	g_free(c->services);
 	g_free(c->routes);
 	g_hash_table_destroy(c->index);
-	g_hash_table_destroy(c->hosts);
+	g_hash_table_destroy(c->unplaced);
 	g_free(c);
 }
 
@@ -74,16 +75,39 @@
 
 	for (i = 0; i < c->nroutes; i++) {
 		r = &c->routes[i];
+		if (r->prefix == NULL)
+			continue;
 		if (!g_hash_table_insert(c->index,
 			index_key(r->host, strlen(r->host), r->prefix,
 			    strlen(r->prefix)),
 			r))
 			return 0;
-		g_hash_table_add(c->hosts, g_ascii_strdown(r->host, -1));
 	}
 	return 1;
 }
 
+/* Adds a host with a route that nobody can place. */
+void
+view_add_unplaced(struct view_config *c, const char *host)
+{
+	g_hash_table_add(c->unplaced, g_ascii_strdown(host, -1));
+}
+
+/* Whether a request without a match may have one that was not read. */
+int
+view_may_route(const struct view_config *c, const char *host)
+{
+	char *key;
+	int found;
+
+	if (g_hash_table_contains(c->unplaced, ""))
+		return 1;
+	key = g_ascii_strdown(host, (gssize)strcspn(host, ":"));
+	found = g_hash_table_contains(c->unplaced, key);
+	g_free(key);
+	return found;
+}
+
 /* Finds a service by name. */
 int
 view_find_service(const struct view_config *c, const char *name)
--- a/view/view.h
+++ b/view/view.h
@@ -15,7 +15,8 @@
 	VIEW_ENOROUTE = -702, /* no route matches */
 };
 
-#define VIEW_ID_MAX 64 /* bytes in the id of a request or target */
+#define VIEW_ID_MAX 64	 /* bytes in the id of a request or target */
+#define VIEW_UNREAD (-1) /* handle of a service whose name was not read */
 
 /* ---- configuration ---- */
 
@@ -29,7 +30,7 @@
 
 /* A service that a route leads to, and its share. */
 struct view_part {
-	int service; /* handle */
+	int service; /* handle, or VIEW_UNREAD */
 	int weight;
 	int credit; /* of smooth weighted turns */
 };
@@ -45,9 +46,10 @@
 	int priority;	/* 0 goes first */
 	struct view_part *parts;
 	int nparts;
+	int unusable; /* it could not be read: nothing may be sent by it */
 };
 
-/* What a caller may send, and how slowly. */
+/* What a caller may send, and how slowly; below 0: not said. */
 struct view_limits {
 	int head_bytes, body_bytes;
 	int head_ms; /* for a whole head */
@@ -64,7 +66,8 @@
 	int nroutes;
 	struct view_limits limits;
 	GHashTable *index; /* host and prefix to struct view_route */
-	GHashTable *hosts; /* the hosts that have routes */
+	/* Hosts with a route whose prefix was not read; "": on any host. */
+	GHashTable *unplaced;
 };
 
 struct view_config *view_config_new(void);
@@ -77,7 +80,14 @@
 /* The route of the longest prefix, or NULL. */
 struct view_route *
 view_route(const struct view_config *, const char *host, const char *path);
-/* The service whose turn it is, by weight; random starts the first round. */
+/* Adds a host, or "", with a route that nobody can place. */
+void view_add_unplaced(struct view_config *, const char *host);
+/* Whether a request that no route matches may belong to one that is there. */
+int view_may_route(const struct view_config *, const char *host);
+/*
+ * The service whose turn it is, by weight, or VIEW_UNREAD; random starts the
+ * first round.
+ */
 int view_turn(struct view_route *, uint32_t random);
 
 /* ---- targets ---- */
