Requests behind others on a connection are begun at once

Cause: a connection's second request waited until the first had its answer, so that callers who send several waited for the sum of all.

Change: http/pipeline.c holds the exchanges of a connection in their order. What may be repeated is with the layer above at once, at most 8 of a connection and 256 KB of bodies; answers leave in order. What may run once is begun only when all before it are answered. For a caller that does not take its answers nothing more is begun, and no more than 64 KB is read ahead. A stop answers what was begun and closes with the last of it; behind a close, a refusal or a break nothing was read. The stand-ins and the question for readiness keep to one at a time.

Ruled out: beginning everything at once, as what may run once would be lost, and not to be sent again, when an answer before it ends the connection.

test_pipeline has each order of answers, closes, a stop, a caller that goes, one that stops reading; test_entry the whole way. Without the change no second request was begun. The rig's timers are precise now: times_are_counted failed once with 149 ms for 150, as the coarse clock fires early.

--- a/http/http.h
+++ b/http/http.h
@@ -39,6 +39,8 @@
 
 struct http_message *http_message_new(void);
 void http_message_free(struct http_message *);
+/* A copy, owned by the caller. */
+struct http_message *http_message_copy(const struct http_message *);
 /* Value of a header, or NULL; valid until the headers change. */
 const char *http_find(const struct http_message *, const char *name);
 /* Integer of a header, or the default when absent or not a number. */
@@ -114,10 +116,10 @@
     http_client_done, void *arg);
 int http_client_busy(const struct http_client *);
 
-/* ---- server: one request at a time on each connection ---- */
+/* ---- server: requests and their answers, in order on each connection ---- */
 
-struct http_server; /* opaque: see server.c */
-struct http_conn;   /* opaque: one connection */
+struct http_server;   /* opaque: see server_int.h */
+struct http_exchange; /* opaque: one request that is due an answer */
 
 /* What senders may send, and how slowly; may change while a server runs. */
 struct http_limits {
@@ -129,9 +131,15 @@
 struct http_server_calls {
 	void *arg;
 	/* A whole request, owned by the callee, to be replied to once. */
-	void (*request)(void *arg, struct http_conn *, struct http_message *);
+	void (*request)(
+	    void *arg, struct http_exchange *, struct http_message *);
 	/* The sender of a request that was not replied to has gone. */
-	void (*gone)(void *arg, struct http_conn *);
+	void (*gone)(void *arg, struct http_exchange *);
+	/*
+	 * Whether a request may be begun, and lost with its connection, before
+	 * those ahead of it are answered; NULL: none may.
+	 */
+	int (*may_begin)(void *arg, const struct http_message *);
 };
 
 /* Listens on ADDRESS:PORT; NULL when it cannot be listened on. */
@@ -143,13 +151,13 @@
 void http_server_leave(struct http_server *);
 /* Whether no request is with the layer above and all answers have left. */
 int http_server_idle(const struct http_server *);
-/* Gives the answer; the connection may be gone afterwards. */
-void http_reply(struct http_conn *, const struct http_message *);
+/* Gives the answer; the exchange is gone afterwards. */
+void http_reply(struct http_exchange *, const struct http_message *);
 /* An answer with a text for a body. */
 void http_reply_text(
-    struct http_conn *, int status, const char *type, const char *text);
-/* What the layer above keeps for a connection. */
-void http_conn_set(struct http_conn *, void *data);
-void *http_conn_data(const struct http_conn *);
+    struct http_exchange *, int status, const char *type, const char *text);
+/* What the layer above keeps for an exchange. */
+void http_exchange_set(struct http_exchange *, void *data);
+void *http_exchange_data(const struct http_exchange *);
 
 #endif
--- a/http/message.c
+++ b/http/message.c
@@ -63,6 +63,27 @@
 	g_free(m);
 }
 
+/* Copies a message. */
+struct http_message *
+http_message_copy(const struct http_message *m)
+{
+	struct http_message *c = http_message_new();
+	const struct http_header *h;
+	guint i;
+
+	c->method = g_strdup(m->method);
+	c->path = g_strdup(m->path);
+	c->status = m->status;
+	c->keep_alive = m->keep_alive;
+	c->to_end = m->to_end;
+	for (i = 0; i < m->headers->len; i++) {
+		h = &g_array_index(m->headers, struct http_header, i);
+		http_add(c, h->name, h->value);
+	}
+	g_byte_array_append(c->body, m->body->data, m->body->len);
+	return c;
+}
+
 /* Finds a header by name. */
 const char *
 http_find(const struct http_message *m, const char *name)
--- a/http/server.c
+++ b/http/server.c
@@ -1,45 +1,18 @@
 /*
- * A server on the event loop: requests are read whole, one at a time on each
- * connection, within the bounds of their sizes and times.
+ * A server on the event loop: requests are read whole, within the bounds of
+ * their sizes and times.
  */
 #include <errno.h>
 #include <string.h>
 
 #include <event2/listener.h>
 
-#include "http.h"
+#include "server_int.h"
 
 #define BACKLOG	    1024
 #define LINGER_MS   1000 /* for the sender to read a refusal before the close */
 #define STATUS_SLOW 408
-
-struct http_server {
-	struct event_base *base;
-	struct evconnlistener *listener;
-	const struct http_limits *limits;
-	struct http_server_calls calls;
-	GHashTable *conns; /* of struct http_conn */
-	int leaving;
-};
-
-enum conn_state {
-	CONN_READING, /* a request, or waiting for one */
-	CONN_ASKED,   /* a request is with the layer above */
-	CONN_ENDING,  /* closed as soon as the answer is written */
-};
-
-struct http_conn {
-	struct http_server *server;
-	struct bufferevent *bev;
-	struct http_parse parse;
-	struct event *timer;
-	enum conn_state state;
-	int continued;	/* an interim answer was sent */
-	int keep_alive; /* the sender wants the connection kept */
-	int is_head;	/* the request was a HEAD */
-	int drained;	/* the last answer is written; only lingering */
-	void *data;
-};
+#define INPUT_MAX   65536 /* bytes read ahead of what is taken */
 
 static void on_accept(
     struct evconnlistener *, evutil_socket_t, struct sockaddr *, int, void *);
@@ -47,8 +20,7 @@
 static void on_write(struct bufferevent *, void *);
 static void on_event(struct bufferevent *, short, void *);
 static void on_timer(evutil_socket_t, short, void *);
-static void take_requests(struct http_conn *);
-static void refuse(struct http_conn *, int);
+static void take_request(struct http_conn *);
 static void conn_free(struct http_conn *);
 
 /* Status of a request that cannot be read. */
@@ -128,35 +100,18 @@
 	g_hash_table_iter_init(&it, s->conns);
 	while (g_hash_table_iter_next(&it, &key, NULL)) {
 		c = key;
-		if (c->state == CONN_ASKED ||
+		if (c->exchanges.length > 0 ||
 		    evbuffer_get_length(bufferevent_get_output(c->bev)) > 0)
 			return 0;
 	}
 	return 1;
 }
 
-/* Keeps something for a connection. */
-void
-http_conn_set(struct http_conn *c, void *data)
-{
-	c->data = data;
-}
-
-/* What was kept. */
-void *
-http_conn_data(const struct http_conn *c)
-{
-	return c->data;
-}
-
 /* Closes a connection; whoever works on its request is told first. */
 static void
 conn_free(struct http_conn *c)
 {
-	if (c->state == CONN_ASKED) {
-		c->state = CONN_ENDING;
-		c->server->calls.gone(c->server->calls.arg, c);
-	}
+	pipeline_drop(c);
 	g_hash_table_remove(c->server->conns, c);
 	event_free(c->timer);
 	http_parse_free(&c->parse);
@@ -183,14 +138,19 @@
 	    (size_t)s->limits->body_bytes);
 	c->timer = evtimer_new(s->base, on_timer, c);
 	g_hash_table_add(s->conns, c);
+	g_queue_init(&c->exchanges);
 	bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
+	bufferevent_setwatermark(c->bev, EV_READ, 0, INPUT_MAX);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 	http_timer(c->timer, s->limits->idle_ms);
 }
 
-/* Takes the requests that have arrived, one after the other. */
+/*
+ * Takes a request that has arrived.  Those behind it are taken from the loop,
+ * so that other connections have their turns.
+ */
 static void
-take_requests(struct http_conn *c)
+take_request(struct http_conn *c)
 {
 	struct http_server *s = c->server;
 	struct http_message *m;
@@ -203,7 +163,9 @@
 	if (err == HTTP_ENOMESSAGE) {
 		if (!begun && c->parse.begun)
 			http_timer(c->timer, s->limits->head_ms);
+		/* An interim answer may not go before those that are due. */
 		if (!c->continued && c->parse.msg->method != NULL &&
+		    c->exchanges.length == 0 &&
 		    http_find(c->parse.msg, "Expect") != NULL) {
 			c->continued = 1;
 			evbuffer_add_printf(bufferevent_get_output(c->bev),
@@ -215,39 +177,32 @@
 		for (i = 0; i < G_N_ELEMENTS(refusals) - 1; i++)
 			if (refusals[i].err == err)
 				break;
-		refuse(c, refusals[i].status);
+		pipeline_refuse(c, refusals[i].status);
 		return;
 	}
-	evtimer_del(c->timer);
 	m = http_parse_take(&c->parse);
-	c->keep_alive = m->keep_alive;
-	c->is_head = strcmp(m->method, "HEAD") == 0;
+	http_parse_next(&c->parse, HTTP_REQUEST);
 	c->continued = 0;
-	c->state = CONN_ASKED;
-	s->calls.request(s->calls.arg, c, m);
-}
-
-/* Refuses what cannot be read, and ends the connection. */
-static void
-refuse(struct http_conn *c, int status)
-{
-	base_log(G_LOG_LEVEL_MESSAGE, "request-malformed", "status=%d", status);
-	c->keep_alive = 0;
-	c->state = CONN_ASKED;
-	http_reply_text(c, status, "text/plain", http_status_text(status));
+	pipeline_take(c, m);
+	if (evbuffer_get_length(bufferevent_get_input(c->bev)) > 0)
+		bufferevent_trigger(c->bev, EV_READ,
+		    BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
 
-/* Bytes have arrived. */
+/* Bytes have arrived, or there is room for what arrived before. */
 static void
 on_read(struct bufferevent *bev, void *arg)
 {
 	struct http_conn *c = arg;
 
-	if (c->state == CONN_READING)
-		take_requests(c);
-	else if (c->state == CONN_ENDING)
+	if (c->ending) {
 		evbuffer_drain(bufferevent_get_input(bev),
 		    evbuffer_get_length(bufferevent_get_input(bev)));
+		return;
+	}
+	pipeline_advance(c);
+	if (pipeline_has_room(c))
+		take_request(c);
 }
 
 /*
@@ -259,7 +214,11 @@
 {
 	struct http_conn *c = arg;
 
-	if (c->state != CONN_ENDING || c->drained)
+	if (!c->ending) {
+		on_read(bev, c);
+		return;
+	}
+	if (c->drained)
 		return;
 	c->drained = 1;
 	if (shutdown(bufferevent_getfd(bev), SHUT_WR) != 0) {
@@ -286,42 +245,10 @@
 
 	(void)fd;
 	(void)what;
-	if (c->state == CONN_READING && c->parse.begun)
-		refuse(c, STATUS_SLOW);
-	else
+	if (c->ending || !c->parse.begun)
 		conn_free(c);
-}
-
-/* Gives the answer. */
-void
-http_reply(struct http_conn *c, const struct http_message *m)
-{
-	int keep = c->keep_alive && !c->server->leaving;
-
-	http_write_answer(bufferevent_get_output(c->bev), m, keep, c->is_head);
-	c->data = NULL;
-	if (!keep) {
-		c->state = CONN_ENDING;
-		return;
-	}
-	c->state = CONN_READING;
-	http_parse_next(&c->parse, HTTP_REQUEST);
-	http_timer(c->timer, c->server->limits->idle_ms);
-	/* The next request may be here already; it is taken from the loop. */
-	if (evbuffer_get_length(bufferevent_get_input(c->bev)) > 0)
-		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
-}
-
-/* Gives an answer with a text. */
-void
-http_reply_text(
-    struct http_conn *c, int status, const char *type, const char *text)
-{
-	struct http_message *m = http_message_new();
-
-	m->status = status;
-	http_add(m, "Content-Type", type);
-	g_byte_array_append(m->body, (const guint8 *)text, (guint)strlen(text));
-	http_reply(c, m);
-	http_message_free(m);
+	else if (pipeline_has_room(c))
+		pipeline_refuse(c, STATUS_SLOW);
+	else
+		http_timer(c->timer, c->server->limits->head_ms);
 }
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -24,7 +24,7 @@
 
 struct request {
 	struct entry *entry;
-	struct http_conn *conn; /* NULL: its caller has gone */
+	struct http_exchange *exchange; /* NULL: its caller has gone */
 	struct http_message *msg;
 	struct view_config *config;
 	const struct view_route *route;
@@ -42,13 +42,14 @@
 	struct event *timer;
 };
 
-static void on_request(void *, struct http_conn *, struct http_message *);
-static void on_gone(void *, struct http_conn *);
+static void on_request(void *, struct http_exchange *, struct http_message *);
+static void on_gone(void *, struct http_exchange *);
+static int may_begin(void *, const struct http_message *);
 static void on_timer(evutil_socket_t, short, void *);
 static void on_done(struct job *, const struct result *);
 static int stated(int, int);
 static void
-refuse_unread(struct entry *, struct http_conn *, struct http_message *);
+refuse_unread(struct entry *, struct http_exchange *, struct http_message *);
 static void set_times(struct request *, int64_t);
 static void offer(struct request *);
 static void settle(struct request *, const struct result *);
@@ -58,7 +59,7 @@
 static void pass(struct request *, struct http_message *);
 static void refuse(struct request *, enum call_outcome);
 static void
-reply_error(struct http_conn *, struct entry *, int, int, const char *);
+reply_error(struct http_exchange *, struct entry *, int, int, const char *);
 static void request_free(struct request *);
 static struct spend *spend_of(struct entry *, const char *);
 
@@ -66,7 +67,7 @@
 int
 entry_open(struct entry *e, struct proxy *p)
 {
-	struct http_server_calls calls = { e, on_request, on_gone };
+	struct http_server_calls calls = { e, on_request, on_gone, may_begin };
 
 	e->proxy = p;
 	e->limits = (struct http_limits){ HEAD_DEFAULT, BODY_DEFAULT, HEAD_MS,
@@ -148,7 +149,7 @@
 
 /* Answers with an error of the node's own. */
 static void
-reply_error(struct http_conn *c, struct entry *e, int status, int back_ms,
+reply_error(struct http_exchange *x, struct entry *e, int status, int back_ms,
     const char *why)
 {
 	struct http_message *m = http_message_new();
@@ -161,13 +162,13 @@
 	}
 	http_add(m, "Content-Type", "text/plain");
 	g_byte_array_append(m->body, (const guint8 *)why, (guint)strlen(why));
-	http_reply(c, m);
+	http_reply(x, m);
 	http_message_free(m);
 }
 
 /* A whole request has arrived. */
 static void
-on_request(void *arg, struct http_conn *conn, struct http_message *m)
+on_request(void *arg, struct http_exchange *exchange, struct http_message *m)
 {
 	struct entry *e = arg;
 	struct view_config *c = e->proxy->view->config;
@@ -182,20 +183,20 @@
 	if (c == NULL) {
 		base_log(G_LOG_LEVEL_INFO, "refused", "id=%s outcome=not_ready",
 		    id != NULL ? id : "-");
-		reply_error(conn, e, 503, 300, "no configuration yet\n");
+		reply_error(exchange, e, 503, 300, "no configuration yet\n");
 		http_message_free(m);
 		return;
 	}
 	if (e->proxy->last_call_at > 0 && now >= e->proxy->last_call_at) {
 		base_log(G_LOG_LEVEL_INFO, "refused", "id=%s outcome=leaving",
 		    id != NULL ? id : "-");
-		reply_error(conn, e, 503, BACK_MIN_MS, "leaving\n");
+		reply_error(exchange, e, 503, BACK_MIN_MS, "leaving\n");
 		http_message_free(m);
 		return;
 	}
 	route = view_route(c, host != NULL ? host : "", m->path);
 	if (route == NULL && view_may_route(c, host != NULL ? host : "")) {
-		refuse_unread(e, conn, m);
+		refuse_unread(e, exchange, m);
 		return;
 	}
 	if (route == NULL) {
@@ -204,19 +205,19 @@
 		    "version=%" G_GUINT64_FORMAT,
 		    id != NULL ? id : "-", host != NULL ? host : "-", m->path,
 		    c->version);
-		reply_error(conn, e, 404, 0, "no route\n");
+		reply_error(exchange, e, 404, 0, "no route\n");
 		http_message_free(m);
 		return;
 	}
 	service =
 	    view_turn((struct view_route *)route, g_rand_int(e->proxy->rand));
 	if (route->unusable || service == VIEW_UNREAD) {
-		refuse_unread(e, conn, m);
+		refuse_unread(e, exchange, m);
 		return;
 	}
 	r = g_new0(struct request, 1);
 	r->entry = e;
-	r->conn = conn;
+	r->exchange = exchange;
 	r->msg = m;
 	r->config = view_config_ref(c);
 	r->route = route;
@@ -226,7 +227,7 @@
 	r->tried = g_ptr_array_new_with_free_func(g_free);
 	r->timer = evtimer_new(e->proxy->base, on_timer, r);
 	g_hash_table_add(e->requests, r);
-	http_conn_set(conn, r);
+	http_exchange_set(exchange, r);
 	set_times(r, now);
 	http_strip_hop(m);
 	r->job = (struct job){ .msg = m,
@@ -249,7 +250,8 @@
  * was not run, and a later version may let it.
  */
 static void
-refuse_unread(struct entry *e, struct http_conn *conn, struct http_message *m)
+refuse_unread(
+    struct entry *e, struct http_exchange *exchange, struct http_message *m)
 {
 	const char *id = http_find(m, e->proxy->names->id);
 
@@ -257,10 +259,25 @@
 	base_log(G_LOG_LEVEL_INFO, "refused",
 	    "id=%s outcome=route_unread path=%s version=%" G_GUINT64_FORMAT,
 	    id != NULL ? id : "-", m->path, e->proxy->view->config->version);
-	reply_error(conn, e, 503, UNREAD_BACK_MS, "route not understood\n");
+	reply_error(exchange, e, 503, UNREAD_BACK_MS, "route not understood\n");
 	http_message_free(m);
 }
 
+/* Whether a request may be lost with its connection: it may run again. */
+static int
+may_begin(void *arg, const struct http_message *m)
+{
+	const struct entry *e = arg;
+	const struct view_config *c = e->proxy->view->config;
+	const char *host = http_find(m, "Host");
+	const struct view_route *route;
+
+	if (c == NULL)
+		return 0;
+	route = view_route(c, host != NULL ? host : "", m->path);
+	return route != NULL && route->repeatable;
+}
+
 /* Until when an answer is of use: to the caller, and to the operator. */
 static void
 set_times(struct request *r, int64_t now)
@@ -399,13 +416,7 @@
 		return;
 	}
 	http_message_free(r->failure);
-	r->failure = http_message_new();
-	r->failure->status = m->status;
-	g_byte_array_append(r->failure->body, m->body->data, m->body->len);
-	for (guint i = 0; i < m->headers->len; i++)
-		http_add(r->failure,
-		    g_array_index(m->headers, struct http_header, i).name,
-		    g_array_index(m->headers, struct http_header, i).value);
+	r->failure = http_message_copy(m);
 	r->ran = 1;
 	offer(r);
 }
@@ -420,7 +431,7 @@
 	base_log(G_LOG_LEVEL_INFO, "answered",
 	    "id=%s status=%d took_ms=%d gates=%d", r->id, m->status,
 	    (int)(base_now_ms() - r->arrived), r->gates);
-	http_reply(r->conn, m);
+	http_reply(r->exchange, m);
 	request_free(r);
 }
 
@@ -448,7 +459,7 @@
 	    "back_ms=%d version=%" G_GUINT64_FORMAT,
 	    r->id, r->route->name, outcomes[why].code, status, r->gates,
 	    r->sends, (int)(now - r->arrived), back, r->config->version);
-	reply_error(r->conn, r->entry, status, back, outcomes[why].code);
+	reply_error(r->exchange, r->entry, status, back, outcomes[why].code);
 	request_free(r);
 }
 
@@ -468,9 +479,9 @@
 
 /* The caller has gone. */
 static void
-on_gone(void *arg, struct http_conn *conn)
+on_gone(void *arg, struct http_exchange *exchange)
 {
-	struct request *r = http_conn_data(conn);
+	struct request *r = http_exchange_data(exchange);
 
 	(void)arg;
 	if (r == NULL)
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -18,8 +18,8 @@
  */
 #define GATE_PERCENT 30
 
-static void on_ready(void *, struct http_conn *, struct http_message *);
-static void on_ready_gone(void *, struct http_conn *);
+static void on_ready(void *, struct http_exchange *, struct http_message *);
+static void on_ready_gone(void *, struct http_exchange *);
 static int is_ready(const struct proxy *);
 static void on_gate_leaves(evutil_socket_t, short, void *);
 
@@ -30,7 +30,7 @@
     const char *ready_path, struct view *v)
 {
 	struct proxy *p = g_new0(struct proxy, 1);
-	struct http_server_calls calls = { p, on_ready, on_ready_gone };
+	struct http_server_calls calls = { p, on_ready, on_ready_gone, NULL };
 
 	p->base = base;
 	p->settings = s;
@@ -74,7 +74,7 @@
 
 /* Answers the question whether the node is ready. */
 static void
-on_ready(void *arg, struct http_conn *c, struct http_message *m)
+on_ready(void *arg, struct http_exchange *c, struct http_message *m)
 {
 	struct proxy *p = arg;
 
@@ -88,7 +88,7 @@
 }
 
 static void
-on_ready_gone(void *arg, struct http_conn *c)
+on_ready_gone(void *arg, struct http_exchange *c)
 {
 	(void)arg;
 	(void)c;
--- a/side/teaselside.c
+++ b/side/teaselside.c
@@ -34,8 +34,8 @@
 static void on_hangup(evutil_socket_t, short, void *);
 static void on_stop(evutil_socket_t, short, void *);
 static void on_leave(evutil_socket_t, short, void *);
-static void on_metrics(void *, struct http_conn *, struct http_message *);
-static void on_metrics_gone(void *, struct http_conn *);
+static void on_metrics(void *, struct http_exchange *, struct http_message *);
+static void on_metrics_gone(void *, struct http_exchange *);
 static int run(struct side *);
 
 /* Reads the settings; problems are printed with file, line and key. */
@@ -130,7 +130,7 @@
 
 /* Serves the metrics. */
 static void
-on_metrics(void *arg, struct http_conn *c, struct http_message *m)
+on_metrics(void *arg, struct http_exchange *c, struct http_message *m)
 {
 	struct side *s = arg;
 	GString *text = g_string_new(NULL);
@@ -142,7 +142,7 @@
 }
 
 static void
-on_metrics_gone(void *arg, struct http_conn *c)
+on_metrics_gone(void *arg, struct http_exchange *c)
 {
 	(void)arg;
 	(void)c;
@@ -152,7 +152,8 @@
 static int
 run(struct side *s)
 {
-	struct http_server_calls metrics = { s, on_metrics, on_metrics_gone };
+	struct http_server_calls metrics = { s, on_metrics, on_metrics_gone,
+		NULL };
 	struct timeval look = { LOOK_MS / BASE_MS_PER_S, 0 };
 	struct event *hup, *term, *intr;
 	int err;
--- a/standin/store.c
+++ b/standin/store.c
@@ -16,7 +16,7 @@
 /* A watch that waits for a change. */
 struct watch {
 	struct store *store;
-	struct http_conn *conn;
+	struct http_exchange *exchange;
 	char *prefix;
 	uint64_t after;
 	struct event *timer;
@@ -45,10 +45,10 @@
 const char *const store_fault_names[] = { "well", "down", "busy", "limit",
 	"silent", "garbled", NULL };
 
-static void on_request(void *, struct http_conn *, struct http_message *);
-static void on_gone(void *, struct http_conn *);
-static void list(struct store *, struct http_conn *, const char *);
-static void watch(struct store *, struct http_conn *, const char *);
+static void on_request(void *, struct http_exchange *, struct http_message *);
+static void on_gone(void *, struct http_exchange *);
+static void list(struct store *, struct http_exchange *, const char *);
+static void watch(struct store *, struct http_exchange *, const char *);
 static int answer_watch(struct watch *, int);
 static void print_entry(GString *, const struct entry *, const char *);
 static char *parameter(const char *, const char *);
@@ -105,7 +105,7 @@
 store_door(struct store *s, const char *addr)
 {
 	struct door *d = &s->doors[s->ndoors];
-	struct http_server_calls calls = { d, on_request, on_gone };
+	struct http_server_calls calls = { d, on_request, on_gone, NULL };
 
 	if (s->ndoors == STORE_DOORS)
 		return STANDIN_ELISTEN;
@@ -187,7 +187,7 @@
 	s->forgotten = s->revision;
 	while (s->watches->len > 0) {
 		w = g_ptr_array_index(s->watches, 0);
-		http_reply_text(w->conn, 503, "application/json", "{}");
+		http_reply_text(w->exchange, 503, "application/json", "{}");
 		g_ptr_array_remove(s->watches, w);
 	}
 }
@@ -299,7 +299,7 @@
 
 /* A page of a list. */
 static void
-list(struct store *s, struct http_conn *c, const char *path)
+list(struct store *s, struct http_exchange *c, const char *path)
 {
 	char *prefix = parameter(path, "Prefix");
 	char *after = parameter(path, "after");
@@ -349,7 +349,7 @@
 	guint i;
 
 	if (w->after < s->forgotten) {
-		http_reply_text(w->conn, 410, "application/json", "{}");
+		http_reply_text(w->exchange, 410, "application/json", "{}");
 		g_ptr_array_remove(s->watches, w);
 		return 1;
 	}
@@ -363,7 +363,7 @@
 	g_string_append_printf(
 	    out, "],\"AsOf\":%" G_GUINT64_FORMAT "}", s->revision);
 	if (any > 0 || must) {
-		http_reply_text(w->conn, 200, "application/json", out->str);
+		http_reply_text(w->exchange, 200, "application/json", out->str);
 		g_ptr_array_remove(s->watches, w);
 	}
 	g_string_free(out, TRUE);
@@ -372,7 +372,7 @@
 
 /* Waits for changes. */
 static void
-watch(struct store *s, struct http_conn *c, const char *path)
+watch(struct store *s, struct http_exchange *c, const char *path)
 {
 	char *prefix = parameter(path, "Prefix");
 	char *after = parameter(path, "after");
@@ -382,12 +382,12 @@
 	struct timeval tv = { ms / 1000, ms % 1000 * 1000L };
 
 	w->store = s;
-	w->conn = c;
+	w->exchange = c;
 	w->prefix = prefix != NULL ? prefix : g_strdup("");
 	w->after = after != NULL ? g_ascii_strtoull(after, NULL, 10) : 0;
 	w->timer = evtimer_new(s->base, on_wait_over, w);
 	g_ptr_array_add(s->watches, w);
-	http_conn_set(c, w);
+	http_exchange_set(c, w);
 	g_free(after);
 	g_free(wait);
 	if (!answer_watch(w, 0))
@@ -395,7 +395,7 @@
 }
 
 static void
-on_request(void *arg, struct http_conn *c, struct http_message *m)
+on_request(void *arg, struct http_exchange *c, struct http_message *m)
 {
 	const struct door *d = arg;
 	struct store *s = d->store;
@@ -429,10 +429,10 @@
 }
 
 static void
-on_gone(void *arg, struct http_conn *c)
+on_gone(void *arg, struct http_exchange *c)
 {
 	struct store *s = ((struct door *)arg)->store;
-	struct watch *w = http_conn_data(c);
+	struct watch *w = http_exchange_data(c);
 
 	if (w != NULL)
 		g_ptr_array_remove(s->watches, w);
--- a/test/rig.c
+++ b/test/rig.c
@@ -16,7 +16,7 @@
 /* An answer that a target owes after its work. */
 struct rig_work {
 	struct rig_target *target;
-	struct http_conn *conn; /* NULL: the sender has gone */
+	struct http_exchange *exchange; /* NULL: the sender has gone */
 	struct http_message *msg;
 	struct event *timer;
 };
@@ -38,8 +38,8 @@
 	else if (!t->no_seal)
 		http_add(m, platform_headers.seal, t->id);
 	g_byte_array_append(m->body, (const guint8 *)"done", 4);
-	if (w->conn != NULL)
-		http_reply(w->conn, m);
+	if (w->exchange != NULL)
+		http_reply(w->exchange, m);
 	http_message_free(m);
 	http_message_free(w->msg);
 	event_free(w->timer);
@@ -56,7 +56,7 @@
 
 /* A request at a target; its status check is answered at once. */
 static void
-on_target(void *arg, struct http_conn *c, struct http_message *m)
+on_target(void *arg, struct http_exchange *c, struct http_message *m)
 {
 	struct rig_target *t = arg;
 	struct timeval tv = { t->work_ms / 1000, t->work_ms % 1000 * 1000L };
@@ -82,21 +82,21 @@
 	    sizeof(t->caller));
 	w = g_new0(struct rig_work, 1);
 	w->target = t;
-	w->conn = c;
+	w->exchange = c;
 	w->msg = m;
 	w->timer = evtimer_new(t->rig->base, on_work, w);
-	http_conn_set(c, w);
+	http_exchange_set(c, w);
 	evtimer_add(w->timer, &tv);
 }
 
 static void
-on_target_gone(void *arg, struct http_conn *c)
+on_target_gone(void *arg, struct http_exchange *c)
 {
-	struct rig_work *w = http_conn_data(c);
+	struct rig_work *w = http_exchange_data(c);
 
 	(void)arg;
 	if (w != NULL)
-		w->conn = NULL;
+		w->exchange = NULL;
 }
 
 /* ---- targets that answer with bytes ---- */
@@ -282,7 +282,7 @@
 {
 	struct rig_node *n = &r->nodes[i];
 	struct http_server_calls calls = { &n->target, on_target,
-		on_target_gone };
+		on_target_gone, NULL };
 	struct proxy_settings *s = &n->settings;
 
 	n->target.rig = r;
@@ -316,11 +316,15 @@
 void
 rig_start(struct rig *r, int n)
 {
+	struct event_config *precise = event_config_new();
 	int64_t until;
 	int i;
 
 	memset(r, 0, sizeof(*r));
-	r->base = event_base_new();
+	/* Timers of the coarse clock may fire some milliseconds early. */
+	event_config_set_flag(precise, EVENT_BASE_FLAG_PRECISE_TIMER);
+	r->base = event_base_new_with_config(precise);
+	event_config_free(precise);
 	r->ports = PORT_BASE + (int)(getpid() % (PORT_SPAN / PORTS)) * PORTS;
 	r->nnodes = n;
 	for (i = 0; i < n; i++)
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -88,7 +88,45 @@
 	rig_stop(&r);
 }
 
+#define ASK(path, id)                                             \
+	"GET " path " HTTP/1.1\r\nHost: rig\r\nX-Attempt-Id: " id \
+	"\r\nX-Deadline-Remaining: 900\r\n\r\n"
+
+/*
+ * Requests sent behind others run beside them, as many as may be repeated; one
+ * that may run once is not given to a target before its turn.
+ */
+static void
+requests_behind_others_run(void)
+{
+	struct rig r;
+	struct rig_call c;
+	int *runs;
+
+	rig_start(&r, 1);
+	runs = &r.nodes[0].target.runs;
+	r.nodes[0].target.work_ms = 200;
+	rig_raw(&r, &c, 0,
+	    ASK("/run/1", "p1") ASK("/run/2", "p2") ASK("/once/3", "p3")
+		ASK("/run/4", "p4"));
+	CU_ASSERT(rig_until(&r, runs, 2));
+	CU_ASSERT_PTR_NULL(c.answer);
+	rig_wait(&r, &c);
+	CU_ASSERT_EQUAL(rig_status(&c), 200);
+	CU_ASSERT(rig_until(&r, runs, 4));
+	rig_call_end(&c);
+	/* The caller has gone, and with it all that was behind. */
+	rig_run(&r, 50);
+	rig_raw(&r, &c, 0, ASK("/run/1", "q1") ASK("/once/2", "q2"));
+	CU_ASSERT(rig_until(&r, runs, 5));
+	rig_call_end(&c);
+	rig_run(&r, 300);
+	CU_ASSERT_EQUAL(*runs, 5);
+	rig_stop(&r);
+}
+
 static const struct test tests[] = {
+	{ "requests behind others run", requests_behind_others_run },
 	{ "routes not understood refuse", routes_not_understood_refuse },
 	{ "limits not understood", limits_not_understood },
 	{ "a word for cold that is new", a_word_for_cold_that_is_new },
