--- a/base/base.h
+++ b/base/base.h
@@ -75,6 +75,7 @@
 enum counter {
 	CTR_CALLS,	      /* calls accepted from callers */
 	CTR_ANSWERED,	      /* answers passed on whole */
+	CTR_ANSWERS_CUT,      /* long answers that broke off */
 	CTR_REFUSED_NOT_RUN,  /* refusals that say "not run" */
 	CTR_REFUSED_UNKNOWN,  /* refusals that say "outcome unknown" */
 	CTR_FORWARDS,	      /* sendings from entry to guard */
@@ -127,7 +128,8 @@
 
 enum histogram {
 	HIST_ANSWER, /* from a request to its target's answer, at its entry */
-	HIST_GATE_WAIT, /* from an offer until the target got it */
+	HIST_FIRST_BYTE, /* from a request to the head of a long answer */
+	HIST_GATE_WAIT,	 /* from an offer until the target got it */
 	HIST_COUNT
 };
 
--- a/base/counter.c
+++ b/base/counter.c
@@ -9,6 +9,7 @@
 static const char *const names[CTR_COUNT] = {
 	[CTR_CALLS] = "calls_total",
 	[CTR_ANSWERED] = "calls_answered_total",
+	[CTR_ANSWERS_CUT] = "calls_answers_cut_total",
 	[CTR_REFUSED_NOT_RUN] = "calls_refused_not_run_total",
 	[CTR_REFUSED_UNKNOWN] = "calls_refused_unknown_total",
 	[CTR_FORWARDS] = "forwards_total",
--- a/http/http.h
+++ b/http/http.h
@@ -35,6 +35,8 @@
 	GByteArray *body;
 	int keep_alive; /* the sender keeps the connection open */
 	int to_end;	/* an answer without length, ended by its connection */
+	int old;	/* a request whose sender reads no chunks */
+	int64_t length; /* of the body as announced, or -1 */
 };
 
 struct http_message *http_message_new(void);
@@ -60,10 +62,13 @@
 	size_t head_max, body_max; /* bytes */
 	size_t head;		   /* bytes of the head read so far */
 	int in_value;
-	int begun;    /* a byte of the message was read */
-	int complete; /* the whole message was read */
-	int no_body;  /* the answer to a HEAD request */
-	int err;      /* enum http_err */
+	int begun;     /* a byte of the message was read */
+	int has_head;  /* its head was read */
+	int complete;  /* the whole message was read */
+	int interim;   /* interim answers before this one */
+	int no_body;   /* the answer to a HEAD request */
+	int in_pieces; /* the body is taken as it comes, of whatever length */
+	int err;       /* enum http_err */
 };
 
 /* Prepares for requests (HTTP_REQUEST) or answers (HTTP_RESPONSE). */
@@ -77,6 +82,8 @@
  * whole, HTTP_ENOMESSAGE when more is needed, or why it never will be.
  */
 int http_parse_feed(struct http_parse *, struct evbuffer *);
+/* Takes what was read of the body, so that no more than that is held. */
+void http_parse_take_body(struct http_parse *, GByteArray *out);
 /* The sender has ended: the same results; HTTP_ENOMESSAGE between messages. */
 int http_parse_end(struct http_parse *);
 /* Hands the whole message over. */
@@ -88,6 +95,13 @@
 void http_write_request(struct evbuffer *, const struct http_message *);
 void http_write_answer(struct evbuffer *, const struct http_message *,
     int keep_alive, int no_body);
+/* Appends the head of an answer whose body follows in pieces. */
+void http_write_head(struct evbuffer *, const struct http_message *,
+    int keep_alive, int chunked);
+/* Appends a piece of a body, and the end of one in chunks. */
+void
+http_write_piece(struct evbuffer *, const void *bytes, size_t len, int chunked);
+void http_write_end(struct evbuffer *, int chunked);
 const char *http_status_text(int status);
 
 /* ---- connections ---- */
@@ -126,6 +140,8 @@
 	int head_bytes, body_bytes;
 	int head_ms; /* for a whole request */
 	int idle_ms; /* between requests */
+	/* of all bodies that are being read, or 0: not bounded */
+	int64_t bodies_bytes;
 };
 
 struct http_server_calls {
@@ -140,6 +156,8 @@
 	 * those ahead of it are answered; NULL: none may.
 	 */
 	int (*may_begin)(void *arg, const struct http_message *);
+	/* So many bytes of an answer's pieces have left; NULL: nobody asks. */
+	void (*taken)(void *arg, struct http_exchange *, size_t);
 };
 
 /* Listens on ADDRESS:PORT; NULL when it cannot be listened on. */
@@ -153,6 +171,14 @@
 int http_server_idle(const struct http_server *);
 /* Gives the answer; the exchange is gone afterwards. */
 void http_reply(struct http_exchange *, const struct http_message *);
+/*
+ * Gives an answer in pieces: its head, with its length or -1, then pieces, then
+ * its end; one that is not whole reaches the sender as a break.  The exchange
+ * is gone after the end.
+ */
+void http_reply_begin(struct http_exchange *, const struct http_message *);
+void http_reply_piece(struct http_exchange *, const void *bytes, size_t len);
+void http_reply_end(struct http_exchange *, int whole);
 /* An answer with a text for a body. */
 void http_reply_text(
     struct http_exchange *, int status, const char *type, const char *text);
--- a/http/message.c
+++ b/http/message.c
@@ -43,6 +43,7 @@
 	m = g_new0(struct http_message, 1);
 	m->headers = g_array_new(FALSE, FALSE, sizeof(struct http_header));
 	m->body = g_byte_array_new();
+	m->length = -1;
 	return m;
 }
 
@@ -76,6 +77,8 @@
 	c->status = m->status;
 	c->keep_alive = m->keep_alive;
 	c->to_end = m->to_end;
+	c->old = m->old;
+	c->length = m->length;
 	for (i = 0; i < m->headers->len; i++) {
 		h = &g_array_index(m->headers, struct http_header, i);
 		http_add(c, h->name, h->value);
--- a/http/parse.c
+++ b/http/parse.c
@@ -5,7 +5,8 @@
 
 #define STATUS_CONTINUE 100
 #define STATUS_FINAL	200
-#define HEADER_EXTRA	4 /* bytes a header takes beside name and value */
+#define INTERIM_MAX	16 /* interim answers before the final one */
+#define HEADER_EXTRA	4  /* bytes a header takes beside name and value */
 
 static int on_begin(http_parser *);
 static int on_url(http_parser *, const char *, size_t);
@@ -17,6 +18,8 @@
 static int grow_head(struct http_parse *, size_t);
 static void end_header(struct http_parse *);
 static int name_is_token(const char *);
+static void next_message(struct http_parse *, enum http_parser_type);
+static int feed_one(struct http_parse *, struct evbuffer *);
 
 static const http_parser_settings callbacks = {
 	.on_message_begin = on_begin,
@@ -55,6 +58,14 @@
 /* Begins anew. */
 void
 http_parse_next(struct http_parse *p, enum http_parser_type type)
+{
+	p->interim = 0;
+	next_message(p, type);
+}
+
+/* Begins a message; interim answers count on to the final one. */
+static void
+next_message(struct http_parse *p, enum http_parser_type type)
 {
 	http_message_free(p->msg);
 	p->msg = http_message_new();
@@ -62,7 +73,7 @@
 	g_string_truncate(p->value, 0);
 	g_string_truncate(p->path, 0);
 	p->head = 0;
-	p->in_value = p->begun = p->complete = 0;
+	p->in_value = p->begun = p->has_head = p->complete = 0;
 	p->err = HTTP_OK;
 	http_parser_init(&p->parser, type);
 	p->parser.data = p;
@@ -157,6 +168,10 @@
 	end_header(p);
 	if (p->err != HTTP_OK)
 		return -1;
+	p->has_head = 1;
+	if (parser->flags & F_CONTENTLENGTH)
+		p->msg->length = (int64_t)parser->content_length;
+	p->msg->old = parser->http_major == 1 && parser->http_minor == 0;
 	if (parser->type == HTTP_REQUEST) {
 		p->msg->method =
 		    g_strdup(http_method_str((enum http_method)parser->method));
@@ -168,7 +183,7 @@
 	} else {
 		p->msg->status = parser->status_code;
 	}
-	if ((parser->flags & F_CONTENTLENGTH) &&
+	if (!p->in_pieces && (parser->flags & F_CONTENTLENGTH) &&
 	    parser->content_length > p->body_max) {
 		p->err = HTTP_EBODY;
 		return -1;
@@ -207,8 +222,8 @@
 }
 
 /* Takes bytes up to the end of one message. */
-int
-http_parse_feed(struct http_parse *p, struct evbuffer *in)
+static int
+feed_one(struct http_parse *p, struct evbuffer *in)
 {
 	const char *bytes;
 	size_t len, used;
@@ -235,15 +250,33 @@
 		return p->err;
 	if (!p->complete)
 		return HTTP_ENOMESSAGE;
-	/* An interim answer announces the final one. */
-	if (p->msg->status >= STATUS_CONTINUE &&
-	    p->msg->status < STATUS_FINAL) {
-		http_parse_next(p, HTTP_RESPONSE);
-		return http_parse_feed(p, in);
-	}
 	return HTTP_OK;
 }
 
+/* Takes bytes up to the end of one message, interim answers left out. */
+int
+http_parse_feed(struct http_parse *p, struct evbuffer *in)
+{
+	int err;
+
+	while ((err = feed_one(p, in)) == HTTP_OK &&
+	       p->msg->status >= STATUS_CONTINUE &&
+	       p->msg->status < STATUS_FINAL) {
+		if (++p->interim > INTERIM_MAX)
+			return p->err = HTTP_EGARBLED;
+		next_message(p, HTTP_RESPONSE);
+	}
+	return err;
+}
+
+/* Takes what was read of the body. */
+void
+http_parse_take_body(struct http_parse *p, GByteArray *out)
+{
+	g_byte_array_append(out, p->msg->body->data, p->msg->body->len);
+	g_byte_array_set_size(p->msg->body, 0);
+}
+
 /* The sender has ended. */
 int
 http_parse_end(struct http_parse *p)
--- a/http/pipeline.c
+++ b/http/pipeline.c
@@ -13,12 +13,18 @@
 #define PIPELINE_BYTES (256 * 1024) /* of their bodies, beyond the first */
 /* Bytes of answers that the sender has not taken; more is not begun. */
 #define UNTAKEN_MAX (256 * 1024)
+#define BACK_S	    "1"		/* when bodies that are read now have been */
+#define TAKEN_AT    (32 * 1024) /* left to write when more pieces are due */
 
 static struct http_exchange *exchange_new(struct http_conn *);
 static void exchange_free(struct http_exchange *);
 static void begin(struct http_exchange *, struct http_message *);
 static void flush(struct http_conn *);
+static int keeps(const struct http_exchange *);
 static void finish(struct http_exchange *, const struct http_message *);
+static void start(struct http_exchange *);
+static void write_piece(struct http_exchange *, const void *, size_t);
+static void stop(struct http_exchange *);
 
 /* Whether another request may be read. */
 int
@@ -53,8 +59,11 @@
 exchange_free(struct http_exchange *x)
 {
 	x->conn->bytes -= x->bytes;
+	x->conn->server->reserved -= (int64_t)x->reserved;
 	g_queue_remove(&x->conn->exchanges, x);
 	http_message_free(x->msg);
+	if (x->pending != NULL)
+		evbuffer_free(x->pending);
 	g_free(x);
 }
 
@@ -79,8 +88,11 @@
 
 	x->keep_alive = m->keep_alive;
 	x->is_head = strcmp(m->method, "HEAD") == 0;
+	x->old = m->old;
 	x->bytes = m->body->len;
 	c->bytes += x->bytes;
+	x->reserved = c->reserved;
+	c->reserved = 0;
 	if (first ||
 	    (calls->may_begin != NULL && calls->may_begin(calls->arg, m))) {
 		begin(x, m);
@@ -95,10 +107,19 @@
 pipeline_refuse(struct http_conn *c, int status)
 {
 	struct http_exchange *x = exchange_new(c);
+	struct http_message *m;
 
 	base_log(G_LOG_LEVEL_MESSAGE, "request-malformed", "status=%d", status);
 	x->state = EXCHANGE_BEGUN;
-	http_reply_text(x, status, "text/plain", http_status_text(status));
+	m = http_message_new();
+	m->status = status;
+	http_add(m, "Content-Type", "text/plain");
+	if (status == HTTP_STATUS_SERVICE_UNAVAILABLE)
+		http_add(m, "Retry-After", BACK_S);
+	g_byte_array_append(m->body, (const guint8 *)http_status_text(status),
+	    (guint)strlen(http_status_text(status)));
+	http_reply(x, m);
+	http_message_free(m);
 }
 
 /* Drops all exchanges, the last first: nothing waits for what is dropped. */
@@ -117,19 +138,27 @@
 }
 
 /*
- * Writes the answer of the first exchange.  A leaving server keeps the
- * connection until what was begun behind it is answered as well.
+ * Whether the connection is kept after the first exchange.  A leaving server
+ * keeps it until what was begun behind is answered as well.
  */
+static int
+keeps(const struct http_exchange *x)
+{
+	const GList *next = x->conn->exchanges.head->next;
+	const struct http_exchange *behind = next != NULL ? next->data : NULL;
+
+	return x->keep_alive &&
+	       !(x->conn->server->leaving &&
+		   (behind == NULL || behind->state == EXCHANGE_HELD));
+}
+
+/* Writes the answer of the first exchange. */
 static void
 finish(struct http_exchange *x, const struct http_message *answer)
 {
 	struct http_conn *c = x->conn;
-	const struct http_exchange *next = g_queue_peek_nth(&c->exchanges, 1);
-	int keep;
+	int keep = keeps(x);
 
-	keep = x->keep_alive &&
-	       !(c->server->leaving &&
-		   (next == NULL || next->state == EXCHANGE_HELD));
 	http_write_answer(
 	    bufferevent_get_output(c->bev), answer, keep, x->is_head);
 	exchange_free(x);
@@ -137,15 +166,70 @@
 		pipeline_drop(c);
 }
 
+/* Writes what there is of an answer in pieces, whose turn has come. */
+static void
+start(struct http_exchange *x)
+{
+	struct evbuffer *out = bufferevent_get_output(x->conn->bev);
+	size_t n = evbuffer_get_length(x->pending);
+
+	x->started = 1;
+	x->chunked = x->msg->length < 0 && !x->old;
+	/* Without length or chunks the end of the connection ends it. */
+	x->keep = keeps(x) && (x->chunked || x->msg->length >= 0);
+	http_write_head(out, x->msg, x->keep, x->chunked);
+	http_message_free(x->msg);
+	x->msg = NULL;
+	if (n > 0)
+		write_piece(x, evbuffer_pullup(x->pending, -1), n);
+	evbuffer_drain(x->pending, n);
+}
+
+/* Writes a piece of the first exchange's answer. */
+static void
+write_piece(struct http_exchange *x, const void *bytes, size_t len)
+{
+	http_write_piece(
+	    bufferevent_get_output(x->conn->bev), bytes, len, x->chunked);
+	x->owed += len;
+}
+
+/* Ends the answer in pieces of the first exchange. */
+static void
+stop(struct http_exchange *x)
+{
+	struct http_conn *c = x->conn;
+	int keep = x->keep && !x->broken &&
+		   (x->conn->exchanges.length > 1 || !c->server->leaving);
+
+	if (x->broken) {
+		c->broken = 1;
+		/* From the loop: whoever ends it may be in the middle. */
+		http_timer(c->timer, 0);
+	} else {
+		http_write_end(bufferevent_get_output(c->bev), x->chunked);
+	}
+	exchange_free(x);
+	if (!keep)
+		pipeline_drop(c);
+}
+
 /* Writes what is due, begins what was held, and reads on. */
 static void
 flush(struct http_conn *c)
 {
 	struct http_exchange *x;
 
-	while ((x = g_queue_peek_head(&c->exchanges)) != NULL &&
-	       x->state == EXCHANGE_READY)
-		finish(x, x->msg);
+	while ((x = g_queue_peek_head(&c->exchanges)) != NULL) {
+		if (x->in_pieces && !x->started)
+			start(x);
+		if (x->state != EXCHANGE_READY)
+			break;
+		if (x->in_pieces)
+			stop(x);
+		else
+			finish(x, x->msg);
+	}
 	if (c->ending)
 		return;
 	if (x == NULL)
@@ -183,6 +267,57 @@
 	flush(c);
 }
 
+/* Begins an answer in pieces. */
+void
+http_reply_begin(struct http_exchange *x, const struct http_message *m)
+{
+	x->in_pieces = 1;
+	x->msg = http_message_copy(m);
+	x->pending = evbuffer_new();
+	if (g_queue_peek_head(&x->conn->exchanges) == x)
+		start(x);
+}
+
+/* Gives a piece of it. */
+void
+http_reply_piece(struct http_exchange *x, const void *bytes, size_t len)
+{
+	if (x->started)
+		write_piece(x, bytes, len);
+	else
+		evbuffer_add(x->pending, bytes, len);
+}
+
+/* Ends it. */
+void
+http_reply_end(struct http_exchange *x, int whole)
+{
+	struct http_conn *c = x->conn;
+
+	x->data = NULL;
+	x->state = EXCHANGE_READY;
+	x->broken = !whole;
+	if (x->started)
+		flush(c);
+}
+
+/* Tells of pieces that have left. */
+void
+pipeline_taken(struct http_conn *c)
+{
+	const struct http_server_calls *calls = &c->server->calls;
+	struct http_exchange *x = g_queue_peek_head(&c->exchanges);
+	size_t n;
+
+	if (x == NULL || x->owed == 0 || x->state != EXCHANGE_BEGUN ||
+	    evbuffer_get_length(bufferevent_get_output(c->bev)) > TAKEN_AT)
+		return;
+	n = x->owed;
+	x->owed = 0;
+	if (calls->taken != NULL)
+		calls->taken(calls->arg, x, n);
+}
+
 /* Gives an answer with a text. */
 void
 http_reply_text(
--- a/http/server.c
+++ b/http/server.c
@@ -12,7 +12,9 @@
 #define BACKLOG	    1024
 #define LINGER_MS   1000 /* for the sender to read a refusal before the close */
 #define STATUS_SLOW 408
+#define STATUS_FULL 503	  /* no memory for its body now */
 #define INPUT_MAX   65536 /* bytes read ahead of what is taken */
+#define OUTPUT_LOW  16384 /* bytes left to write when more may come */
 
 static void on_accept(
     struct evconnlistener *, evutil_socket_t, struct sockaddr *, int, void *);
@@ -20,6 +22,7 @@
 static void on_write(struct bufferevent *, void *);
 static void on_event(struct bufferevent *, short, void *);
 static void on_timer(evutil_socket_t, short, void *);
+static int reserve(struct http_conn *);
 static void take_request(struct http_conn *);
 static void conn_free(struct http_conn *);
 
@@ -115,7 +118,12 @@
 	g_hash_table_remove(c->server->conns, c);
 	event_free(c->timer);
 	http_parse_free(&c->parse);
-	bufferevent_free(c->bev);
+	c->server->reserved -= (int64_t)c->reserved;
+	/* A reset cannot be taken for the end of an answer without length. */
+	if (c->broken)
+		http_reset(c->bev);
+	else
+		bufferevent_free(c->bev);
 	g_free(c);
 }
 
@@ -141,10 +149,34 @@
 	g_queue_init(&c->exchanges);
 	bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
 	bufferevent_setwatermark(c->bev, EV_READ, 0, INPUT_MAX);
+	bufferevent_setwatermark(c->bev, EV_WRITE, OUTPUT_LOW, 0);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 	http_timer(c->timer, s->limits->idle_ms);
 }
 
+/*
+ * Reserves memory for the body that is being read, as announced, or for what
+ * has come of it; 0 when the bodies of all connections have used it up.
+ */
+static int
+reserve(struct http_conn *c)
+{
+	struct http_server *s = c->server;
+	const struct http_message *m = c->parse.msg;
+	size_t need = m->body->len;
+
+	if (c->parse.has_head && m->length > (int64_t)need)
+		need = (size_t)m->length;
+	if (s->limits->bodies_bytes == 0 || need <= c->reserved)
+		return 1;
+	if (s->reserved + (int64_t)(need - c->reserved) >
+	    s->limits->bodies_bytes)
+		return 0;
+	s->reserved += (int64_t)(need - c->reserved);
+	c->reserved = need;
+	return 1;
+}
+
 /*
  * Takes a request that has arrived.  Those behind it are taken from the loop,
  * so that other connections have their turns.
@@ -160,6 +192,10 @@
 	c->parse.head_max = (size_t)s->limits->head_bytes;
 	c->parse.body_max = (size_t)s->limits->body_bytes;
 	err = http_parse_feed(&c->parse, bufferevent_get_input(c->bev));
+	if (err == HTTP_ENOMESSAGE && !reserve(c)) {
+		pipeline_refuse(c, STATUS_FULL);
+		return;
+	}
 	if (err == HTTP_ENOMESSAGE) {
 		if (!begun && c->parse.begun)
 			http_timer(c->timer, s->limits->head_ms);
@@ -215,10 +251,12 @@
 	struct http_conn *c = arg;
 
 	if (!c->ending) {
+		pipeline_taken(c);
 		on_read(bev, c);
 		return;
 	}
-	if (c->drained)
+	if (c->drained || c->broken ||
+	    evbuffer_get_length(bufferevent_get_output(bev)) > 0)
 		return;
 	c->drained = 1;
 	if (shutdown(bufferevent_getfd(bev), SHUT_WR) != 0) {
--- a/http/server_int.h
+++ b/http/server_int.h
@@ -11,6 +11,7 @@
 	struct http_server_calls calls;
 	GHashTable *conns; /* of struct http_conn */
 	int leaving;
+	int64_t reserved; /* bytes of bodies that are being read */
 };
 
 enum exchange_state {
@@ -25,9 +26,18 @@
 	enum exchange_state state;
 	struct http_message *msg; /* the request while it is held, the answer
 				     while that waits */
+	size_t reserved;	  /* for its body, until the answer was given */
 	size_t bytes;		  /* of the request's body */
 	int keep_alive; /* the sender wants the connection kept after it */
 	int is_head;	/* the request was a HEAD */
+	int old;	/* its sender reads no chunks */
+	/* an answer in pieces */
+	int in_pieces;		  /* its head was given */
+	int started;		  /* and written */
+	int chunked, keep;	  /* how it was written */
+	int broken;		  /* it ended, and is not whole */
+	struct evbuffer *pending; /* pieces that wait for their turn */
+	size_t owed; /* bytes of pieces that have not left, as told above */
 	void *data;
 };
 
@@ -41,6 +51,8 @@
 	int continued;	  /* an interim answer was sent */
 	int ending;	  /* closed as soon as the last answer is written */
 	int drained;	  /* that is written; only lingering */
+	int broken;	  /* an answer was cut: closed without a word */
+	size_t reserved;  /* of the bodies that may be read, for this one */
 };
 
 /* pipeline.c */
@@ -50,6 +62,8 @@
 void pipeline_take(struct http_conn *, struct http_message *);
 /* Begins the request that was held, if its turn has come. */
 void pipeline_advance(struct http_conn *);
+/* Tells the layer above of pieces that have left. */
+void pipeline_taken(struct http_conn *);
 /* Refuses what cannot be read, in its turn; nothing is read behind it. */
 void pipeline_refuse(struct http_conn *, int status);
 /* Drops all exchanges; those under way are told that their sender has gone. */
--- a/http/write.c
+++ b/http/write.c
@@ -1,4 +1,5 @@
 /* Writing of messages. */
+#include <inttypes.h>
 #include <string.h>
 
 #include "http.h"
@@ -83,3 +84,43 @@
 	if (!no_body)
 		evbuffer_add(out, m->body->data, m->body->len);
 }
+
+/* Appends the head of an answer in pieces. */
+void
+http_write_head(struct evbuffer *out, const struct http_message *m,
+    int keep_alive, int chunked)
+{
+	evbuffer_add_printf(
+	    out, "HTTP/1.1 %d %s\r\n", m->status, http_status_text(m->status));
+	write_headers(out, m);
+	if (m->length >= 0)
+		evbuffer_add_printf(
+		    out, "Content-Length: %" PRId64 "\r\n", m->length);
+	else if (chunked)
+		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n");
+	if (!keep_alive)
+		evbuffer_add_printf(out, "Connection: close\r\n");
+	evbuffer_add(out, "\r\n", 2);
+}
+
+/* Appends a piece; one without bytes would end a body in chunks. */
+void
+http_write_piece(
+    struct evbuffer *out, const void *bytes, size_t len, int chunked)
+{
+	if (len == 0)
+		return;
+	if (chunked)
+		evbuffer_add_printf(out, "%zx\r\n", len);
+	evbuffer_add(out, bytes, len);
+	if (chunked)
+		evbuffer_add(out, "\r\n", 2);
+}
+
+/* Appends the end of a body. */
+void
+http_write_end(struct evbuffer *out, int chunked)
+{
+	if (chunked)
+		evbuffer_add(out, "0\r\n\r\n", strlen("0\r\n\r\n"));
+}
--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -11,12 +11,13 @@
 
 #define GATES_MAX	  4 /* gates that one request is offered to */
 #define OVERTIME_MS	  100 /* beyond a route's timeout, for the target's word */
-#define BUSY_AVOID_MS	  25	/* a gate that refused for load */
-#define DOWN_AVOID_MS	  250	/* one whose target is down or leaving */
-#define DOWN_AVOID_MAX_MS 4000	/* the most that a gate may ask for */
-#define LOST_AVOID_MS	  1000	/* one that a link was lost to */
-#define BACK_MIN_MS	  50	/* a refused caller comes back no sooner */
-#define BACK_SHARE	  4	/* and within this part of its goal */
+#define BUSY_AVOID_MS	  25   /* a gate that refused for load */
+#define DOWN_AVOID_MS	  250  /* one whose target is down or leaving */
+#define DOWN_AVOID_MAX_MS 4000 /* the most that a gate may ask for */
+#define LOST_AVOID_MS	  1000 /* one that a link was lost to */
+#define BACK_MIN_MS	  50   /* a refused caller comes back no sooner */
+#define BACK_SHARE	  4    /* and within this part of its goal */
+#define BODIES_SHARE	  8 /* of the machine's memory, for callers' bodies */
 #define HEAD_DEFAULT	  16384 /* bytes, until a configuration says */
 #define BODY_DEFAULT	  1048576
 #define UNREAD_BACK_MS	  1000 /* for a route that a newer version may mend */
@@ -38,6 +39,7 @@
 	GPtrArray *tried;  /* addresses, owned */
 	int gates, sends;  /* offers; of these, sent to a target */
 	int ran;	   /* 1: a sending may have run */
+	int status;	   /* of a long answer */
 	enum call_outcome last;
 	struct http_message *failure; /* a target's, if nothing better comes */
 	struct event *timer;
@@ -47,7 +49,12 @@
 static void on_gone(void *, struct http_exchange *);
 static int may_begin(void *, const struct http_message *);
 static void on_timer(evutil_socket_t, short, void *);
+static void on_head(struct job *, const struct http_message *);
+static void on_piece(struct job *, const void *, size_t);
+static void on_taken(void *, struct http_exchange *, size_t);
+static void finish_pieces(struct request *, const struct result *);
 static void on_done(struct job *, const struct result *);
+static int64_t bodies_max(const struct proxy *);
 static int stated(int, int);
 static void
 refuse_unread(struct entry *, struct http_exchange *, struct http_message *);
@@ -68,11 +75,12 @@
 int
 entry_open(struct entry *e, struct proxy *p)
 {
-	struct http_server_calls calls = { e, on_request, on_gone, may_begin };
+	struct http_server_calls calls = { e, on_request, on_gone, may_begin,
+		on_taken };
 
 	e->proxy = p;
 	e->limits = (struct http_limits){ HEAD_DEFAULT, BODY_DEFAULT, HEAD_MS,
-		IDLE_MS };
+		IDLE_MS, bodies_max(p) };
 	e->requests = g_hash_table_new(NULL, NULL);
 	e->spends =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -90,6 +98,13 @@
 	g_hash_table_destroy(e->spends);
 }
 
+/* Bytes of callers' bodies that are held at a time. */
+static int64_t
+bodies_max(const struct proxy *p)
+{
+	return p->settings->memory_mb * (int64_t)(1024 * 1024) / BODIES_SHARE;
+}
+
 /* A limit of the configuration, or what stands for one not said. */
 static int
 stated(int limit, int dflt)
@@ -109,7 +124,7 @@
 	    (struct http_limits){ stated(c->limits.head_bytes, HEAD_DEFAULT),
 		    stated(c->limits.body_bytes, BODY_DEFAULT),
 		    stated(c->limits.head_ms, HEAD_MS),
-		    stated(c->limits.idle_ms, IDLE_MS) };
+		    stated(c->limits.idle_ms, IDLE_MS), bodies_max(e->proxy) };
 }
 
 /* Requests with equal fingerprints crash targets alike. */
@@ -255,6 +270,8 @@
 		.repeatable = route->repeatable,
 		.goal = r->arrived + route->goal_ms,
 		.deadline = r->answer_by,
+		.head = on_head,
+		.piece = on_piece,
 		.done = on_done,
 		.arg = r };
 	offer(r);
@@ -303,6 +320,8 @@
 
 	r->arrived = now;
 	left = MIN(left, r->route->timeout_ms);
+	if (r->entry->proxy->last_answer_at > 0)
+		left = MAX(MIN(left, r->entry->proxy->last_answer_at - now), 0);
 	r->answer_by = now + left;
 	left += OVERTIME_MS;
 	tv.tv_sec = left / BASE_MS_PER_S;
@@ -388,6 +407,58 @@
 	return entry_spend_repeat(r->entry, r->service, now);
 }
 
+/* A target's long answer begins: it is passed on as it comes. */
+static void
+on_head(struct job *j, const struct http_message *m)
+{
+	struct request *r = j->arg;
+
+	r->sends++;
+	r->status = m->status;
+	histogram_add(HIST_FIRST_BYTE, base_now_ms() - r->arrived);
+	http_reply_begin(r->exchange, m);
+}
+
+static void
+on_piece(struct job *j, const void *bytes, size_t len)
+{
+	struct request *r = j->arg;
+
+	http_reply_piece(r->exchange, bytes, len);
+}
+
+/* Pieces have left for the caller. */
+static void
+on_taken(void *arg, struct http_exchange *exchange, size_t n)
+{
+	struct request *r = http_exchange_data(exchange);
+	struct entry *e = arg;
+
+	if (r == NULL || r->peer == NULL)
+		return;
+	if (r->local)
+		gate_take(&e->proxy->gate, &r->job, n);
+	else
+		links_take(&e->proxy->links, &r->job, n);
+}
+
+/* A long answer has ended; one that is not whole breaks off for the caller. */
+static void
+finish_pieces(struct request *r, const struct result *res)
+{
+	int whole = res->outcome == OUTCOME_ANSWERED;
+
+	counter_add(whole ? CTR_ANSWERED : CTR_ANSWERS_CUT, 1);
+	if (whole)
+		histogram_add(HIST_ANSWER, base_now_ms() - r->arrived);
+	base_log(G_LOG_LEVEL_INFO, "answered-in-pieces",
+	    "id=%s status=%d outcome=%s took_ms=%d gates=%d", r->id, r->status,
+	    outcomes[res->outcome].code, (int)(base_now_ms() - r->arrived),
+	    r->gates);
+	http_reply_end(r->exchange, whole);
+	request_free(r);
+}
+
 /* An outcome of the current offer. */
 static void
 on_done(struct job *j, const struct result *res)
@@ -398,6 +469,10 @@
 
 	settle(r, res);
 	r->last = o;
+	if (j->in_pieces) {
+		finish_pieces(r, res);
+		return;
+	}
 	if (o == OUTCOME_ANSWERED) {
 		r->sends++;
 		on_answer(r, res->answer);
@@ -516,7 +591,26 @@
 	if (r->peer != NULL && (!r->local || r->job.sending != NULL))
 		r->ran = 1;
 	give_up(r);
-	refuse(r, OUTCOME_EXPIRED);
+	if (r->job.in_pieces)
+		finish_pieces(
+		    r, &(struct result){ .outcome = OUTCOME_EXPIRED });
+	else
+		refuse(r, OUTCOME_EXPIRED);
+}
+
+/* Gives each request whose answer has not begun a final one. */
+void
+entry_give_up(struct entry *e)
+{
+	GList *all = g_hash_table_get_keys(e->requests), *i;
+	struct request *r;
+
+	for (i = all; i != NULL; i = i->next) {
+		r = i->data;
+		if (g_hash_table_contains(e->requests, r) && !r->job.in_pieces)
+			on_timer(-1, 0, r);
+	}
+	g_list_free(all);
 }
 
 /* Releases a request. */
--- a/proxy/gate.c
+++ b/proxy/gate.c
@@ -15,12 +15,16 @@
 static void learn(struct gate *, enum outlier_event);
 static void flush(struct gate *, enum call_outcome);
 static void on_wake(evutil_socket_t, short, void *);
+static int on_head(void *, const struct http_message *);
+static void on_piece(void *, const void *, size_t);
 static void on_done(void *, enum upstream_result, struct http_message *);
 static enum call_outcome
 judge(struct gate *, const struct job *, const struct http_message *);
 static enum call_outcome closed_to(const struct gate *, const struct job *);
 static void prepare(struct gate *, struct job *, int64_t);
 
+static const struct upstream_calls calls = { on_head, on_piece, on_done };
+
 /* Prepares the gate; it is closed until the target has spoken. */
 void
 gate_init(struct gate *g, struct proxy *p)
@@ -182,7 +186,8 @@
 {
 	g_ptr_array_add(g->running, j);
 	j->began_us = base_now_us();
-	j->resent = 0;
+	j->resent = j->in_pieces = 0;
+	j->head_us = 0;
 	counter_add(CTR_GUARD_RUNS, 1);
 	histogram_add(HIST_GATE_WAIT, base_now_ms() - j->offered_at);
 	outlier_begin(&g->outlier);
@@ -199,7 +204,7 @@
 	prepare(g, j, now);
 	http_write_request(written, j->msg);
 	j->sending = upstream_send(g->upstream, written, j->id, j->repeatable,
-	    strcmp(j->msg->method, "HEAD") == 0, on_done, j);
+	    strcmp(j->msg->method, "HEAD") == 0, &calls, j);
 	evbuffer_free(written);
 	base_log(G_LOG_LEVEL_INFO, "gate-sent",
 	    "id=%s target=%s running=%d left_ms=%d", j->id, g->id,
@@ -224,6 +229,42 @@
 	return OUTCOME_ANSWERED;
 }
 
+/* A long answer begins: from now on it is this one or none. */
+static int
+on_head(void *arg, const struct http_message *m)
+{
+	struct job *j = arg;
+	struct http_message *head;
+
+	if (judge(j->gate, j, m) != OUTCOME_ANSWERED)
+		return 0;
+	j->in_pieces = 1;
+	j->head_us = base_now_us();
+	head = http_message_copy(m);
+	g_byte_array_set_size(head->body, 0);
+	http_strip_hop(head);
+	j->head(j, head);
+	http_message_free(head);
+	return 1;
+}
+
+static void
+on_piece(void *arg, const void *bytes, size_t len)
+{
+	struct job *j = arg;
+
+	j->piece(j, bytes, len);
+}
+
+/* Pieces have been passed on. */
+void
+gate_take(struct gate *g, struct job *j, size_t n)
+{
+	(void)g;
+	if (j->sending != NULL)
+		upstream_take(j->sending, n);
+}
+
 /*
  * Whether a job whose kept connection had ended is sent on a new one.  It may
  * have arrived, so it is a repeat as any other.
@@ -258,8 +299,10 @@
 	struct job *j = arg;
 	struct gate *g = j->gate;
 	struct result r = { 0 };
-	int64_t us = base_now_us() - j->began_us;
+	int64_t us;
 
+	/* How long pieces take is up to who takes them. */
+	us = (j->head_us != 0 ? j->head_us : base_now_us()) - j->began_us;
 	j->sending = NULL;
 	if (u == UPSTREAM_STALE && may_resend(g, j, base_now_ms())) {
 		j->resent = 1;
@@ -270,7 +313,7 @@
 	switch (u) {
 	case UPSTREAM_ANSWER:
 		r.outcome = judge(g, j, m);
-		r.answer = m;
+		r.answer = j->in_pieces ? NULL : m;
 		break;
 	case UPSTREAM_NOT_SENT:
 		r.outcome = OUTCOME_REFUSED;
--- a/proxy/link.pb-c.c
+++ b/proxy/link.pb-c.c
@@ -7,985 +7,1688 @@
 #endif
 
 #include "link.pb-c.h"
-void
-link__header__init(Link__Header *message)
+void   link__header__init
+                     (Link__Header         *message)
 {
-	static const Link__Header init_value = LINK__HEADER__INIT;
-	*message = init_value;
+  static const Link__Header init_value = LINK__HEADER__INIT;
+  *message = init_value;
 }
-size_t
-link__header__get_packed_size(const Link__Header *message)
+size_t link__header__get_packed_size
+                     (const Link__Header *message)
 {
-	assert(message->base.descriptor == &link__header__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &link__header__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-link__header__pack(const Link__Header *message, uint8_t *out)
+size_t link__header__pack
+                     (const Link__Header *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &link__header__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &link__header__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-link__header__pack_to_buffer(
-    const Link__Header *message, ProtobufCBuffer *buffer)
+size_t link__header__pack_to_buffer
+                     (const Link__Header *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &link__header__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &link__header__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Link__Header *
-link__header__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       link__header__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Link__Header *)protobuf_c_message_unpack(
-	    &link__header__descriptor, allocator, len, data);
+  return (Link__Header *)
+     protobuf_c_message_unpack (&link__header__descriptor,
+                                allocator, len, data);
 }
-void
-link__header__free_unpacked(
-    Link__Header *message, ProtobufCAllocator *allocator)
+void   link__header__free_unpacked
+                     (Link__Header *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &link__header__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__header__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-link__request__init(Link__Request *message)
+void   link__request__init
+                     (Link__Request         *message)
 {
-	static const Link__Request init_value = LINK__REQUEST__INIT;
-	*message = init_value;
+  static const Link__Request init_value = LINK__REQUEST__INIT;
+  *message = init_value;
 }
-size_t
-link__request__get_packed_size(const Link__Request *message)
+size_t link__request__get_packed_size
+                     (const Link__Request *message)
 {
-	assert(message->base.descriptor == &link__request__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &link__request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-link__request__pack(const Link__Request *message, uint8_t *out)
+size_t link__request__pack
+                     (const Link__Request *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &link__request__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &link__request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-link__request__pack_to_buffer(
-    const Link__Request *message, ProtobufCBuffer *buffer)
+size_t link__request__pack_to_buffer
+                     (const Link__Request *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &link__request__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &link__request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Link__Request *
-link__request__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       link__request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Link__Request *)protobuf_c_message_unpack(
-	    &link__request__descriptor, allocator, len, data);
+  return (Link__Request *)
+     protobuf_c_message_unpack (&link__request__descriptor,
+                                allocator, len, data);
 }
-void
-link__request__free_unpacked(
-    Link__Request *message, ProtobufCAllocator *allocator)
+void   link__request__free_unpacked
+                     (Link__Request *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &link__request__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-link__answer__init(Link__Answer *message)
+void   link__answer__init
+                     (Link__Answer         *message)
 {
-	static const Link__Answer init_value = LINK__ANSWER__INIT;
-	*message = init_value;
+  static const Link__Answer init_value = LINK__ANSWER__INIT;
+  *message = init_value;
 }
-size_t
-link__answer__get_packed_size(const Link__Answer *message)
+size_t link__answer__get_packed_size
+                     (const Link__Answer *message)
 {
-	assert(message->base.descriptor == &link__answer__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &link__answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-link__answer__pack(const Link__Answer *message, uint8_t *out)
+size_t link__answer__pack
+                     (const Link__Answer *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &link__answer__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &link__answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-link__answer__pack_to_buffer(
-    const Link__Answer *message, ProtobufCBuffer *buffer)
+size_t link__answer__pack_to_buffer
+                     (const Link__Answer *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &link__answer__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &link__answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Link__Answer *
-link__answer__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       link__answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Link__Answer *)protobuf_c_message_unpack(
-	    &link__answer__descriptor, allocator, len, data);
+  return (Link__Answer *)
+     protobuf_c_message_unpack (&link__answer__descriptor,
+                                allocator, len, data);
 }
-void
-link__answer__free_unpacked(
-    Link__Answer *message, ProtobufCAllocator *allocator)
+void   link__answer__free_unpacked
+                     (Link__Answer *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &link__answer__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-link__cancel__init(Link__Cancel *message)
+void   link__piece__init
+                     (Link__Piece         *message)
 {
-	static const Link__Cancel init_value = LINK__CANCEL__INIT;
-	*message = init_value;
+  static const Link__Piece init_value = LINK__PIECE__INIT;
+  *message = init_value;
 }
-size_t
-link__cancel__get_packed_size(const Link__Cancel *message)
+size_t link__piece__get_packed_size
+                     (const Link__Piece *message)
 {
-	assert(message->base.descriptor == &link__cancel__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &link__piece__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-link__cancel__pack(const Link__Cancel *message, uint8_t *out)
+size_t link__piece__pack
+                     (const Link__Piece *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &link__cancel__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &link__piece__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-link__cancel__pack_to_buffer(
-    const Link__Cancel *message, ProtobufCBuffer *buffer)
+size_t link__piece__pack_to_buffer
+                     (const Link__Piece *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &link__cancel__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &link__piece__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Link__Piece *
+       link__piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Link__Piece *)
+     protobuf_c_message_unpack (&link__piece__descriptor,
+                                allocator, len, data);
+}
+void   link__piece__free_unpacked
+                     (Link__Piece *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__piece__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   link__end__init
+                     (Link__End         *message)
+{
+  static const Link__End init_value = LINK__END__INIT;
+  *message = init_value;
+}
+size_t link__end__get_packed_size
+                     (const Link__End *message)
+{
+  assert(message->base.descriptor == &link__end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t link__end__pack
+                     (const Link__End *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &link__end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t link__end__pack_to_buffer
+                     (const Link__End *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &link__end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Link__End *
+       link__end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Link__End *)
+     protobuf_c_message_unpack (&link__end__descriptor,
+                                allocator, len, data);
+}
+void   link__end__free_unpacked
+                     (Link__End *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   link__credit__init
+                     (Link__Credit         *message)
+{
+  static const Link__Credit init_value = LINK__CREDIT__INIT;
+  *message = init_value;
+}
+size_t link__credit__get_packed_size
+                     (const Link__Credit *message)
+{
+  assert(message->base.descriptor == &link__credit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t link__credit__pack
+                     (const Link__Credit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &link__credit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t link__credit__pack_to_buffer
+                     (const Link__Credit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &link__credit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Link__Credit *
+       link__credit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Link__Credit *)
+     protobuf_c_message_unpack (&link__credit__descriptor,
+                                allocator, len, data);
+}
+void   link__credit__free_unpacked
+                     (Link__Credit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__credit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   link__cancel__init
+                     (Link__Cancel         *message)
+{
+  static const Link__Cancel init_value = LINK__CANCEL__INIT;
+  *message = init_value;
+}
+size_t link__cancel__get_packed_size
+                     (const Link__Cancel *message)
+{
+  assert(message->base.descriptor == &link__cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t link__cancel__pack
+                     (const Link__Cancel *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &link__cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t link__cancel__pack_to_buffer
+                     (const Link__Cancel *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &link__cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Link__Cancel *
-link__cancel__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       link__cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Link__Cancel *)protobuf_c_message_unpack(
-	    &link__cancel__descriptor, allocator, len, data);
+  return (Link__Cancel *)
+     protobuf_c_message_unpack (&link__cancel__descriptor,
+                                allocator, len, data);
 }
-void
-link__cancel__free_unpacked(
-    Link__Cancel *message, ProtobufCAllocator *allocator)
+void   link__cancel__free_unpacked
+                     (Link__Cancel *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &link__cancel__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-link__suspect__init(Link__Suspect *message)
+void   link__suspect__init
+                     (Link__Suspect         *message)
 {
-	static const Link__Suspect init_value = LINK__SUSPECT__INIT;
-	*message = init_value;
+  static const Link__Suspect init_value = LINK__SUSPECT__INIT;
+  *message = init_value;
 }
-size_t
-link__suspect__get_packed_size(const Link__Suspect *message)
+size_t link__suspect__get_packed_size
+                     (const Link__Suspect *message)
 {
-	assert(message->base.descriptor == &link__suspect__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &link__suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-link__suspect__pack(const Link__Suspect *message, uint8_t *out)
+size_t link__suspect__pack
+                     (const Link__Suspect *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &link__suspect__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &link__suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-link__suspect__pack_to_buffer(
-    const Link__Suspect *message, ProtobufCBuffer *buffer)
+size_t link__suspect__pack_to_buffer
+                     (const Link__Suspect *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &link__suspect__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &link__suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Link__Suspect *
-link__suspect__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       link__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Link__Suspect *)protobuf_c_message_unpack(
-	    &link__suspect__descriptor, allocator, len, data);
+  return (Link__Suspect *)
+     protobuf_c_message_unpack (&link__suspect__descriptor,
+                                allocator, len, data);
 }
-void
-link__suspect__free_unpacked(
-    Link__Suspect *message, ProtobufCAllocator *allocator)
+void   link__suspect__free_unpacked
+                     (Link__Suspect *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &link__suspect__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-link__ping__init(Link__Ping *message)
+void   link__ping__init
+                     (Link__Ping         *message)
 {
-	static const Link__Ping init_value = LINK__PING__INIT;
-	*message = init_value;
+  static const Link__Ping init_value = LINK__PING__INIT;
+  *message = init_value;
 }
-size_t
-link__ping__get_packed_size(const Link__Ping *message)
+size_t link__ping__get_packed_size
+                     (const Link__Ping *message)
 {
-	assert(message->base.descriptor == &link__ping__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &link__ping__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-link__ping__pack(const Link__Ping *message, uint8_t *out)
+size_t link__ping__pack
+                     (const Link__Ping *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &link__ping__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &link__ping__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-link__ping__pack_to_buffer(const Link__Ping *message, ProtobufCBuffer *buffer)
+size_t link__ping__pack_to_buffer
+                     (const Link__Ping *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &link__ping__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &link__ping__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Link__Ping *
-link__ping__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       link__ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Link__Ping *)protobuf_c_message_unpack(
-	    &link__ping__descriptor, allocator, len, data);
+  return (Link__Ping *)
+     protobuf_c_message_unpack (&link__ping__descriptor,
+                                allocator, len, data);
 }
-void
-link__ping__free_unpacked(Link__Ping *message, ProtobufCAllocator *allocator)
+void   link__ping__free_unpacked
+                     (Link__Ping *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &link__ping__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__ping__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-link__state_request__init(Link__StateRequest *message)
+void   link__state_request__init
+                     (Link__StateRequest         *message)
 {
-	static const Link__StateRequest init_value = LINK__STATE_REQUEST__INIT;
-	*message = init_value;
+  static const Link__StateRequest init_value = LINK__STATE_REQUEST__INIT;
+  *message = init_value;
 }
-size_t
-link__state_request__get_packed_size(const Link__StateRequest *message)
+size_t link__state_request__get_packed_size
+                     (const Link__StateRequest *message)
 {
-	assert(message->base.descriptor == &link__state_request__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &link__state_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-link__state_request__pack(const Link__StateRequest *message, uint8_t *out)
+size_t link__state_request__pack
+                     (const Link__StateRequest *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &link__state_request__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &link__state_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-link__state_request__pack_to_buffer(
-    const Link__StateRequest *message, ProtobufCBuffer *buffer)
+size_t link__state_request__pack_to_buffer
+                     (const Link__StateRequest *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &link__state_request__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &link__state_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Link__StateRequest *
-link__state_request__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       link__state_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Link__StateRequest *)protobuf_c_message_unpack(
-	    &link__state_request__descriptor, allocator, len, data);
+  return (Link__StateRequest *)
+     protobuf_c_message_unpack (&link__state_request__descriptor,
+                                allocator, len, data);
 }
-void
-link__state_request__free_unpacked(
-    Link__StateRequest *message, ProtobufCAllocator *allocator)
+void   link__state_request__free_unpacked
+                     (Link__StateRequest *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &link__state_request__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__state_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-link__state__init(Link__State *message)
+void   link__state__init
+                     (Link__State         *message)
 {
-	static const Link__State init_value = LINK__STATE__INIT;
-	*message = init_value;
+  static const Link__State init_value = LINK__STATE__INIT;
+  *message = init_value;
 }
-size_t
-link__state__get_packed_size(const Link__State *message)
+size_t link__state__get_packed_size
+                     (const Link__State *message)
 {
-	assert(message->base.descriptor == &link__state__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &link__state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-link__state__pack(const Link__State *message, uint8_t *out)
+size_t link__state__pack
+                     (const Link__State *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &link__state__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &link__state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-link__state__pack_to_buffer(const Link__State *message, ProtobufCBuffer *buffer)
+size_t link__state__pack_to_buffer
+                     (const Link__State *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &link__state__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &link__state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Link__State *
-link__state__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       link__state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Link__State *)protobuf_c_message_unpack(
-	    &link__state__descriptor, allocator, len, data);
+  return (Link__State *)
+     protobuf_c_message_unpack (&link__state__descriptor,
+                                allocator, len, data);
 }
-void
-link__state__free_unpacked(Link__State *message, ProtobufCAllocator *allocator)
+void   link__state__free_unpacked
+                     (Link__State *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &link__state__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-link__pong__init(Link__Pong *message)
+void   link__pong__init
+                     (Link__Pong         *message)
 {
-	static const Link__Pong init_value = LINK__PONG__INIT;
-	*message = init_value;
+  static const Link__Pong init_value = LINK__PONG__INIT;
+  *message = init_value;
 }
-size_t
-link__pong__get_packed_size(const Link__Pong *message)
+size_t link__pong__get_packed_size
+                     (const Link__Pong *message)
 {
-	assert(message->base.descriptor == &link__pong__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &link__pong__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-link__pong__pack(const Link__Pong *message, uint8_t *out)
+size_t link__pong__pack
+                     (const Link__Pong *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &link__pong__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &link__pong__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-link__pong__pack_to_buffer(const Link__Pong *message, ProtobufCBuffer *buffer)
+size_t link__pong__pack_to_buffer
+                     (const Link__Pong *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &link__pong__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &link__pong__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Link__Pong *
-link__pong__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       link__pong__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Link__Pong *)protobuf_c_message_unpack(
-	    &link__pong__descriptor, allocator, len, data);
+  return (Link__Pong *)
+     protobuf_c_message_unpack (&link__pong__descriptor,
+                                allocator, len, data);
 }
-void
-link__pong__free_unpacked(Link__Pong *message, ProtobufCAllocator *allocator)
+void   link__pong__free_unpacked
+                     (Link__Pong *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &link__pong__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__pong__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-link__subscribe__init(Link__Subscribe *message)
+void   link__subscribe__init
+                     (Link__Subscribe         *message)
 {
-	static const Link__Subscribe init_value = LINK__SUBSCRIBE__INIT;
-	*message = init_value;
+  static const Link__Subscribe init_value = LINK__SUBSCRIBE__INIT;
+  *message = init_value;
 }
-size_t
-link__subscribe__get_packed_size(const Link__Subscribe *message)
+size_t link__subscribe__get_packed_size
+                     (const Link__Subscribe *message)
 {
-	assert(message->base.descriptor == &link__subscribe__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &link__subscribe__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-link__subscribe__pack(const Link__Subscribe *message, uint8_t *out)
+size_t link__subscribe__pack
+                     (const Link__Subscribe *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &link__subscribe__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &link__subscribe__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-link__subscribe__pack_to_buffer(
-    const Link__Subscribe *message, ProtobufCBuffer *buffer)
+size_t link__subscribe__pack_to_buffer
+                     (const Link__Subscribe *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &link__subscribe__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &link__subscribe__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Link__Subscribe *
-link__subscribe__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       link__subscribe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Link__Subscribe *)protobuf_c_message_unpack(
-	    &link__subscribe__descriptor, allocator, len, data);
+  return (Link__Subscribe *)
+     protobuf_c_message_unpack (&link__subscribe__descriptor,
+                                allocator, len, data);
 }
-void
-link__subscribe__free_unpacked(
-    Link__Subscribe *message, ProtobufCAllocator *allocator)
+void   link__subscribe__free_unpacked
+                     (Link__Subscribe *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &link__subscribe__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__subscribe__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-link__feed__init(Link__Feed *message)
+void   link__feed__init
+                     (Link__Feed         *message)
 {
-	static const Link__Feed init_value = LINK__FEED__INIT;
-	*message = init_value;
+  static const Link__Feed init_value = LINK__FEED__INIT;
+  *message = init_value;
 }
-size_t
-link__feed__get_packed_size(const Link__Feed *message)
+size_t link__feed__get_packed_size
+                     (const Link__Feed *message)
 {
-	assert(message->base.descriptor == &link__feed__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &link__feed__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-link__feed__pack(const Link__Feed *message, uint8_t *out)
+size_t link__feed__pack
+                     (const Link__Feed *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &link__feed__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &link__feed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-link__feed__pack_to_buffer(const Link__Feed *message, ProtobufCBuffer *buffer)
+size_t link__feed__pack_to_buffer
+                     (const Link__Feed *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &link__feed__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &link__feed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Link__Feed *
-link__feed__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       link__feed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Link__Feed *)protobuf_c_message_unpack(
-	    &link__feed__descriptor, allocator, len, data);
+  return (Link__Feed *)
+     protobuf_c_message_unpack (&link__feed__descriptor,
+                                allocator, len, data);
 }
-void
-link__feed__free_unpacked(Link__Feed *message, ProtobufCAllocator *allocator)
+void   link__feed__free_unpacked
+                     (Link__Feed *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &link__feed__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__feed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-link__frame__init(Link__Frame *message)
+void   link__frame__init
+                     (Link__Frame         *message)
 {
-	static const Link__Frame init_value = LINK__FRAME__INIT;
-	*message = init_value;
+  static const Link__Frame init_value = LINK__FRAME__INIT;
+  *message = init_value;
 }
-size_t
-link__frame__get_packed_size(const Link__Frame *message)
+size_t link__frame__get_packed_size
+                     (const Link__Frame *message)
 {
-	assert(message->base.descriptor == &link__frame__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &link__frame__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-link__frame__pack(const Link__Frame *message, uint8_t *out)
+size_t link__frame__pack
+                     (const Link__Frame *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &link__frame__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &link__frame__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-link__frame__pack_to_buffer(const Link__Frame *message, ProtobufCBuffer *buffer)
+size_t link__frame__pack_to_buffer
+                     (const Link__Frame *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &link__frame__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &link__frame__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Link__Frame *
-link__frame__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
-{
-	return (Link__Frame *)protobuf_c_message_unpack(
-	    &link__frame__descriptor, allocator, len, data);
-}
-void
-link__frame__free_unpacked(Link__Frame *message, ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &link__frame__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
-}
-static const ProtobufCFieldDescriptor link__header__field_descriptors[2] = {
-	{
-	    "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Header, name), NULL, &protobuf_c_empty_string,
-	    0,		  /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "value", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Header, value), NULL, &protobuf_c_empty_string,
-	    0,		  /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+       link__frame__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Link__Frame *)
+     protobuf_c_message_unpack (&link__frame__descriptor,
+                                allocator, len, data);
+}
+void   link__frame__free_unpacked
+                     (Link__Frame *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__frame__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor link__header__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Link__Header, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Link__Header, value),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__header__field_indices_by_name[] = {
-	0, /* field[0] = name */
-	1, /* field[1] = value */
-};
-static const ProtobufCIntRange link__header__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 2 } };
-const ProtobufCMessageDescriptor link__header__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "link.Header", "Header",
-	"Link__Header", "link", sizeof(Link__Header), 2,
-	link__header__field_descriptors, link__header__field_indices_by_name, 1,
-	link__header__number_ranges, (ProtobufCMessageInit)link__header__init,
-	NULL, NULL, NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor link__request__field_descriptors[13] = {
-	{
-	    "method", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Request, method), NULL, &protobuf_c_empty_string,
-	    0,		  /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "path", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Request, path), NULL, &protobuf_c_empty_string,
-	    0,		  /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "headers", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(Link__Request, n_headers),
-	    offsetof(Link__Request, headers), &link__header__descriptor, NULL,
-	    0,		  /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "body", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Request, body), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "service", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Request, service), NULL, &protobuf_c_empty_string,
-	    0,		  /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "caller", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Request, caller), NULL, &protobuf_c_empty_string,
-	    0,		  /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "id", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Request, id), NULL, &protobuf_c_empty_string,
-	    0,		  /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "remaining_ms", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Request, remaining_ms), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "goal_ms", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_SINT32,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Request, goal_ms), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "priority", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Request, priority), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "repeatable", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Request, repeatable), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "kind", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Request, kind), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "crashes", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Request, crashes), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = name */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange link__header__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor link__header__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.Header",
+  "Header",
+  "Link__Header",
+  "link",
+  sizeof(Link__Header),
+  2,
+  link__header__field_descriptors,
+  link__header__field_indices_by_name,
+  1,  link__header__number_ranges,
+  (ProtobufCMessageInit) link__header__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor link__request__field_descriptors[13] =
+{
+  {
+    "method",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Link__Request, method),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Link__Request, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "headers",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Request, n_headers),
+    offsetof(Link__Request, headers),
+    &link__header__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Link__Request, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Link__Request, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Link__Request, caller),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Link__Request, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remaining_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Request, remaining_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "goal_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Request, goal_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Request, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeatable",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Link__Request, repeatable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Request, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Request, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__request__field_indices_by_name[] = {
-	3,  /* field[3] = body */
-	5,  /* field[5] = caller */
-	12, /* field[12] = crashes */
-	8,  /* field[8] = goal_ms */
-	2,  /* field[2] = headers */
-	6,  /* field[6] = id */
-	11, /* field[11] = kind */
-	0,  /* field[0] = method */
-	1,  /* field[1] = path */
-	9,  /* field[9] = priority */
-	7,  /* field[7] = remaining_ms */
-	10, /* field[10] = repeatable */
-	4,  /* field[4] = service */
-};
-static const ProtobufCIntRange link__request__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 13 } };
-const ProtobufCMessageDescriptor link__request__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "link.Request", "Request",
-	"Link__Request", "link", sizeof(Link__Request), 13,
-	link__request__field_descriptors, link__request__field_indices_by_name,
-	1, link__request__number_ranges,
-	(ProtobufCMessageInit)link__request__init, NULL, NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor link__answer__field_descriptors[6] = {
-	{
-	    "outcome", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Answer, outcome), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "status", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Answer, status), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "headers", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(Link__Answer, n_headers), offsetof(Link__Answer, headers),
-	    &link__header__descriptor, NULL, 0, /* flags */
-	    0, NULL, NULL			/* reserved1,reserved2, etc */
-	},
-	{
-	    "body", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-	    0,						 /* quantifier_offset */
-	    offsetof(Link__Answer, body), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "retry_after_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Answer, retry_after_ms), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "load", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0,						 /* quantifier_offset */
-	    offsetof(Link__Answer, load), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  3,   /* field[3] = body */
+  5,   /* field[5] = caller */
+  12,   /* field[12] = crashes */
+  8,   /* field[8] = goal_ms */
+  2,   /* field[2] = headers */
+  6,   /* field[6] = id */
+  11,   /* field[11] = kind */
+  0,   /* field[0] = method */
+  1,   /* field[1] = path */
+  9,   /* field[9] = priority */
+  7,   /* field[7] = remaining_ms */
+  10,   /* field[10] = repeatable */
+  4,   /* field[4] = service */
+};
+static const ProtobufCIntRange link__request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor link__request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.Request",
+  "Request",
+  "Link__Request",
+  "link",
+  sizeof(Link__Request),
+  13,
+  link__request__field_descriptors,
+  link__request__field_indices_by_name,
+  1,  link__request__number_ranges,
+  (ProtobufCMessageInit) link__request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor link__answer__field_descriptors[8] =
+{
+  {
+    "outcome",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Answer, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Answer, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "headers",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Answer, n_headers),
+    offsetof(Link__Answer, headers),
+    &link__header__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Link__Answer, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Answer, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Answer, load),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "more",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Link__Answer, more),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "length",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Link__Answer, length),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__answer__field_indices_by_name[] = {
-	3, /* field[3] = body */
-	2, /* field[2] = headers */
-	5, /* field[5] = load */
-	0, /* field[0] = outcome */
-	4, /* field[4] = retry_after_ms */
-	1, /* field[1] = status */
-};
-static const ProtobufCIntRange link__answer__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 6 } };
-const ProtobufCMessageDescriptor link__answer__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "link.Answer", "Answer",
-	"Link__Answer", "link", sizeof(Link__Answer), 6,
-	link__answer__field_descriptors, link__answer__field_indices_by_name, 1,
-	link__answer__number_ranges, (ProtobufCMessageInit)link__answer__init,
-	NULL, NULL, NULL /* reserved[123] */
-};
-#define link__cancel__field_descriptors	    NULL
+  3,   /* field[3] = body */
+  2,   /* field[2] = headers */
+  7,   /* field[7] = length */
+  5,   /* field[5] = load */
+  6,   /* field[6] = more */
+  0,   /* field[0] = outcome */
+  4,   /* field[4] = retry_after_ms */
+  1,   /* field[1] = status */
+};
+static const ProtobufCIntRange link__answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor link__answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.Answer",
+  "Answer",
+  "Link__Answer",
+  "link",
+  sizeof(Link__Answer),
+  8,
+  link__answer__field_descriptors,
+  link__answer__field_indices_by_name,
+  1,  link__answer__number_ranges,
+  (ProtobufCMessageInit) link__answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor link__piece__field_descriptors[1] =
+{
+  {
+    "data",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Link__Piece, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned link__piece__field_indices_by_name[] = {
+  0,   /* field[0] = data */
+};
+static const ProtobufCIntRange link__piece__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor link__piece__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.Piece",
+  "Piece",
+  "Link__Piece",
+  "link",
+  sizeof(Link__Piece),
+  1,
+  link__piece__field_descriptors,
+  link__piece__field_indices_by_name,
+  1,  link__piece__number_ranges,
+  (ProtobufCMessageInit) link__piece__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor link__end__field_descriptors[2] =
+{
+  {
+    "whole",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Link__End, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__End, load),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned link__end__field_indices_by_name[] = {
+  1,   /* field[1] = load */
+  0,   /* field[0] = whole */
+};
+static const ProtobufCIntRange link__end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor link__end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.End",
+  "End",
+  "Link__End",
+  "link",
+  sizeof(Link__End),
+  2,
+  link__end__field_descriptors,
+  link__end__field_indices_by_name,
+  1,  link__end__number_ranges,
+  (ProtobufCMessageInit) link__end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor link__credit__field_descriptors[1] =
+{
+  {
+    "bytes",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Credit, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned link__credit__field_indices_by_name[] = {
+  0,   /* field[0] = bytes */
+};
+static const ProtobufCIntRange link__credit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor link__credit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.Credit",
+  "Credit",
+  "Link__Credit",
+  "link",
+  sizeof(Link__Credit),
+  1,
+  link__credit__field_descriptors,
+  link__credit__field_indices_by_name,
+  1,  link__credit__number_ranges,
+  (ProtobufCMessageInit) link__credit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+#define link__cancel__field_descriptors NULL
 #define link__cancel__field_indices_by_name NULL
-#define link__cancel__number_ranges	    NULL
-const ProtobufCMessageDescriptor link__cancel__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "link.Cancel", "Cancel",
-	"Link__Cancel", "link", sizeof(Link__Cancel), 0,
-	link__cancel__field_descriptors, link__cancel__field_indices_by_name, 0,
-	link__cancel__number_ranges, (ProtobufCMessageInit)link__cancel__init,
-	NULL, NULL, NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor link__suspect__field_descriptors[2] = {
-	{
-	    "fingerprint", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Suspect, fingerprint), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "crashes", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Suspect, crashes), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+#define link__cancel__number_ranges NULL
+const ProtobufCMessageDescriptor link__cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.Cancel",
+  "Cancel",
+  "Link__Cancel",
+  "link",
+  sizeof(Link__Cancel),
+  0,
+  link__cancel__field_descriptors,
+  link__cancel__field_indices_by_name,
+  0,  link__cancel__number_ranges,
+  (ProtobufCMessageInit) link__cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor link__suspect__field_descriptors[2] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Link__Suspect, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Suspect, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__suspect__field_indices_by_name[] = {
-	1, /* field[1] = crashes */
-	0, /* field[0] = fingerprint */
-};
-static const ProtobufCIntRange link__suspect__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 2 } };
-const ProtobufCMessageDescriptor link__suspect__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "link.Suspect", "Suspect",
-	"Link__Suspect", "link", sizeof(Link__Suspect), 2,
-	link__suspect__field_descriptors, link__suspect__field_indices_by_name,
-	1, link__suspect__number_ranges,
-	(ProtobufCMessageInit)link__suspect__init, NULL, NULL,
-	NULL /* reserved[123] */
-};
-#define link__ping__field_descriptors	  NULL
+  1,   /* field[1] = crashes */
+  0,   /* field[0] = fingerprint */
+};
+static const ProtobufCIntRange link__suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor link__suspect__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.Suspect",
+  "Suspect",
+  "Link__Suspect",
+  "link",
+  sizeof(Link__Suspect),
+  2,
+  link__suspect__field_descriptors,
+  link__suspect__field_indices_by_name,
+  1,  link__suspect__number_ranges,
+  (ProtobufCMessageInit) link__suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+#define link__ping__field_descriptors NULL
 #define link__ping__field_indices_by_name NULL
-#define link__ping__number_ranges	  NULL
-const ProtobufCMessageDescriptor link__ping__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "link.Ping", "Ping", "Link__Ping",
-	"link", sizeof(Link__Ping), 0, link__ping__field_descriptors,
-	link__ping__field_indices_by_name, 0, link__ping__number_ranges,
-	(ProtobufCMessageInit)link__ping__init, NULL, NULL,
-	NULL /* reserved[123] */
-};
-#define link__state_request__field_descriptors	   NULL
+#define link__ping__number_ranges NULL
+const ProtobufCMessageDescriptor link__ping__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.Ping",
+  "Ping",
+  "Link__Ping",
+  "link",
+  sizeof(Link__Ping),
+  0,
+  link__ping__field_descriptors,
+  link__ping__field_indices_by_name,
+  0,  link__ping__number_ranges,
+  (ProtobufCMessageInit) link__ping__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+#define link__state_request__field_descriptors NULL
 #define link__state_request__field_indices_by_name NULL
-#define link__state_request__number_ranges	   NULL
-const ProtobufCMessageDescriptor link__state_request__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "link.StateRequest",
-	"StateRequest", "Link__StateRequest", "link",
-	sizeof(Link__StateRequest), 0, link__state_request__field_descriptors,
-	link__state_request__field_indices_by_name, 0,
-	link__state_request__number_ranges,
-	(ProtobufCMessageInit)link__state_request__init, NULL, NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor link__state__field_descriptors[2] = {
-	{
-	    "state", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-	    0,						 /* quantifier_offset */
-	    offsetof(Link__State, state), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "length", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(Link__State, length), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+#define link__state_request__number_ranges NULL
+const ProtobufCMessageDescriptor link__state_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.StateRequest",
+  "StateRequest",
+  "Link__StateRequest",
+  "link",
+  sizeof(Link__StateRequest),
+  0,
+  link__state_request__field_descriptors,
+  link__state_request__field_indices_by_name,
+  0,  link__state_request__number_ranges,
+  (ProtobufCMessageInit) link__state_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor link__state__field_descriptors[2] =
+{
+  {
+    "state",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Link__State, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "length",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__State, length),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__state__field_indices_by_name[] = {
-	1, /* field[1] = length */
-	0, /* field[0] = state */
-};
-static const ProtobufCIntRange link__state__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 2 } };
-const ProtobufCMessageDescriptor link__state__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "link.State", "State",
-	"Link__State", "link", sizeof(Link__State), 2,
-	link__state__field_descriptors, link__state__field_indices_by_name, 1,
-	link__state__number_ranges, (ProtobufCMessageInit)link__state__init,
-	NULL, NULL, NULL /* reserved[123] */
-};
-#define link__pong__field_descriptors	  NULL
+  1,   /* field[1] = length */
+  0,   /* field[0] = state */
+};
+static const ProtobufCIntRange link__state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor link__state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.State",
+  "State",
+  "Link__State",
+  "link",
+  sizeof(Link__State),
+  2,
+  link__state__field_descriptors,
+  link__state__field_indices_by_name,
+  1,  link__state__number_ranges,
+  (ProtobufCMessageInit) link__state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+#define link__pong__field_descriptors NULL
 #define link__pong__field_indices_by_name NULL
-#define link__pong__number_ranges	  NULL
-const ProtobufCMessageDescriptor link__pong__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "link.Pong", "Pong", "Link__Pong",
-	"link", sizeof(Link__Pong), 0, link__pong__field_descriptors,
-	link__pong__field_indices_by_name, 0, link__pong__number_ranges,
-	(ProtobufCMessageInit)link__pong__init, NULL, NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor link__subscribe__field_descriptors[1] = {
-	{
-	    "on", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Subscribe, on), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+#define link__pong__number_ranges NULL
+const ProtobufCMessageDescriptor link__pong__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.Pong",
+  "Pong",
+  "Link__Pong",
+  "link",
+  sizeof(Link__Pong),
+  0,
+  link__pong__field_descriptors,
+  link__pong__field_indices_by_name,
+  0,  link__pong__number_ranges,
+  (ProtobufCMessageInit) link__pong__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor link__subscribe__field_descriptors[1] =
+{
+  {
+    "on",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Link__Subscribe, on),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__subscribe__field_indices_by_name[] = {
-	0, /* field[0] = on */
-};
-static const ProtobufCIntRange link__subscribe__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 1 }
-};
-const ProtobufCMessageDescriptor link__subscribe__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "link.Subscribe", "Subscribe",
-	"Link__Subscribe", "link", sizeof(Link__Subscribe), 1,
-	link__subscribe__field_descriptors,
-	link__subscribe__field_indices_by_name, 1,
-	link__subscribe__number_ranges,
-	(ProtobufCMessageInit)link__subscribe__init, NULL, NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor link__feed__field_descriptors[5] = {
-	{
-	    "state", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-	    0,						/* quantifier_offset */
-	    offsetof(Link__Feed, state), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "blind", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-	    0,						/* quantifier_offset */
-	    offsetof(Link__Feed, blind), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "length", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0,						 /* quantifier_offset */
-	    offsetof(Link__Feed, length), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "against", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Feed, against), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "number", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-	    0,						 /* quantifier_offset */
-	    offsetof(Link__Feed, number), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = on */
+};
+static const ProtobufCIntRange link__subscribe__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor link__subscribe__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.Subscribe",
+  "Subscribe",
+  "Link__Subscribe",
+  "link",
+  sizeof(Link__Subscribe),
+  1,
+  link__subscribe__field_descriptors,
+  link__subscribe__field_indices_by_name,
+  1,  link__subscribe__number_ranges,
+  (ProtobufCMessageInit) link__subscribe__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor link__feed__field_descriptors[5] =
+{
+  {
+    "state",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Link__Feed, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "blind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Link__Feed, blind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "length",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Feed, length),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "against",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Link__Feed, against),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Link__Feed, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__feed__field_indices_by_name[] = {
-	3, /* field[3] = against */
-	1, /* field[1] = blind */
-	2, /* field[2] = length */
-	4, /* field[4] = number */
-	0, /* field[0] = state */
-};
-static const ProtobufCIntRange link__feed__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 5 } };
-const ProtobufCMessageDescriptor link__feed__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "link.Feed", "Feed", "Link__Feed",
-	"link", sizeof(Link__Feed), 5, link__feed__field_descriptors,
-	link__feed__field_indices_by_name, 1, link__feed__number_ranges,
-	(ProtobufCMessageInit)link__feed__init, NULL, NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor link__frame__field_descriptors[11] = {
-	{
-	    "stream", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(Link__Frame, stream), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "request", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(Link__Frame, body_case), offsetof(Link__Frame, request),
-	    &link__request__descriptor, NULL,
-	    0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-	    0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-	    "answer", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(Link__Frame, body_case), offsetof(Link__Frame, answer),
-	    &link__answer__descriptor, NULL,
-	    0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-	    0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-	    "cancel", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(Link__Frame, body_case), offsetof(Link__Frame, cancel),
-	    &link__cancel__descriptor, NULL,
-	    0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-	    0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-	    "suspect", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(Link__Frame, body_case), offsetof(Link__Frame, suspect),
-	    &link__suspect__descriptor, NULL,
-	    0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-	    0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-	    "ping", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(Link__Frame, body_case), offsetof(Link__Frame, ping),
-	    &link__ping__descriptor, NULL,
-	    0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-	    0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-	    "pong", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(Link__Frame, body_case), offsetof(Link__Frame, pong),
-	    &link__pong__descriptor, NULL,
-	    0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-	    0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-	    "state_request", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(Link__Frame, body_case),
-	    offsetof(Link__Frame, state_request),
-	    &link__state_request__descriptor, NULL,
-	    0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-	    0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-	    "state", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(Link__Frame, body_case), offsetof(Link__Frame, state),
-	    &link__state__descriptor, NULL,
-	    0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-	    0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-	    "subscribe", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(Link__Frame, body_case), offsetof(Link__Frame, subscribe),
-	    &link__subscribe__descriptor, NULL,
-	    0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-	    0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-	    "feed", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(Link__Frame, body_case), offsetof(Link__Frame, feed),
-	    &link__feed__descriptor, NULL,
-	    0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-	    0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
+  3,   /* field[3] = against */
+  1,   /* field[1] = blind */
+  2,   /* field[2] = length */
+  4,   /* field[4] = number */
+  0,   /* field[0] = state */
+};
+static const ProtobufCIntRange link__feed__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor link__feed__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.Feed",
+  "Feed",
+  "Link__Feed",
+  "link",
+  sizeof(Link__Feed),
+  5,
+  link__feed__field_descriptors,
+  link__feed__field_indices_by_name,
+  1,  link__feed__number_ranges,
+  (ProtobufCMessageInit) link__feed__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor link__frame__field_descriptors[14] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Frame, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Frame, body_case),
+    offsetof(Link__Frame, request),
+    &link__request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Frame, body_case),
+    offsetof(Link__Frame, answer),
+    &link__answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancel",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Frame, body_case),
+    offsetof(Link__Frame, cancel),
+    &link__cancel__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspect",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Frame, body_case),
+    offsetof(Link__Frame, suspect),
+    &link__suspect__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ping",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Frame, body_case),
+    offsetof(Link__Frame, ping),
+    &link__ping__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pong",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Frame, body_case),
+    offsetof(Link__Frame, pong),
+    &link__pong__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state_request",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Frame, body_case),
+    offsetof(Link__Frame, state_request),
+    &link__state_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Frame, body_case),
+    offsetof(Link__Frame, state),
+    &link__state__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "subscribe",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Frame, body_case),
+    offsetof(Link__Frame, subscribe),
+    &link__subscribe__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "feed",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Frame, body_case),
+    offsetof(Link__Frame, feed),
+    &link__feed__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "piece",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Frame, body_case),
+    offsetof(Link__Frame, piece),
+    &link__piece__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Frame, body_case),
+    offsetof(Link__Frame, end),
+    &link__end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "credit",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Frame, body_case),
+    offsetof(Link__Frame, credit),
+    &link__credit__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__frame__field_indices_by_name[] = {
-	2,  /* field[2] = answer */
-	3,  /* field[3] = cancel */
-	10, /* field[10] = feed */
-	5,  /* field[5] = ping */
-	6,  /* field[6] = pong */
-	1,  /* field[1] = request */
-	8,  /* field[8] = state */
-	7,  /* field[7] = state_request */
-	0,  /* field[0] = stream */
-	9,  /* field[9] = subscribe */
-	4,  /* field[4] = suspect */
-};
-static const ProtobufCIntRange link__frame__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 11 } };
-const ProtobufCMessageDescriptor link__frame__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "link.Frame", "Frame",
-	"Link__Frame", "link", sizeof(Link__Frame), 11,
-	link__frame__field_descriptors, link__frame__field_indices_by_name, 1,
-	link__frame__number_ranges, (ProtobufCMessageInit)link__frame__init,
-	NULL, NULL, NULL /* reserved[123] */
+  2,   /* field[2] = answer */
+  3,   /* field[3] = cancel */
+  13,   /* field[13] = credit */
+  12,   /* field[12] = end */
+  10,   /* field[10] = feed */
+  11,   /* field[11] = piece */
+  5,   /* field[5] = ping */
+  6,   /* field[6] = pong */
+  1,   /* field[1] = request */
+  8,   /* field[8] = state */
+  7,   /* field[7] = state_request */
+  0,   /* field[0] = stream */
+  9,   /* field[9] = subscribe */
+  4,   /* field[4] = suspect */
+};
+static const ProtobufCIntRange link__frame__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 14 }
+};
+const ProtobufCMessageDescriptor link__frame__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.Frame",
+  "Frame",
+  "Link__Frame",
+  "link",
+  sizeof(Link__Frame),
+  14,
+  link__frame__field_descriptors,
+  link__frame__field_indices_by_name,
+  1,  link__frame__number_ranges,
+  (ProtobufCMessageInit) link__frame__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proxy/link.pb-c.h
+++ b/proxy/link.pb-c.h
@@ -18,6 +18,9 @@
 typedef struct Link__Header Link__Header;
 typedef struct Link__Request Link__Request;
 typedef struct Link__Answer Link__Answer;
+typedef struct Link__Piece Link__Piece;
+typedef struct Link__End Link__End;
+typedef struct Link__Credit Link__Credit;
 typedef struct Link__Cancel Link__Cancel;
 typedef struct Link__Suspect Link__Suspect;
 typedef struct Link__Ping Link__Ping;
@@ -105,10 +108,64 @@
    * percent of the target's slots, queue included
    */
   uint32_t load;
+  /*
+   * the body comes in pieces, then an end
+   */
+  protobuf_c_boolean more;
+  /*
+   * of that body, or -1
+   */
+  int64_t length;
 };
 #define LINK__ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__answer__descriptor) \
-    , 0, 0, 0,NULL, {0,NULL}, 0, 0 }
+    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0 }
+
+
+/*
+ * The next bytes of an answer's body.
+ */
+struct  Link__Piece
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData data;
+};
+#define LINK__PIECE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&link__piece__descriptor) \
+    , {0,NULL} }
+
+
+/*
+ * The last piece was sent, or none comes any more.
+ */
+struct  Link__End
+{
+  ProtobufCMessage base;
+  /*
+   * the target's whole answer was sent
+   */
+  protobuf_c_boolean whole;
+  /*
+   * percent of the target's slots, queue included
+   */
+  uint32_t load;
+};
+#define LINK__END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&link__end__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * So many bytes of pieces have left the entry: as many more may be sent.
+ */
+struct  Link__Credit
+{
+  ProtobufCMessage base;
+  uint32_t bytes;
+};
+#define LINK__CREDIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&link__credit__descriptor) \
+    , 0 }
 
 
 /*
@@ -243,7 +300,10 @@
   LINK__FRAME__BODY_STATE_REQUEST = 8,
   LINK__FRAME__BODY_STATE = 9,
   LINK__FRAME__BODY_SUBSCRIBE = 10,
-  LINK__FRAME__BODY_FEED = 11
+  LINK__FRAME__BODY_FEED = 11,
+  LINK__FRAME__BODY_PIECE = 12,
+  LINK__FRAME__BODY_END = 13,
+  LINK__FRAME__BODY_CREDIT = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LINK__FRAME__BODY__CASE)
 } Link__Frame__BodyCase;
 
@@ -266,6 +326,9 @@
     Link__State *state;
     Link__Subscribe *subscribe;
     Link__Feed *feed;
+    Link__Piece *piece;
+    Link__End *end;
+    Link__Credit *credit;
   };
 };
 #define LINK__FRAME__INIT \
@@ -330,6 +393,63 @@
 void   link__answer__free_unpacked
                      (Link__Answer *message,
                       ProtobufCAllocator *allocator);
+/* Link__Piece methods */
+void   link__piece__init
+                     (Link__Piece         *message);
+size_t link__piece__get_packed_size
+                     (const Link__Piece   *message);
+size_t link__piece__pack
+                     (const Link__Piece   *message,
+                      uint8_t             *out);
+size_t link__piece__pack_to_buffer
+                     (const Link__Piece   *message,
+                      ProtobufCBuffer     *buffer);
+Link__Piece *
+       link__piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   link__piece__free_unpacked
+                     (Link__Piece *message,
+                      ProtobufCAllocator *allocator);
+/* Link__End methods */
+void   link__end__init
+                     (Link__End         *message);
+size_t link__end__get_packed_size
+                     (const Link__End   *message);
+size_t link__end__pack
+                     (const Link__End   *message,
+                      uint8_t             *out);
+size_t link__end__pack_to_buffer
+                     (const Link__End   *message,
+                      ProtobufCBuffer     *buffer);
+Link__End *
+       link__end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   link__end__free_unpacked
+                     (Link__End *message,
+                      ProtobufCAllocator *allocator);
+/* Link__Credit methods */
+void   link__credit__init
+                     (Link__Credit         *message);
+size_t link__credit__get_packed_size
+                     (const Link__Credit   *message);
+size_t link__credit__pack
+                     (const Link__Credit   *message,
+                      uint8_t             *out);
+size_t link__credit__pack_to_buffer
+                     (const Link__Credit   *message,
+                      ProtobufCBuffer     *buffer);
+Link__Credit *
+       link__credit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   link__credit__free_unpacked
+                     (Link__Credit *message,
+                      ProtobufCAllocator *allocator);
 /* Link__Cancel methods */
 void   link__cancel__init
                      (Link__Cancel         *message);
@@ -512,6 +632,15 @@
 typedef void (*Link__Answer_Closure)
                  (const Link__Answer *message,
                   void *closure_data);
+typedef void (*Link__Piece_Closure)
+                 (const Link__Piece *message,
+                  void *closure_data);
+typedef void (*Link__End_Closure)
+                 (const Link__End *message,
+                  void *closure_data);
+typedef void (*Link__Credit_Closure)
+                 (const Link__Credit *message,
+                  void *closure_data);
 typedef void (*Link__Cancel_Closure)
                  (const Link__Cancel *message,
                   void *closure_data);
@@ -548,6 +677,9 @@
 extern const ProtobufCMessageDescriptor link__header__descriptor;
 extern const ProtobufCMessageDescriptor link__request__descriptor;
 extern const ProtobufCMessageDescriptor link__answer__descriptor;
+extern const ProtobufCMessageDescriptor link__piece__descriptor;
+extern const ProtobufCMessageDescriptor link__end__descriptor;
+extern const ProtobufCMessageDescriptor link__credit__descriptor;
 extern const ProtobufCMessageDescriptor link__cancel__descriptor;
 extern const ProtobufCMessageDescriptor link__suspect__descriptor;
 extern const ProtobufCMessageDescriptor link__ping__descriptor;
--- a/proxy/link_frame.c
+++ b/proxy/link_frame.c
@@ -4,7 +4,7 @@
 
 #include "link_int.h"
 
-#define FRAME_MAX (ANSWER_MAX + 1024 * 1024) /* bytes */
+#define FRAME_MAX (65 * 1024 * 1024) /* bytes: the longest request's body */
 
 /* Writes one frame. */
 void
--- a/proxy/link_int.h
+++ b/proxy/link_int.h
@@ -17,6 +17,19 @@
 	GBytes *base;	      /* those, at the end that was told */
 	uint32_t next_stream;
 	GHashTable *jobs; /* stream to struct job, or struct served_job */
+	GQueue turns; /* of struct served_job with pieces that may be sent */
+};
+
+/* A job of another node; it owns its request. */
+struct served_job {
+	struct job job;
+	char *service, *caller, *id;
+	/* a long answer */
+	struct evbuffer *pending; /* pieces to be sent, or NULL */
+	int64_t credit;		  /* bytes that the other end takes */
+	int ended, whole;	  /* the target is done */
+	int load;		  /* as told with the end */
+	int queued;		  /* among the turns of its link */
 };
 
 /* Writes one frame. */
@@ -48,5 +61,17 @@
 void link_serve_request(struct link *, uint32_t stream, const Link__Request *);
 void link_serve_cancel(struct link *, uint32_t stream);
 void link_serve_end(struct link *);
+void served_free(struct served_job *);
+
+/* link_stream.c: long answers, in pieces that take turns on a link */
+void link_stream_head(struct job *, const struct http_message *);
+void link_stream_piece(struct job *, const void *, size_t);
+void link_stream_end(struct served_job *, int whole, int load);
+/* The other end takes more. */
+void link_stream_credit(struct link *, uint32_t stream, size_t);
+/* There is room on the link. */
+void link_stream_pump(struct link *);
+/* A served job is given up. */
+void link_stream_drop(struct served_job *);
 
 #endif
--- a/proxy/link_serve.c
+++ b/proxy/link_serve.c
@@ -3,19 +3,13 @@
 
 #include "link_int.h"
 
-/* A job of another node; it owns its request. */
-struct served_job {
-	struct job job;
-	char *service, *caller, *id;
-};
-
 static void done(struct job *, const struct result *);
-static void served_free(struct served_job *);
 
 /* Releases a job. */
-static void
+void
 served_free(struct served_job *s)
 {
+	link_stream_drop(s);
 	http_message_free(s->job.msg);
 	g_free(s->service);
 	g_free(s->caller);
@@ -48,6 +42,8 @@
 	s->job.crashes = (int)r->crashes;
 	s->job.goal = now + r->goal_ms;
 	s->job.deadline = now + r->remaining_ms;
+	s->job.head = link_stream_head;
+	s->job.piece = link_stream_piece;
 	s->job.done = done;
 	s->job.arg = s;
 	s->job.link = l;
@@ -65,6 +61,11 @@
 	struct http_message *m = r->answer;
 	struct link *l = j->link;
 
+	if (j->in_pieces) {
+		link_stream_end(
+		    j->arg, r->outcome == OUTCOME_ANSWERED, r->load);
+		return;
+	}
 	f.stream = j->stream;
 	f.body_case = LINK__FRAME__BODY_ANSWER;
 	f.answer = &a;
@@ -95,7 +96,9 @@
 	if (s == NULL)
 		return;
 	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(stream));
-	gate_cancel(&l->links->proxy->gate, &s->job);
+	/* The target may be done with it already. */
+	if (!s->ended)
+		gate_cancel(&l->links->proxy->gate, &s->job);
 	served_free(s);
 }
 
--- a/proxy/links.c
+++ b/proxy/links.c
@@ -10,12 +10,14 @@
 
 #include "link_int.h"
 
-#define BACKLOG	   256
-#define LOOK_MS	   100	 /* between two looks for silence */
-#define SILENT_MS  300	 /* without a byte while an answer is due: ask */
-#define PONG_MS	   500	 /* without a word after that: the link is dead */
-#define CONNECT_MS 400	 /* for a link to open; VMs are 0.1 to 1 ms apart */
-#define IDLE_MS	   10000 /* an unused link is closed after */
+#define BACKLOG	       256
+#define LOOK_MS	       100   /* between two looks for silence */
+#define SILENT_MS      300   /* without a byte while an answer is due: ask */
+#define PONG_MS	       500   /* without a word after that: the link is dead */
+#define PONG_PIECES_MS 2500  /* the same while a long answer is on its way */
+#define CONNECT_MS     400   /* for a link to open; VMs are 0.1 to 1 ms apart */
+#define OUTPUT_LOW     16384 /* bytes left to send when more may come */
+#define IDLE_MS	       10000 /* an unused link is closed after */
 
 static struct link *
 link_new(struct links *, struct bufferevent *, const char *);
@@ -26,9 +28,14 @@
 static void on_read(struct bufferevent *, void *);
 static void on_event(struct bufferevent *, short, void *);
 static void on_timer(evutil_socket_t, short, void *);
+static int has_pieces(struct link *);
 static void look(struct link *, int64_t);
 static void on_frame(struct link *, const Link__Frame *);
+static void on_write(struct bufferevent *, void *);
+static struct job *find_job(struct link *, uint32_t);
 static void on_answer(struct link *, uint32_t, const Link__Answer *);
+static void on_piece(struct link *, uint32_t, const Link__Piece *);
+static void on_end(struct link *, uint32_t, const Link__End *);
 static void tell(struct link *, Link__Frame__BodyCase);
 
 /* Listens for links of other nodes. */
@@ -95,7 +102,9 @@
 		g_hash_table_insert(ls->out, l->addr, l);
 	else
 		g_hash_table_insert(ls->in, l, l);
-	bufferevent_setcb(bev, on_read, NULL, on_event, l);
+	g_queue_init(&l->turns);
+	bufferevent_setcb(bev, on_read, on_write, on_event, l);
+	bufferevent_setwatermark(bev, EV_WRITE, OUTPUT_LOW, 0);
 	bufferevent_enable(bev, EV_READ | EV_WRITE);
 	return l;
 }
@@ -193,6 +202,8 @@
 		l->heard_at = now;
 	j->link = l;
 	j->stream = ++l->next_stream;
+	j->in_pieces = 0;
+	j->owed = 0;
 	j->sent_at = now;
 	g_hash_table_insert(l->jobs, GUINT_TO_POINTER(j->stream), j);
 	f.stream = j->stream;
@@ -292,19 +303,82 @@
 	link_write(l, &f);
 }
 
+/* The job of a stream, or NULL when it was given up. */
+static struct job *
+find_job(struct link *l, uint32_t stream)
+{
+	return g_hash_table_lookup(l->jobs, GUINT_TO_POINTER(stream));
+}
+
+/* Pieces have been passed on: now and then the other end is told. */
+void
+links_take(struct links *ls, struct job *j, size_t n)
+{
+	Link__Frame f = LINK__FRAME__INIT;
+	Link__Credit c = LINK__CREDIT__INIT;
+
+	(void)ls;
+	j->owed += n;
+	if (j->link == NULL || j->owed < WINDOW / 4)
+		return;
+	f.stream = j->stream;
+	f.body_case = LINK__FRAME__BODY_CREDIT;
+	f.credit = &c;
+	c.bytes = (uint32_t)j->owed;
+	j->owed = 0;
+	link_write(j->link, &f);
+}
+
+/* The next bytes of a long answer. */
+static void
+on_piece(struct link *l, uint32_t stream, const Link__Piece *p)
+{
+	struct job *j = find_job(l, stream);
+
+	if (j != NULL && j->in_pieces)
+		j->piece(j, p->data.data, p->data.len);
+}
+
+/* The end of a long answer. */
+static void
+on_end(struct link *l, uint32_t stream, const Link__End *e)
+{
+	struct result r = { .outcome =
+				e->whole ? OUTCOME_ANSWERED : OUTCOME_BROKEN,
+		.load = (int)e->load };
+	struct job *j = find_job(l, stream);
+
+	if (j == NULL || !j->in_pieces)
+		return;
+	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(stream));
+	j->link = NULL;
+	j->done(j, &r);
+}
+
 /* An answer to a job; one that was given up is dropped. */
 static void
 on_answer(struct link *l, uint32_t stream, const Link__Answer *a)
 {
 	struct result r = { .retry_after_ms = (int)a->retry_after_ms,
 		.load = (int)a->load };
+	struct http_message *head;
 	struct job *j;
 
-	j = g_hash_table_lookup(l->jobs, GUINT_TO_POINTER(stream));
-	if (j == NULL) {
+	j = find_job(l, stream);
+	if (j == NULL || j->in_pieces) {
 		counter_add(CTR_LATE_ANSWERS, 1);
 		return;
 	}
+	if (a->more) {
+		j->in_pieces = 1;
+		head = http_message_new();
+		head->status = (int)a->status;
+		head->length = a->length;
+		link_read_headers(head, a->headers, a->n_headers);
+		j->head(j, head);
+		http_message_free(head);
+		return;
+	}
 	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(stream));
 	j->link = NULL;
 	r.outcome = a->outcome < OUTCOME_COUNT ? a->outcome : OUTCOME_UNKNOWN;
@@ -336,6 +410,18 @@
 		if (l->addr != NULL)
 			on_answer(l, f->stream, f->answer);
 		break;
+	case LINK__FRAME__BODY_PIECE:
+		if (l->addr != NULL)
+			on_piece(l, f->stream, f->piece);
+		break;
+	case LINK__FRAME__BODY_END:
+		if (l->addr != NULL)
+			on_end(l, f->stream, f->end);
+		break;
+	case LINK__FRAME__BODY_CREDIT:
+		if (l->addr == NULL)
+			link_stream_credit(l, f->stream, f->credit->bytes);
+		break;
 	case LINK__FRAME__BODY_SUSPECT:
 		gate_suspect(&l->links->proxy->gate, f->suspect->fingerprint,
 		    (int)f->suspect->crashes);
@@ -380,6 +466,14 @@
 		link_close(l, "garbled frame");
 }
 
+/* There is room for more. */
+static void
+on_write(struct bufferevent *bev, void *arg)
+{
+	(void)bev;
+	link_stream_pump(arg);
+}
+
 /* The connection opened or ended. */
 static void
 on_event(struct bufferevent *bev, short what, void *arg)
@@ -396,6 +490,20 @@
 	}
 }
 
+/* Whether a long answer is on its way, which nothing can replace. */
+static int
+has_pieces(struct link *l)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, l->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (((struct job *)value)->in_pieces)
+			return 1;
+	return 0;
+}
+
 /* Looks for silence on one link made from here. */
 static void
 look(struct link *l, int64_t now)
@@ -405,7 +513,9 @@
 	if (!l->connected) {
 		if (now - l->opened_at > CONNECT_MS)
 			link_close(l, "no connection");
-	} else if (l->pinged_at > 0 && now - l->pinged_at > PONG_MS) {
+	} else if (l->pinged_at > 0 &&
+		   now - l->pinged_at >
+		       (has_pieces(l) ? PONG_PIECES_MS : PONG_MS)) {
 		link_close(l, "silent");
 	} else if (due && l->pinged_at == 0 && now - l->heard_at > SILENT_MS) {
 		l->pinged_at = now;
--- a/proxy/probe.c
+++ b/proxy/probe.c
@@ -37,6 +37,9 @@
 static void crashed(struct gate *);
 static void on_blind(evutil_socket_t, short, void *);
 
+/* An answer to a status check is short. */
+static const struct upstream_calls calls = { NULL, NULL, on_answer };
+
 /* Prepares status checks. */
 void
 gate_probe_init(struct gate *g)
@@ -140,8 +143,7 @@
 	evbuffer_add_printf(written, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
 	    c->services[i].health_path, g->proxy->settings->target);
 	counter_add(CTR_PROBES, 1);
-	g->probe =
-	    upstream_send(g->upstream, written, NULL, 1, 0, on_answer, g);
+	g->probe = upstream_send(g->upstream, written, NULL, 1, 0, &calls, g);
 	evbuffer_free(written);
 	evtimer_add(g->probe_timer, &tv);
 }
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -17,11 +17,14 @@
  * to hear; what it was given has the rest to end in.
  */
 #define GATE_PERCENT 30
+/* And of that after which no answer of a target is waited for. */
+#define ANSWER_PERCENT 94
 
 static void on_ready(void *, struct http_exchange *, struct http_message *);
 static void on_ready_gone(void *, struct http_exchange *);
 static int is_ready(const struct proxy *);
 static void on_gate_leaves(evutil_socket_t, short, void *);
+static void on_last_answer(evutil_socket_t, short, void *);
 
 /* Starts the data path. */
 int
@@ -30,7 +33,9 @@
     const char *ready_path, struct view *v)
 {
 	struct proxy *p = g_new0(struct proxy, 1);
-	struct http_server_calls calls = { p, on_ready, on_ready_gone, NULL };
+	struct http_server_calls calls = {
+		.arg = p, .request = on_ready, .gone = on_ready_gone
+	};
 
 	p->base = base;
 	p->settings = s;
@@ -40,8 +45,9 @@
 	p->rand = g_rand_new();
 	p->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	p->ready_limits =
-	    (struct http_limits){ READY_HEAD, 0, READY_MS, READY_MS };
+	    (struct http_limits){ READY_HEAD, 0, READY_MS, READY_MS, 0 };
 	p->gate_leaves = evtimer_new(base, on_gate_leaves, p);
+	p->last_answer = evtimer_new(base, on_last_answer, p);
 	gate_init(&p->gate, p);
 	p->ready = http_server_new(base, s->ready, &p->ready_limits, &calls);
 	*out = p;
@@ -59,6 +65,7 @@
 	links_close(&p->links);
 	gate_clear(&p->gate);
 	event_free(p->gate_leaves);
+	event_free(p->last_answer);
 	http_server_free(p->ready);
 	g_hash_table_destroy(p->peers);
 	g_rand_free(p->rand);
@@ -135,12 +142,27 @@
 	gate_set_state(&p->gate, GATE_LEAVING, "the node leaves");
 }
 
+/* The process is killed soon: whoever waits gets an answer before. */
+static void
+on_last_answer(evutil_socket_t fd, short what, void *arg)
+{
+	struct proxy *p = arg;
+
+	(void)fd;
+	(void)what;
+	entry_give_up(&p->entry);
+}
+
 /* Begins to leave. */
 void
 proxy_leave(struct proxy *p)
 {
+	int left = p->settings->grace_ms * ANSWER_PERCENT / 100;
+
 	p->leaving = 1;
 	p->last_call_at = base_now_ms() + p->settings->grace_ms / LEAVE_SHARE;
+	p->last_answer_at = base_now_ms() + left;
+	http_timer(p->last_answer, left);
 	http_server_leave(p->entry.server);
 	http_timer(p->gate_leaves, p->settings->grace_ms * GATE_PERCENT / 100);
 }
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -39,6 +39,7 @@
 	char *callers; /* address for callers and the target */
 	char *links;   /* address for other nodes */
 	char *ready;   /* address for the question whether it is ready */
+	int memory_mb; /* that the process may use */
 	int grace_ms;  /* from the wish to stop until the process is killed */
 	int retry_window_ms;
 	double retry_ratio; /* repeats a request of a service, in the fleet */
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -14,7 +14,15 @@
 #include "link.pb-c.h"
 #include "proxy.h"
 
-#define ANSWER_MAX (64 * 1024 * 1024) /* bytes of a target's answer */
+/*
+ * A target's answer up to this size is held whole, and may be replaced by that
+ * of another target; a longer one goes to its caller as it comes.
+ */
+#define HOLD_MAX (32 * 1024) /* bytes */
+/* Bytes of a long answer that are on their way between two of its stations. */
+#define WINDOW	   (128 * 1024)
+#define PIECE_MAX  (16 * 1024) /* bytes; what is urgent waits for so many */
+#define STREAM_MAX (1024LL * 1024 * 1024) /* bytes of a long answer */
 
 /* ---- jobs: requests for the target of some gate ---- */
 
@@ -38,18 +46,27 @@
 	int priority, repeatable;
 	int crashes; /* of targets, counted for its fingerprint */
 	int64_t goal, deadline;
+	/*
+	 * A long answer comes as its head, pieces and done, with an answer that
+	 * is NULL, when it is whole.  They may not give the job up.
+	 */
+	void (*head)(struct job *, const struct http_message *);
+	void (*piece)(struct job *, const void *, size_t);
 	void (*done)(struct job *, const struct result *);
 	void *arg;
+	int in_pieces; /* its head was given */
 	/* of the gate */
 	struct gate *gate;
 	struct sending *sending;
 	int64_t offered_at;
 	int64_t began_us;
-	int resent; /* on another connection, as the first had ended */
+	int64_t head_us; /* when a long answer began */
+	int resent;	 /* on another connection, as the first had ended */
 	/* of a link */
 	struct link *link;
 	uint32_t stream;
 	int64_t sent_at;
+	size_t owed; /* bytes taken, and not yet told to the other end */
 };
 
 /* ---- upstream: connections to the target beside the node ---- */
@@ -64,8 +81,14 @@
 struct upstream; /* opaque: see upstream.c */
 struct sending;	 /* opaque: one request at the target */
 
-typedef void (*upstream_done)(
-    void *arg, enum upstream_result, struct http_message *answer);
+struct upstream_calls {
+	/* A long answer begins; 0 refuses it.  NULL: none is expected. */
+	int (*head)(void *arg, const struct http_message *);
+	void (*piece)(void *arg, const void *, size_t);
+	/* The answer is the callee's; of a long one it is the head. */
+	void (*done)(
+	    void *arg, enum upstream_result, struct http_message *answer);
+};
 
 struct upstream *upstream_new(
     struct event_base *, const char *addr, const struct header_names *);
@@ -78,8 +101,11 @@
  * Sends a request, written already, whose answer must echo the id (NULL: any).
  * One that runs once is never sent on a connection that may be closed already.
  */
-struct sending *upstream_send(struct upstream *, struct evbuffer *written,
-    const char *id, int repeatable, int is_head, upstream_done, void *arg);
+struct sending *
+upstream_send(struct upstream *, struct evbuffer *written, const char *id,
+    int repeatable, int is_head, const struct upstream_calls *, void *arg);
+/* So many more bytes of a long answer may come. */
+void upstream_take(struct sending *, size_t);
 /* Gives an exchange up: its connection is closed, nothing is called. */
 void upstream_cancel(struct sending *);
 
@@ -137,6 +163,8 @@
 void gate_trust(struct gate *);
 void gate_mistrust(struct gate *);
 int gate_load(const struct gate *);
+/* So many bytes of a job's long answer have been passed on. */
+void gate_take(struct gate *, struct job *, size_t);
 /* Counts crashes told by another gate. */
 void gate_suspect(struct gate *, uint64_t fingerprint, int crashes);
 
@@ -160,6 +188,8 @@
 /* Sends a job to the gate of the node at an address. */
 void links_submit(struct links *, const char *addr, struct job *);
 void links_cancel(struct links *, struct job *);
+/* So many bytes of a job's long answer have been passed on. */
+void links_take(struct links *, struct job *, size_t);
 /* Tells all nodes that links lead to of a crash. */
 void links_suspect(struct links *, uint64_t fingerprint, int crashes);
 /* Asks the node at an address for news; NULL ends that. */
@@ -209,6 +239,8 @@
 int entry_spend_repeat(struct entry *, const char *service, int64_t now);
 void entry_close(struct entry *);
 void entry_update(struct entry *);
+/* Gives each request whose answer has not begun a final one. */
+void entry_give_up(struct entry *);
 
 struct proxy {
 	struct event_base *base;
@@ -220,6 +252,8 @@
 	int leaving;
 	int64_t last_call_at; /* a leaving node takes no call after, or 0 */
 	struct event *gate_leaves; /* nor its target, from then on */
+	int64_t last_answer_at;	   /* all calls are answered by then, or 0 */
+	struct event *last_answer;
 	struct proxy_state state;
 	struct entry entry;
 	struct gate gate;
--- a/proxy/upstream.c
+++ b/proxy/upstream.c
@@ -4,6 +4,8 @@
 #include "proxy_int.h"
 
 #define HEAD_MAX      65536
+#define INPUT_MAX     32768 /* bytes read ahead of what is taken */
+#define BODY_MAX      (HOLD_MAX + 2 * INPUT_MAX) /* held at any time */
 #define CONNECT_MS    1000 /* the target is on this machine */
 #define IDLE_MAX_MS   4000 /* a kept connection is closed after */
 #define IDLE_SLACK_MS 500  /* before the time that the target announced */
@@ -26,9 +28,13 @@
 	int connected;
 	int strays; /* answers of other requests were dropped */
 	int64_t used_at, sent_at;
-	int64_t idle_ms;    /* it may be kept so long */
-	upstream_done done; /* NULL while idle */
+	int64_t idle_ms;		    /* it may be kept so long */
+	const struct upstream_calls *calls; /* NULL while idle */
 	void *arg;
+	/* a long answer */
+	int in_pieces;	/* its head was passed on */
+	int64_t credit; /* bytes that may be passed on */
+	int64_t passed; /* bytes of the body so far */
 };
 
 struct upstream {
@@ -50,6 +56,9 @@
 static int64_t idle_max(const struct upstream *);
 static void fail(struct sending *);
 static int64_t announced_idle(const struct http_message *);
+static int is_stray(const struct sending *, const struct http_message *);
+static void pass_on(struct sending *);
+static void take_pieces(struct sending *);
 static void take_answer(struct sending *);
 static void on_read(struct bufferevent *, void *);
 static void on_event(struct bufferevent *, short, void *);
@@ -119,7 +128,9 @@
 	x = g_new0(struct sending, 1);
 	x->up = u;
 	x->bev = bev;
-	http_parse_init(&x->parse, HTTP_RESPONSE, HEAD_MAX, ANSWER_MAX);
+	http_parse_init(&x->parse, HTTP_RESPONSE, HEAD_MAX, BODY_MAX);
+	x->parse.in_pieces = 1;
+	bufferevent_setwatermark(bev, EV_READ, 0, INPUT_MAX);
 	x->timer = evtimer_new(u->base, on_timer, x);
 	g_hash_table_add(u->all, x);
 	bufferevent_setcb(bev, on_read, NULL, on_event, x);
@@ -144,7 +155,7 @@
 /* Sends a request. */
 struct sending *
 upstream_send(struct upstream *u, struct evbuffer *written, const char *id,
-    int repeatable, int is_head, upstream_done done, void *arg)
+    int repeatable, int is_head, const struct upstream_calls *calls, void *arg)
 {
 	struct sending *x = g_queue_peek_head(&u->idle);
 	int64_t now = base_now_ms();
@@ -164,8 +175,11 @@
 	x->is_head = is_head;
 	x->strays = 0;
 	x->sent_at = now;
-	x->done = done;
+	x->calls = calls;
 	x->arg = arg;
+	x->in_pieces = 0;
+	x->credit = WINDOW;
+	x->passed = 0;
 	evbuffer_add_buffer(bufferevent_get_output(x->bev), written);
 	return x;
 }
@@ -181,10 +195,10 @@
 static void
 finish(struct sending *x, enum upstream_result r, struct http_message *m)
 {
-	upstream_done done = x->done;
+	const struct upstream_calls *calls = x->calls;
 	void *arg = x->arg;
 
-	x->done = NULL;
+	x->calls = NULL;
 	if (r == UPSTREAM_ANSWER && m->keep_alive && !m->to_end &&
 	    x->strays == 0 &&
 	    evbuffer_get_length(bufferevent_get_input(x->bev)) == 0 &&
@@ -192,7 +206,7 @@
 		keep(x, m);
 	else
 		close_sending(x);
-	done(arg, r, m);
+	calls->done(arg, r, m);
 }
 
 /* How long the target keeps an idle connection, in ms. */
@@ -243,7 +257,7 @@
 	enum upstream_result r;
 	int64_t idle;
 
-	if (x->done == NULL) {
+	if (x->calls == NULL) {
 		close_sending(x);
 		return;
 	}
@@ -259,14 +273,78 @@
 	finish(x, r, NULL);
 }
 
+/* Whether an answer is another request's. */
+static int
+is_stray(const struct sending *x, const struct http_message *m)
+{
+	const char *id = http_find(m, x->up->names->id);
+
+	return x->id != NULL && id != NULL && strcmp(id, x->id) != 0;
+}
+
+/* Passes on what was read of a long answer's body. */
+static void
+pass_on(struct sending *x)
+{
+	GByteArray *bytes = g_byte_array_new();
+
+	http_parse_take_body(&x->parse, bytes);
+	x->credit -= bytes->len;
+	x->passed += bytes->len;
+	/* The socket is read again when these have left. */
+	if (x->credit <= 0)
+		bufferevent_disable(x->bev, EV_READ);
+	x->calls->piece(x->arg, bytes->data, bytes->len);
+	g_byte_array_free(bytes, TRUE);
+}
+
+/* Takes what has come of an answer that is not whole yet. */
+static void
+take_pieces(struct sending *x)
+{
+	struct http_message *m = x->parse.msg;
+
+	if (!x->parse.has_head || (!x->in_pieces && m->body->len < HOLD_MAX))
+		return;
+	if (is_stray(x, m)) {
+		g_byte_array_set_size(m->body, 0);
+		return;
+	}
+	if (!x->in_pieces &&
+	    (x->calls->head == NULL || !x->calls->head(x->arg, m))) {
+		finish(x, UPSTREAM_BROKEN, NULL);
+		return;
+	}
+	x->in_pieces = 1;
+	pass_on(x);
+	if (x->passed > STREAM_MAX)
+		finish(x, UPSTREAM_BROKEN, NULL);
+}
+
+/* More of a long answer may be passed on. */
+void
+upstream_take(struct sending *x, size_t n)
+{
+	int paused = x->credit <= 0;
+
+	x->credit += (int64_t)n;
+	if (!paused || x->credit <= 0)
+		return;
+	bufferevent_enable(x->bev, EV_READ);
+	bufferevent_trigger(x->bev, EV_READ,
+	    BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
 /* Takes the answer that has arrived; those of other requests are dropped. */
 static void
 take_answer(struct sending *x)
 {
-	struct http_message *m = http_parse_take(&x->parse);
-	const char *id = http_find(m, x->up->names->id);
+	struct http_message *m;
 
-	if (x->id != NULL && id != NULL && strcmp(id, x->id) != 0) {
+	if (x->in_pieces)
+		pass_on(x);
+	m = http_parse_take(&x->parse);
+	if (is_stray(x, m)) {
 		x->strays++;
 		http_message_free(m);
 		http_parse_next(&x->parse, HTTP_RESPONSE);
@@ -284,15 +362,21 @@
 	struct sending *x = arg;
 	int err;
 
-	if (x->done == NULL) {
-		close_sending(x);
+	if (x->calls == NULL) {
+		/* A trigger may find no bytes. */
+		if (evbuffer_get_length(bufferevent_get_input(bev)) > 0)
+			close_sending(x);
 		return;
 	}
+	if (x->credit <= 0)
+		return;
 	err = http_parse_feed(&x->parse, bufferevent_get_input(bev));
 	if (err == HTTP_OK)
 		take_answer(x);
 	else if (err != HTTP_ENOMESSAGE)
 		finish(x, UPSTREAM_BROKEN, NULL);
+	else
+		take_pieces(x);
 }
 
 /* The connection opened or ended. */
@@ -308,7 +392,7 @@
 		return;
 	}
 	/* A clean end may be the end of an answer without length. */
-	if (x->done != NULL && (what & BEV_EVENT_EOF) &&
+	if (x->calls != NULL && (what & BEV_EVENT_EOF) &&
 	    http_parse_end(&x->parse) == HTTP_OK)
 		take_answer(x);
 	else
--- a/side/settings.c
+++ b/side/settings.c
@@ -22,6 +22,7 @@
 	{ "peers", FIELD_LIST, SET(peers), 0, PEERS_MAX, NULL, 0 },
 	{ "log", FIELD_NAME, SET(log), 0, VIEW_ID_MAX, NULL, 0 },
 	{ "beat_ms", FIELD_INT, SET(beat_ms), 1, 60000, NULL, 0 },
+	{ "memory_mb", FIELD_INT, SET(proxy.memory_mb), 16, 1048576, NULL, 0 },
 	{ "grace_ms", FIELD_INT, SET(proxy.grace_ms), 100, 600000, NULL, 0 },
 	{ "retry_window_ms", FIELD_INT, SET(proxy.retry_window_ms), 100, 600000,
 	    NULL, 0 },
@@ -45,7 +46,8 @@
 
 	/* The bounds that the users' platform states where it states none. */
 	*s = (struct side_settings){ .beat_ms = 1500,
-		.proxy = { .grace_ms = 6000,
+		.proxy = { .memory_mb = 260,
+		    .grace_ms = 6000,
 		    .retry_window_ms = 10000,
 		    .cold_ratio = 1.5,
 		    .cold_slack = 5,
--- a/side/teaselside.c
+++ b/side/teaselside.c
@@ -152,8 +152,9 @@
 static int
 run(struct side *s)
 {
-	struct http_server_calls metrics = { s, on_metrics, on_metrics_gone,
-		NULL };
+	struct http_server_calls metrics = {
+		.arg = s, .request = on_metrics, .gone = on_metrics_gone
+	};
 	struct timeval look = { LOOK_MS / BASE_MS_PER_S, 0 };
 	struct event *hup, *term, *intr;
 	int err;
@@ -167,7 +168,7 @@
 				"on\n");
 		return EXIT_FAILURE;
 	}
-	s->metrics_limits = (struct http_limits){ 8192, 0, 5000, 5000 };
+	s->metrics_limits = (struct http_limits){ 8192, 0, 5000, 5000, 0 };
 	if (s->settings.metrics != NULL)
 		s->metrics = http_server_new(
 		    s->base, s->settings.metrics, &s->metrics_limits, &metrics);
--- a/standin/store.c
+++ b/standin/store.c
@@ -90,7 +90,7 @@
 	s->base = base;
 	s->page = page;
 	s->revision = 1;
-	s->limits = (struct http_limits){ 16384, 0, 5000, 60000 };
+	s->limits = (struct http_limits){ 16384, 0, 5000, 60000, 0 };
 	s->log = g_array_new(FALSE, FALSE, sizeof(struct entry));
 	s->items = g_tree_new_full(compare, NULL, NULL, entry_free);
 	s->watches = g_ptr_array_new_with_free_func(watch_free);
@@ -105,7 +105,9 @@
 store_door(struct store *s, const char *addr)
 {
 	struct door *d = &s->doors[s->ndoors];
-	struct http_server_calls calls = { d, on_request, on_gone, NULL };
+	struct http_server_calls calls = {
+		.arg = d, .request = on_request, .gone = on_gone
+	};
 
 	if (s->ndoors == STORE_DOORS)
 		return STANDIN_ELISTEN;
--- a/test/rig.c
+++ b/test/rig.c
@@ -21,7 +21,7 @@
 	struct event *timer;
 };
 
-static const struct http_limits limits = { 65536, 1048576, 5000, 20000 };
+static const struct http_limits limits = { 65536, 1048576, 5000, 20000, 0 };
 
 static void
 work_end(struct rig_work *w)
@@ -285,8 +285,9 @@
 start_node(struct rig *r, int i)
 {
 	struct rig_node *n = &r->nodes[i];
-	struct http_server_calls calls = { &n->target, on_target,
-		on_target_gone, NULL };
+	struct http_server_calls calls = {
+		.arg = &n->target, .request = on_target, .gone = on_target_gone
+	};
 	struct proxy_settings *s = &n->settings;
 
 	n->target.rig = r;
@@ -303,6 +304,7 @@
 	s->callers = g_strdup_printf("127.0.0.%d:%d", i + 2, r->ports + 1);
 	s->links = g_strdup_printf("127.0.0.%d:%d", i + 2, r->ports + 2);
 	s->ready = g_strdup_printf("127.0.0.%d:%d", i + 2, r->ports + 3);
+	s->memory_mb = 260;
 	s->grace_ms = 6000;
 	s->cold_ratio = 1.5;
 	s->cold_slack = 5;
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -125,7 +125,35 @@
 	rig_stop(&r);
 }
 
+/*
+ * A stop while targets are at work for longer than there is time: callers get
+ * an answer, and not a closed connection.
+ */
+static void
+a_stop_answers_who_waits(void)
+{
+	struct rig r;
+	struct rig_call c[6];
+	int i;
+
+	rig_start(&r, 2);
+	rig_script(&r, 0, "", RIG_HANG);
+	rig_script(&r, 1, "", RIG_HANG);
+	r.nodes[0].settings.grace_ms = 800;
+	for (i = 0; i < 6; i++)
+		rig_call(&r, &c[i], 0, i % 2 ? "/run/x" : "/once/x", "w", 5000);
+	rig_run(&r, 50);
+	proxy_leave(r.nodes[0].proxy);
+	rig_run(&r, 780);
+	for (i = 0; i < 6; i++) {
+		CU_ASSERT(rig_status(&c[i]) == 502 || rig_status(&c[i]) == 504);
+		rig_call_end(&c[i]);
+	}
+	rig_stop(&r);
+}
+
 static const struct test tests[] = {
+	{ "a stop answers who waits", a_stop_answers_who_waits },
 	{ "requests behind others run", requests_behind_others_run },
 	{ "routes not understood refuse", routes_not_understood_refuse },
 	{ "limits not understood", limits_not_understood },
--- a/test/test_pipeline.c
+++ b/test/test_pipeline.c
@@ -88,14 +88,17 @@
 static void
 world_start(struct world *w)
 {
-	struct http_server_calls calls = { w, on_request, on_gone, may_begin };
+	struct http_server_calls calls = { .arg = w,
+		.request = on_request,
+		.gone = on_gone,
+		.may_begin = may_begin };
 	char addr[ADDRESS_MAX];
 
 	memset(w, 0, sizeof(*w));
 	g_snprintf(
 	    addr, sizeof(addr), ADDR, PORT_BASE + (int)(getpid() % PORT_SPAN));
 	w->base = event_base_new();
-	w->limits = (struct http_limits){ 4096, 1048576, 300, 5000 };
+	w->limits = (struct http_limits){ 4096, 1048576, 300, 5000, 0 };
 	w->server = http_server_new(w->base, addr, &w->limits, &calls);
 	if (w->server == NULL)
 		g_error("the server cannot listen");
