--- /dev/null
+++ b/proxy/link_ask.c
@@ -0,0 +1,194 @@
+/* Jobs that are sent to the gates of other nodes. */
+#include <string.h>
+
+#include "link_int.h"
+
+static struct job *find_job(struct link *, uint32_t);
+
+/* Jobs of a lost link: not delivered if it never opened, else unknown. */
+void
+link_fail_jobs(struct link *l)
+{
+	struct result r = { .outcome = l->connected ? OUTCOME_UNKNOWN
+						    : OUTCOME_UNDELIVERED };
+	GHashTableIter it;
+	gpointer value;
+	struct job *j;
+
+	for (;;) {
+		g_hash_table_iter_init(&it, l->jobs);
+		if (!g_hash_table_iter_next(&it, NULL, &value))
+			break;
+		j = value;
+		g_hash_table_iter_remove(&it);
+		j->link = NULL;
+		j->done(j, &r);
+	}
+}
+
+/* Sends a job to the gate of another node. */
+void
+links_submit(struct links *ls, const char *addr, struct job *j)
+{
+	Link__Frame f = LINK__FRAME__INIT;
+	Link__Request q = LINK__REQUEST__INIT;
+	struct result undelivered = { .outcome = OUTCOME_UNDELIVERED };
+	struct link *l;
+	int64_t now = base_now_ms();
+
+	if ((l = link_to(ls, addr)) == NULL) {
+		j->done(j, &undelivered);
+		return;
+	}
+	if (g_hash_table_size(l->jobs) == 0)
+		l->heard_at = now;
+	j->link = l;
+	j->stream = ++l->next_stream;
+	j->in_pieces = 0;
+	j->owed = 0;
+	j->sent_at = now;
+	g_hash_table_insert(l->jobs, GUINT_TO_POINTER(j->stream), j);
+	f.stream = j->stream;
+	f.body_case = LINK__FRAME__BODY_REQUEST;
+	f.request = &q;
+	q.method = j->msg->method;
+	q.path = j->msg->path;
+	q.n_headers = j->msg->headers->len;
+	q.headers = link_headers(j->msg);
+	q.body.data = j->msg->body->data;
+	q.body.len = j->msg->body->len;
+	q.service = (char *)j->service;
+	q.caller = (char *)j->caller;
+	q.id = (char *)j->id;
+	q.kind = j->kind;
+	q.remaining_ms = (uint32_t)MAX(j->deadline - now, 0);
+	q.goal_ms = (int32_t)(j->goal - now);
+	q.priority = (uint32_t)j->priority;
+	q.repeatable = j->repeatable;
+	q.crashes = (uint32_t)j->crashes;
+	link_write(l, &f);
+	link_headers_free(q.headers, q.n_headers);
+}
+
+/* Gives a job up; the other node is told. */
+void
+links_cancel(struct links *ls, struct job *j)
+{
+	Link__Frame f = LINK__FRAME__INIT;
+	Link__Cancel c = LINK__CANCEL__INIT;
+	struct link *l = j->link;
+
+	(void)ls;
+	if (l == NULL)
+		return;
+	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(j->stream));
+	f.stream = j->stream;
+	f.body_case = LINK__FRAME__BODY_CANCEL;
+	f.cancel = &c;
+	link_write(l, &f);
+	j->link = NULL;
+}
+
+/* The job of a stream, or NULL when it was given up. */
+static struct job *
+find_job(struct link *l, uint32_t stream)
+{
+	return g_hash_table_lookup(l->jobs, GUINT_TO_POINTER(stream));
+}
+
+/* Pieces have been passed on: now and then the other end is told. */
+void
+links_take(struct links *ls, struct job *j, size_t n)
+{
+	Link__Frame f = LINK__FRAME__INIT;
+	Link__Credit c = LINK__CREDIT__INIT;
+
+	(void)ls;
+	j->owed += n;
+	if (j->link == NULL || j->owed < WINDOW / 4)
+		return;
+	f.stream = j->stream;
+	f.body_case = LINK__FRAME__BODY_CREDIT;
+	f.credit = &c;
+	c.bytes = (uint32_t)j->owed;
+	j->owed = 0;
+	link_write(j->link, &f);
+}
+
+/* The next bytes of a long answer. */
+void
+link_on_piece(struct link *l, uint32_t stream, const Link__Piece *p)
+{
+	struct job *j = find_job(l, stream);
+
+	if (j != NULL && j->in_pieces)
+		j->piece(j, p->data.data, p->data.len);
+}
+
+/* The end of a long answer. */
+void
+link_on_end(struct link *l, uint32_t stream, const Link__End *e)
+{
+	struct result r = { .outcome =
+				e->whole ? OUTCOME_ANSWERED : OUTCOME_BROKEN,
+		.load = (int)e->load };
+	struct job *j = find_job(l, stream);
+
+	if (j == NULL || !j->in_pieces)
+		return;
+	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(stream));
+	j->link = NULL;
+	j->done(j, &r);
+}
+
+/* An answer to a job; one that was given up is dropped. */
+void
+link_on_answer(struct link *l, uint32_t stream, const Link__Answer *a)
+{
+	struct result r = { .retry_after_ms = (int)a->retry_after_ms,
+		.load = (int)a->load };
+	struct http_message *head;
+	struct job *j;
+
+	j = find_job(l, stream);
+	if (j == NULL || j->in_pieces) {
+		counter_add(CTR_LATE_ANSWERS, 1);
+		return;
+	}
+	if (a->more) {
+		j->in_pieces = 1;
+		head = http_message_new();
+		head->status = (int)a->status;
+		head->length = a->length;
+		link_read_headers(head, a->headers, a->n_headers);
+		j->head(j, head);
+		http_message_free(head);
+		return;
+	}
+	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(stream));
+	j->link = NULL;
+	r.outcome = a->outcome < OUTCOME_COUNT ? a->outcome : OUTCOME_UNKNOWN;
+	if (r.outcome == OUTCOME_ANSWERED) {
+		r.answer = http_message_new();
+		r.answer->status = (int)a->status;
+		link_read_headers(r.answer, a->headers, a->n_headers);
+		g_byte_array_append(
+		    r.answer->body, a->body.data, (guint)a->body.len);
+	}
+	j->done(j, &r);
+	http_message_free(r.answer);
+}
+
+/* Whether a long answer is on its way, which nothing can replace. */
+int
+link_has_pieces(struct link *l)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, l->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (((struct job *)value)->in_pieces)
+			return 1;
+	return 0;
+}
--- a/proxy/link_int.h
+++ b/proxy/link_int.h
@@ -44,6 +44,15 @@
 /* The link to an address, opened if there is none; NULL when it cannot be. */
 struct link *link_to(struct links *, const char *addr);
 
+/* link_ask.c: jobs that are sent to other nodes */
+void link_on_answer(struct link *, uint32_t stream, const Link__Answer *);
+void link_on_piece(struct link *, uint32_t stream, const Link__Piece *);
+void link_on_end(struct link *, uint32_t stream, const Link__End *);
+/* The link is lost: who waits for its jobs is told. */
+void link_fail_jobs(struct link *);
+/* Whether a long answer is on its way, which nothing can replace. */
+int link_has_pieces(struct link *);
+
 /* link_state.c: what nodes tell each other of the platform */
 void link_give_state(struct link *);
 void link_subscribed(struct link *, int on);
--- a/proxy/links.c
+++ b/proxy/links.c
@@ -22,20 +22,14 @@
 static struct link *
 link_new(struct links *, struct bufferevent *, const char *);
 static void link_close(struct link *, const char *);
-static void fail_jobs(struct link *);
 static void on_accept(
     struct evconnlistener *, evutil_socket_t, struct sockaddr *, int, void *);
 static void on_read(struct bufferevent *, void *);
 static void on_event(struct bufferevent *, short, void *);
 static void on_timer(evutil_socket_t, short, void *);
-static int has_pieces(struct link *);
 static void look(struct link *, int64_t);
 static void on_frame(struct link *, const Link__Frame *);
 static void on_write(struct bufferevent *, void *);
-static struct job *find_job(struct link *, uint32_t);
-static void on_answer(struct link *, uint32_t, const Link__Answer *);
-static void on_piece(struct link *, uint32_t, const Link__Piece *);
-static void on_end(struct link *, uint32_t, const Link__End *);
 static void tell(struct link *, Link__Frame__BodyCase);
 
 /* Listens for links of other nodes. */
@@ -122,7 +116,7 @@
 		link_unfed(l);
 		http_reset(l->bev);
 		l->bev = NULL;
-		fail_jobs(l);
+		link_fail_jobs(l);
 	} else {
 		g_hash_table_remove(l->links->in, l);
 		link_serve_end(l);
@@ -135,27 +129,6 @@
 	g_free(l);
 }
 
-/* Jobs of a lost link: not delivered if it never opened, else unknown. */
-static void
-fail_jobs(struct link *l)
-{
-	struct result r = { .outcome = l->connected ? OUTCOME_UNKNOWN
-						    : OUTCOME_UNDELIVERED };
-	GHashTableIter it;
-	gpointer value;
-	struct job *j;
-
-	for (;;) {
-		g_hash_table_iter_init(&it, l->jobs);
-		if (!g_hash_table_iter_next(&it, NULL, &value))
-			break;
-		j = value;
-		g_hash_table_iter_remove(&it);
-		j->link = NULL;
-		j->done(j, &r);
-	}
-}
-
 static void
 on_accept(struct evconnlistener *lis, evutil_socket_t fd, struct sockaddr *sa,
     int len, void *arg)
@@ -184,69 +157,6 @@
 	return bev != NULL ? link_new(ls, bev, addr) : NULL;
 }
 
-/* Sends a job to the gate of another node. */
-void
-links_submit(struct links *ls, const char *addr, struct job *j)
-{
-	Link__Frame f = LINK__FRAME__INIT;
-	Link__Request q = LINK__REQUEST__INIT;
-	struct result undelivered = { .outcome = OUTCOME_UNDELIVERED };
-	struct link *l;
-	int64_t now = base_now_ms();
-
-	if ((l = link_to(ls, addr)) == NULL) {
-		j->done(j, &undelivered);
-		return;
-	}
-	if (g_hash_table_size(l->jobs) == 0)
-		l->heard_at = now;
-	j->link = l;
-	j->stream = ++l->next_stream;
-	j->in_pieces = 0;
-	j->owed = 0;
-	j->sent_at = now;
-	g_hash_table_insert(l->jobs, GUINT_TO_POINTER(j->stream), j);
-	f.stream = j->stream;
-	f.body_case = LINK__FRAME__BODY_REQUEST;
-	f.request = &q;
-	q.method = j->msg->method;
-	q.path = j->msg->path;
-	q.n_headers = j->msg->headers->len;
-	q.headers = link_headers(j->msg);
-	q.body.data = j->msg->body->data;
-	q.body.len = j->msg->body->len;
-	q.service = (char *)j->service;
-	q.caller = (char *)j->caller;
-	q.id = (char *)j->id;
-	q.kind = j->kind;
-	q.remaining_ms = (uint32_t)MAX(j->deadline - now, 0);
-	q.goal_ms = (int32_t)(j->goal - now);
-	q.priority = (uint32_t)j->priority;
-	q.repeatable = j->repeatable;
-	q.crashes = (uint32_t)j->crashes;
-	link_write(l, &f);
-	link_headers_free(q.headers, q.n_headers);
-}
-
-/* Gives a job up; the other node is told. */
-void
-links_cancel(struct links *ls, struct job *j)
-{
-	Link__Frame f = LINK__FRAME__INIT;
-	Link__Cancel c = LINK__CANCEL__INIT;
-	struct link *l = j->link;
-
-	(void)ls;
-	if (l == NULL)
-		return;
-	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(j->stream));
-	f.stream = j->stream;
-	f.body_case = LINK__FRAME__BODY_CANCEL;
-	f.cancel = &c;
-	link_write(l, &f);
-	j->link = NULL;
-}
-
 /* Tells all nodes that links lead to, or come from. */
 void
 links_suspect(struct links *ls, uint64_t fingerprint, int crashes)
@@ -303,96 +213,6 @@
 	link_write(l, &f);
 }
 
-/* The job of a stream, or NULL when it was given up. */
-static struct job *
-find_job(struct link *l, uint32_t stream)
-{
-	return g_hash_table_lookup(l->jobs, GUINT_TO_POINTER(stream));
-}
-
-/* Pieces have been passed on: now and then the other end is told. */
-void
-links_take(struct links *ls, struct job *j, size_t n)
-{
-	Link__Frame f = LINK__FRAME__INIT;
-	Link__Credit c = LINK__CREDIT__INIT;
-
-	(void)ls;
-	j->owed += n;
-	if (j->link == NULL || j->owed < WINDOW / 4)
-		return;
-	f.stream = j->stream;
-	f.body_case = LINK__FRAME__BODY_CREDIT;
-	f.credit = &c;
-	c.bytes = (uint32_t)j->owed;
-	j->owed = 0;
-	link_write(j->link, &f);
-}
-
-/* The next bytes of a long answer. */
-static void
-on_piece(struct link *l, uint32_t stream, const Link__Piece *p)
-{
-	struct job *j = find_job(l, stream);
-
-	if (j != NULL && j->in_pieces)
-		j->piece(j, p->data.data, p->data.len);
-}
-
-/* The end of a long answer. */
-static void
-on_end(struct link *l, uint32_t stream, const Link__End *e)
-{
-	struct result r = { .outcome =
-				e->whole ? OUTCOME_ANSWERED : OUTCOME_BROKEN,
-		.load = (int)e->load };
-	struct job *j = find_job(l, stream);
-
-	if (j == NULL || !j->in_pieces)
-		return;
-	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(stream));
-	j->link = NULL;
-	j->done(j, &r);
-}
-
-/* An answer to a job; one that was given up is dropped. */
-static void
-on_answer(struct link *l, uint32_t stream, const Link__Answer *a)
-{
-	struct result r = { .retry_after_ms = (int)a->retry_after_ms,
-		.load = (int)a->load };
-	struct http_message *head;
-	struct job *j;
-
-	j = find_job(l, stream);
-	if (j == NULL || j->in_pieces) {
-		counter_add(CTR_LATE_ANSWERS, 1);
-		return;
-	}
-	if (a->more) {
-		j->in_pieces = 1;
-		head = http_message_new();
-		head->status = (int)a->status;
-		head->length = a->length;
-		link_read_headers(head, a->headers, a->n_headers);
-		j->head(j, head);
-		http_message_free(head);
-		return;
-	}
-	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(stream));
-	j->link = NULL;
-	r.outcome = a->outcome < OUTCOME_COUNT ? a->outcome : OUTCOME_UNKNOWN;
-	if (r.outcome == OUTCOME_ANSWERED) {
-		r.answer = http_message_new();
-		r.answer->status = (int)a->status;
-		link_read_headers(r.answer, a->headers, a->n_headers);
-		g_byte_array_append(
-		    r.answer->body, a->body.data, (guint)a->body.len);
-	}
-	j->done(j, &r);
-	http_message_free(r.answer);
-}
-
 /* One frame has arrived. */
 static void
 on_frame(struct link *l, const Link__Frame *f)
@@ -408,15 +228,15 @@
 		break;
 	case LINK__FRAME__BODY_ANSWER:
 		if (l->addr != NULL)
-			on_answer(l, f->stream, f->answer);
+			link_on_answer(l, f->stream, f->answer);
 		break;
 	case LINK__FRAME__BODY_PIECE:
 		if (l->addr != NULL)
-			on_piece(l, f->stream, f->piece);
+			link_on_piece(l, f->stream, f->piece);
 		break;
 	case LINK__FRAME__BODY_END:
 		if (l->addr != NULL)
-			on_end(l, f->stream, f->end);
+			link_on_end(l, f->stream, f->end);
 		break;
 	case LINK__FRAME__BODY_CREDIT:
 		if (l->addr == NULL)
@@ -490,20 +310,6 @@
 	}
 }
 
-/* Whether a long answer is on its way, which nothing can replace. */
-static int
-has_pieces(struct link *l)
-{
-	GHashTableIter it;
-	gpointer value;
-
-	g_hash_table_iter_init(&it, l->jobs);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		if (((struct job *)value)->in_pieces)
-			return 1;
-	return 0;
-}
-
 /* Looks for silence on one link made from here. */
 static void
 look(struct link *l, int64_t now)
@@ -515,7 +321,7 @@
 			link_close(l, "no connection");
 	} else if (l->pinged_at > 0 &&
 		   now - l->pinged_at >
-		       (has_pieces(l) ? PONG_PIECES_MS : PONG_MS)) {
+		       (link_has_pieces(l) ? PONG_PIECES_MS : PONG_MS)) {
 		link_close(l, "silent");
 	} else if (due && l->pinged_at == 0 && now - l->heard_at > SILENT_MS) {
 		l->pinged_at = now;
