--- a/side/feed.c
+++ b/side/feed.c
@@ -218,16 +218,21 @@
 	} while (strcmp(f->feed.addr, lost) == 0);
 }
 
-/* The feeder told something. */
+/*
+ * The feeder told something.  What it holds says nothing of whether it reads
+ * now: one that was given up is taken again with its next word that it does.
+ */
 void
-feed_heard(struct follow *f, int blind)
+feed_heard(struct follow *f, int blind, int is_word)
 {
 	f->feed.heard_at = base_now_ms();
 	if (blind) {
 		next_feeder(f, BLIND);
 		return;
 	}
-	if (f->feed.addr[0] == '\0' && f->feed.rank > 0) {
+	if (f->feed.addr[0] == '\0') {
+		if (!is_word || f->feed.rank == 0)
+			return;
 		f->feed.rank = 0;
 		choose(f);
 	}
--- a/side/follow.c
+++ b/side/follow.c
@@ -380,7 +380,7 @@
 {
 	if (len > 0)
 		take_state(arg, text, len);
-	feed_heard(arg, blind);
+	feed_heard(arg, blind, len == 0);
 }
 
 static void
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -47,7 +47,7 @@
 
 void feed_start(struct follow *);
 void feed_stop(struct follow *);
-void feed_heard(struct follow *, int blind);
+void feed_heard(struct follow *, int blind, int is_word);
 void feed_lost(struct follow *);
 
 #endif
