Slots go to the kinds of requests that are served

Change: admission learns how the runs of each kind end. A kind that fails in more than half of its runs goes behind the others and is taken only while a slot is free; each refusal takes 1/128 of its share of failures away, so that it is tried again.

--- a/mesh/admit.c
+++ b/mesh/admit.c
@@ -13,13 +13,18 @@
  * before its deadline, in percent: one in five takes less than half the mean.
  */
 #define FIT_PERCENT 50
+#define FAIL_SMOOTH 16	/* a run moves the share of failures by 1/16 */
+#define FAIL_MOST   0.5 /* beyond it a kind waits for nobody else's slots */
+#define FAIL_FORGET 128 /* a refusal takes so small a part of the share away \
+			 */
 
 static struct admit_kind *find_kind(struct admit *, uint32_t);
-static int
-before(const struct admit_request *, const struct admit_request *, int64_t);
+static int is_failing(const struct admit *, uint32_t);
+static int before(const struct admit *, const struct admit_request *,
+    const struct admit_request *, int64_t);
 static int is_cold(const struct admit *, int64_t);
 static int64_t cold_free_at(const struct admit *, int64_t);
-static int ahead_of(const struct admit *, int);
+static int ahead_of(const struct admit *, int, int);
 
 /* Prepares for a target of which nothing is known: one at a time. */
 void
@@ -89,7 +94,7 @@
 			return &a->kinds[i];
 	if (a->nkinds == ADMIT_KINDS)
 		return &a->kinds[kind % ADMIT_KINDS];
-	a->kinds[a->nkinds] = (struct admit_kind){ kind, a->mean_us, 0 };
+	a->kinds[a->nkinds] = (struct admit_kind){ kind, a->mean_us, 0, 0 };
 	return &a->kinds[a->nkinds++];
 }
 
@@ -105,26 +110,51 @@
 	return a->mean_us / US_PER_MS;
 }
 
+/* Whether most runs of a kind fail. */
+static int
+is_failing(const struct admit *a, uint32_t kind)
+{
+	int i;
+
+	for (i = 0; i < a->nkinds; i++)
+		if (a->kinds[i].kind == kind)
+			return a->kinds[i].failing > FAIL_MOST;
+	return 0;
+}
+
+/* How a run ended. */
+void
+admit_note(struct admit *a, uint32_t kind, int failed)
+{
+	struct admit_kind *k = find_kind(a, kind);
+
+	k->failing += ((failed != 0) - k->failing) / FAIL_SMOOTH;
+}
+
 /*
  * Order of turns: those that can still reach their goal before those that
- * cannot, then priority, then the earlier goal.
+ * cannot, those whose kind mostly fails last of these, then priority, then the
+ * earlier goal.
  */
 static int
-before(
-    const struct admit_request *x, const struct admit_request *y, int64_t now)
+before(const struct admit *a, const struct admit_request *x,
+    const struct admit_request *y, int64_t now)
 {
 	int late_x = x->goal <= now, late_y = y->goal <= now;
+	int failing_x = is_failing(a, x->kind);
 
 	if (late_x != late_y)
 		return late_y;
+	if (failing_x != is_failing(a, y->kind))
+		return !failing_x;
 	if (x->priority != y->priority)
 		return x->priority < y->priority;
 	return x->goal < y->goal;
 }
 
-/* Waiting requests that go before a new one of a priority. */
+/* Waiting requests that go before a new one. */
 static int
-ahead_of(const struct admit *a, int priority)
+ahead_of(const struct admit *a, int priority, int failing)
 {
 	const struct admit_request *r;
 	int n = 0;
@@ -132,16 +162,17 @@
 
 	for (i = 0; i < a->waiting->len; i++) {
 		r = &g_array_index(a->waiting, struct admit_request, i);
-		n += r->priority <= priority;
+		n += r->priority <= priority &&
+		     (failing || !is_failing(a, r->kind));
 	}
 	return n;
 }
 
 /* Time until a request that comes now could start. */
 int
-admit_wait_ms(const struct admit *a, int priority, int64_t now)
+admit_wait_ms(const struct admit *a, uint32_t kind, int priority, int64_t now)
 {
-	int ahead = ahead_of(a, priority), over, wait = 0;
+	int ahead = ahead_of(a, priority, is_failing(a, kind)), over, wait = 0;
 	int64_t cold;
 
 	over = a->running + ahead + 1 - a->slots;
@@ -165,18 +196,25 @@
 admit_offer(struct admit *a, const struct admit_request *r, int64_t now)
 {
 	int work = admit_work_ms(a, r->kind), wait;
+	struct admit_kind *k;
 	int64_t until;
 	guint i;
 
 	if (now + work * FIT_PERCENT / 100 >= r->deadline)
 		return ADMIT_LATE;
-	wait = admit_wait_ms(a, r->priority, now);
+	wait = admit_wait_ms(a, r->kind, r->priority, now);
+	if (wait > 0 && is_failing(a, r->kind)) {
+		/* It is tried again after a while: what failed may be well. */
+		k = find_kind(a, r->kind);
+		k->failing -= k->failing / FAIL_FORGET;
+		return ADMIT_BUSY;
+	}
 	a->least_urgent = MAX(a->least_urgent, r->priority);
 	until = r->priority < a->least_urgent ? r->deadline : r->goal;
 	if (wait > 0 && now + wait + work > until)
 		return ADMIT_BUSY;
 	for (i = 0; i < a->waiting->len; i++)
-		if (before(r,
+		if (before(a, r,
 			&g_array_index(a->waiting, struct admit_request, i),
 			now))
 			break;
--- a/mesh/admit.h
+++ b/mesh/admit.h
@@ -24,6 +24,7 @@
 	uint32_t kind;
 	int work_us; /* at the target, smoothed */
 	int samples;
+	double failing; /* share that ended with a failure lately */
 };
 
 #define ADMIT_STARTS \
@@ -72,8 +73,14 @@
 int admit_cancel(struct admit *, const void *cookie);
 /* One that ran came back; work_us below 0 says nothing of its work. */
 void admit_done(struct admit *, uint32_t kind, int work_us);
+/*
+ * How the run of a kind ended.  One that mostly fails, as when the calls that
+ * its runs make are refused, is given slots that nobody else wants.
+ */
+void admit_note(struct admit *, uint32_t kind, int failed);
 /* ms until a request that comes now could start. */
-int admit_wait_ms(const struct admit *, int priority, int64_t now);
+int
+admit_wait_ms(const struct admit *, uint32_t kind, int priority, int64_t now);
 /* Estimated work of a kind, in ms. */
 int admit_work_ms(const struct admit *, uint32_t kind);
 /* Percent of the slots in use, with those who wait. */
--- a/proxy/gate.c
+++ b/proxy/gate.c
@@ -71,9 +71,10 @@
 
 	counter_add(CTR_GUARD_REFUSED, 1);
 	r.load = gate_load(g);
-	r.retry_after_ms = why == OUTCOME_REFUSED
-			       ? outlier_wait_ms(&g->outlier, now)
-			       : admit_wait_ms(&g->admit, j->priority, now);
+	r.retry_after_ms =
+	    why == OUTCOME_REFUSED
+		? outlier_wait_ms(&g->outlier, now)
+		: admit_wait_ms(&g->admit, j->kind, j->priority, now);
 	base_log(G_LOG_LEVEL_INFO, "gate-refused",
 	    "id=%s outcome=%s target=%s load=%d wait_ms=%d left_ms=%d", j->id,
 	    outcomes[why].code, g->id, r.load, r.retry_after_ms,
@@ -325,6 +326,9 @@
 	}
 	admit_done(
 	    &g->admit, j->kind, r.outcome == OUTCOME_ANSWERED ? (int)us : -1);
+	if (r.outcome == OUTCOME_ANSWERED)
+		admit_note(&g->admit, j->kind,
+		    m->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR);
 	if (r.outcome == OUTCOME_ANSWERED)
 		poison_clear(g->poison, j->fingerprint);
 	else
--- a/test/test_admit.c
+++ b/test/test_admit.c
@@ -256,6 +256,60 @@
 	admit_clear(&s.a);
 }
 
+#define CALLERS_KIND 7 /* its runs make calls that are refused */
+#define PLAIN_KIND   8
+
+/*
+ * Load pattern: another service cannot take calls, so that most runs of one
+ * kind fail after their work, while more of both kinds arrives than the slots
+ * do.  The slots go to the kind that is served.
+ */
+static void
+work_that_is_thrown_away(void)
+{
+	struct admit a;
+	struct admit_request r, running[SLOTS];
+	int64_t now, until[SLOTS] = { 0 };
+	int served = 0, offered = 0, tried = 0, i, k;
+
+	admit_init(&a);
+	admit_set_slots(&a, SLOTS);
+	for (now = 1; now < 20000; now++) {
+		for (i = 0; i < SLOTS; i++) {
+			if (until[i] == 0 || now < until[i])
+				continue;
+			until[i] = 0;
+			k = (int)running[i].kind;
+			admit_done(&a, (uint32_t)k, WORK_MS * 1000);
+			admit_note(&a, (uint32_t)k, k == CALLERS_KIND);
+			served += k == PLAIN_KIND && now <= running[i].goal;
+			tried += k == CALLERS_KIND;
+		}
+		/* Each kind alone fills nine tenths of the slots. */
+		for (k = CALLERS_KIND; k <= PLAIN_KIND; k++) {
+			if ((now + k) % (WORK_MS * 10 / (SLOTS * 9)) != 0)
+				continue;
+			r = (struct admit_request){ .kind = (uint32_t)k,
+				.arrived = now,
+				.goal = now + GOAL_MS,
+				.deadline = now + LIMIT_MS };
+			offered += k == PLAIN_KIND;
+			admit_offer(&a, &r, now);
+		}
+		for (i = 0; i < SLOTS; i++)
+			if (until[i] == 0 && admit_next(&a, &r, now) > 0) {
+				running[i] = r;
+				until[i] = now + WORK_MS;
+			}
+	}
+	CU_ASSERT(served > offered * 9 / 10);
+	/* Some are tried all the same: the calls may be taken again. */
+	CU_ASSERT(tried > 20);
+	if (served <= offered * 9 / 10)
+		printf("%d of %d\n", served, offered);
+	admit_clear(&a);
+}
+
 /* Repeats stay within a share of the requests of the window. */
 static void
 budget_of_repeats(void)
@@ -278,6 +332,7 @@
 }
 
 static const struct test tests[] = {
+	{ "work that is thrown away", work_that_is_thrown_away },
 	{ "sustained overload", sustained_overload },
 	{ "burst", burst },
 	{ "retries that are late", retries_that_are_late },
