A node finds out sooner that two feeders cannot read

The node that reads for a data centre and the next in the order were cut off from the store without a word. The third node found out one after the other, 1.2 to 2.6 s each: a reader that has just begun says for seconds that it reads, as no call of its own has failed yet, and a node that was told by its feeder that it cannot read did not read itself meanwhile.

Change: in a data centre of up to 8 nodes whoever loses a feeder that cannot read reads itself until another one says that it does. A reader says nothing until the store has answered it, and after 500 ms without an answer that it cannot read. What operators write is watched for 1.2 s at a time instead of 1.9, and a failure is told at the next look.

--- a/side/feed.c
+++ b/side/feed.c
@@ -27,6 +27,7 @@
  * then this node reads for itself.
  */
 #define FIRST_MS  3000
+#define FEW	  8 /* nodes of a data centre */
 #define GLANCE_MS 400
 
 struct candidate_node {
@@ -200,8 +201,11 @@
 		return;
 	base_log(G_LOG_LEVEL_MESSAGE, "feeder-lost", "addr=%s reason=\"%s\"",
 	    f->feed.addr, why);
-	/* If it only cannot read, the store may be away for this node too. */
-	f->feed.orphan = strcmp(why, BLIND) != 0;
+	/*
+	 * If it only cannot read, the store may be away for this node too; a
+	 * few nodes may find that out, many would ask too often.
+	 */
+	f->feed.orphan = strcmp(why, BLIND) != 0 || f->feed.others <= FEW;
 	if (f->feed.helpless) {
 		/* As many as anybody tries: then the store is away for all. */
 		f->feed.helpless = ++f->feed.helper % FEEDERS_MAX != 0;
@@ -236,7 +240,8 @@
 		f->feed.rank = 0;
 		choose(f);
 	}
-	f->feed.orphan = 0;
+	if (is_word)
+		f->feed.orphan = 0;
 	proxy_target_reported(f->proxy);
 }
 
@@ -253,7 +258,8 @@
 {
 	int blind = f->leaving || store_reader_blind(f->reader);
 
-	if (now - f->feed.told_at < TELL_MS)
+	if (now - f->feed.told_at < TELL_MS ||
+	    (!f->leaving && !store_reader_settled(f->reader)))
 		return;
 	f->feed.told_at = now;
 	if (store_reader_watches(f->reader))
--- a/side/follow.c
+++ b/side/follow.c
@@ -313,8 +313,11 @@
 {
 	struct follow *f = arg;
 
-	if (store_reader_watches(f->reader))
-		proxy_store_lost(f->proxy);
+	if (!store_reader_watches(f->reader))
+		return;
+	proxy_store_lost(f->proxy);
+	/* Those who are fed hear of it with the next look. */
+	f->feed.told_at = 0;
 }
 
 static void
--- a/side/reader.c
+++ b/side/reader.c
@@ -13,10 +13,11 @@
  * Three seconds after the end of a disturbance a node counts as in touch, and
  * has to hold what was written since: all of these end before.
  */
-#define OPERATORS_WAIT_MS 1900
+#define OPERATORS_WAIT_MS 1200
 #define TARGETS_WAIT_MS	  1200
 #define TARGETS_PAUSE_MS  800  /* of 2000 until a leaving target gets nothing */
 #define OVERDUE_MS	  2600 /* without an answer about targets: blind */
+#define UNANSWERED_MS	  500  /* the same for who has begun to watch */
 #define RETRY_MS	  150  /* after a failure, doubling */
 #define RETRY_MAX_MS	  1000
 /* The same for who waits with others, and has word of those who read for all.
@@ -55,6 +56,8 @@
 	int others;	    /* that watch for the same reason, or 0 */
 	int64_t trouble_at; /* a call failed last */
 	int64_t alive_at;   /* targets were read last */
+	int64_t began_at;   /* to watch */
+	int answered;	    /* the store has answered since */
 	int relist;	    /* what is missing is believed after a new list */
 };
 
@@ -153,7 +156,8 @@
 		return;
 	base_log(G_LOG_LEVEL_MESSAGE, "reader", "watches=%d", on);
 	r->watches = on;
-	r->alive_at = base_now_ms();
+	r->alive_at = r->began_at = base_now_ms();
+	r->answered = 0;
 	for (i = 0; i < G_N_ELEMENTS(r->askers); i++) {
 		r->askers[i].listed = 0;
 		g_clear_pointer(&r->askers[i].page, g_free);
@@ -183,11 +187,20 @@
 int
 store_reader_blind(const struct store_reader *r)
 {
+	if (!r->answered && store_reader_settled(r))
+		return 1;
 	return r->askers[PLATFORM_OPERATORS].failures > 0 ||
 	       r->askers[PLATFORM_TARGETS].failures > 0 ||
 	       base_now_ms() - r->alive_at > OVERDUE_MS;
 }
 
+/* Whether the store has answered since the reader began, or had the time. */
+int
+store_reader_settled(const struct store_reader *r)
+{
+	return r->answered || base_now_ms() - r->began_at > UNANSWERED_MS;
+}
+
 /* Whether nothing has failed for long enough to believe what is missing. */
 static int
 is_calm(const struct store_reader *r)
@@ -316,6 +329,7 @@
 		on_failure(a, err, p);
 		return;
 	}
+	r->answered = 1;
 	if (a->failures > 0) {
 		base_log(G_LOG_LEVEL_MESSAGE, "store-regained",
 		    "question=%s failures=%d", part_names[a->part],
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -512,6 +512,62 @@
 	world_stop(&w);
 }
 
+/* Cuts a node off from the store by a door of its own, which says nothing. */
+static void
+cut_off(struct world *w, int i, char *addr, int host)
+{
+	int door;
+
+	g_snprintf(addr, ADDRESS_MAX, "127.0.0.%d:%d", host, w->rig.ports + 4);
+	door = store_door(w->store, addr);
+	CU_ASSERT(door > 0);
+	follow_stop(w->follows[i]);
+	w->settings[i].store = addr;
+	w->follows[i] = follow_start(w->rig.base, &w->settings[i],
+	    w->rig.nodes[i].view, w->rig.nodes[i].proxy);
+	rig_run(&w->rig, 1500);
+	store_set_door_fault(w->store, door, STORE_SILENT);
+}
+
+/*
+ * The node that reads for all and the next in the order are cut off from the
+ * store without a word.  The one that is left finds out the first by its word;
+ * it must not wait until it has found out the second as well.
+ */
+static void
+two_feeders_are_cut_off(void)
+{
+	char first[ADDRESS_MAX], second[ADDRESS_MAX];
+	struct world w;
+	int i, f, s, k;
+	uint64_t h, least = UINT64_MAX;
+
+	world_start(&w);
+	f = first_in_order(&w);
+	for (i = s = 0; i < NODES; i++) {
+		const char *addr = w.rig.nodes[i].target.addr;
+
+		if (i == f || (h = XXH64(addr, strlen(addr), 0)) >= least)
+			continue;
+		least = h;
+		s = i;
+	}
+	cut_off(&w, s, second, 98);
+	cut_off(&w, f, first, 99);
+	/*
+	 * A storm of changes.  Three seconds after the cut a node counts as in
+	 * touch; from then on what was written two seconds ago is in force.
+	 */
+	for (k = 0; k < 28; k++) {
+		store_put_config(w.store, 70 + k, "svc", "/run/");
+		rig_run(&w.rig, 200);
+		if (k >= 15)
+			CU_ASSERT(version(&w, NODES - f - s) >=
+				  70 + (uint64_t)k - 10);
+	}
+	world_stop(&w);
+}
+
 #define SILENT 3
 
 /*
@@ -609,6 +665,7 @@
 	    history_is_forgotten_by_whom_nobody_feeds },
 	{ "all feeders are silent", all_feeders_are_silent },
 	{ "a node is turned away", a_node_is_turned_away },
+	{ "two feeders are cut off", two_feeders_are_cut_off },
 	{ "a better feeder is taken", a_better_feeder_is_taken },
 	{ "nodes start before their targets",
 	    nodes_start_before_their_targets },
