--- a/side/reader.c
+++ b/side/reader.c
@@ -13,13 +13,12 @@
  * Three seconds after the end of a disturbance a node counts as in touch, and
  * has to hold what was written since: all of these end before.
  */
-#define OPERATORS_WAIT_MS 1200
-#define TARGETS_WAIT_MS	  1200
-#define TARGETS_PAUSE_MS  800  /* of 2000 until a leaving target gets nothing */
-#define OVERDUE_MS	  2600 /* without an answer about targets: blind */
-#define UNANSWERED_MS	  500  /* the same for who has begun to watch */
-#define RETRY_MS	  150  /* after a failure, doubling */
-#define RETRY_MAX_MS	  1000
+#define WAIT_MS		 1200 /* of a watch */
+#define TARGETS_PAUSE_MS 800  /* of 2000 until a leaving target gets nothing */
+#define OVERDUE_MS	 2600 /* without an answer about targets: blind */
+#define UNANSWERED_MS	 500  /* the same for who has begun to watch */
+#define RETRY_MS	 150  /* after a failure, doubling */
+#define RETRY_MAX_MS	 1000
 /* The same for who waits with others, and has word of those who read for all.
  */
 #define PATIENT_MIN_MS	2000
@@ -230,10 +229,8 @@
 	a->asked = 1;
 	a->resting = 0;
 	if (a->listed)
-		platform_watch(a->store, a->part, a->after,
-		    a->part == PLATFORM_TARGETS ? TARGETS_WAIT_MS
-						: OPERATORS_WAIT_MS,
-		    on_page, a);
+		platform_watch(
+		    a->store, a->part, a->after, WAIT_MS, on_page, a);
 	else
 		platform_list(
 		    a->store, a->part, a->page, !r->watches, on_page, a);
