--- a/mesh/admit.c
+++ b/mesh/admit.c
@@ -15,8 +15,7 @@
 #define FIT_PERCENT 50
 #define FAIL_SMOOTH 16	/* a run moves the share of failures by 1/16 */
 #define FAIL_MOST   0.5 /* beyond it a kind waits for nobody else's slots */
-#define FAIL_FORGET 128 /* a refusal takes so small a part of the share away \
-			 */
+#define FAIL_FORGET 128 /* a refusal takes 1/128 of the share away */
 
 static struct admit_kind *find_kind(struct admit *, uint32_t);
 static int is_failing(const struct admit *, uint32_t);
