--- a/proxy/link_int.h
+++ b/proxy/link_int.h
@@ -70,7 +70,7 @@
 void link_serve_request(struct link *, uint32_t stream, const Link__Request *);
 void link_serve_cancel(struct link *, uint32_t stream);
 void link_serve_end(struct link *);
-void served_free(struct served_job *);
+void link_served_free(struct served_job *);
 
 /* link_stream.c: long answers, in pieces that take turns on a link */
 void link_stream_head(struct job *, const struct http_message *);
--- a/proxy/link_serve.c
+++ b/proxy/link_serve.c
@@ -7,7 +7,7 @@
 
 /* Releases a job. */
 void
-served_free(struct served_job *s)
+link_served_free(struct served_job *s)
 {
 	link_stream_drop(s);
 	http_message_free(s->job.msg);
@@ -83,7 +83,7 @@
 	link_write(l, &f);
 	link_headers_free(a.headers, a.n_headers);
 	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(j->stream));
-	served_free(j->arg);
+	link_served_free(j->arg);
 }
 
 /* Nobody waits any more. */
@@ -99,7 +99,7 @@
 	/* The target may be done with it already. */
 	if (!s->ended)
 		gate_cancel(&l->links->proxy->gate, &s->job);
-	served_free(s);
+	link_served_free(s);
 }
 
 /* The link has ended: none of its jobs has anybody waiting. */
--- a/proxy/link_stream.c
+++ b/proxy/link_stream.c
@@ -121,7 +121,7 @@
 	e.load = (uint32_t)s->load;
 	link_write(l, &f);
 	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(s->job.stream));
-	served_free(s);
+	link_served_free(s);
 }
 
 /* Gives turns while the link takes more. */
