The end of an answer counts with all bytes before it

Cause: found by reading: while a long answer waits for credit, some of its bytes are in the connection's buffer and not parsed. If the connection's end were handled before them, an answer without length would pass as whole without its last bytes. Change: what is in the buffer is parsed before the end is judged.

--- a/proxy/upstream.c
+++ b/proxy/upstream.c
@@ -60,6 +60,7 @@
 static void pass_on(struct sending *);
 static void take_pieces(struct sending *);
 static void take_answer(struct sending *);
+static int ends_whole(struct sending *, struct evbuffer *);
 static void on_read(struct bufferevent *, void *);
 static void on_event(struct bufferevent *, short, void *);
 static void on_timer(evutil_socket_t, short, void *);
@@ -379,21 +380,33 @@
 		take_pieces(x);
 }
 
+/* Whether the answer is whole with the bytes that came before the end. */
+static int
+ends_whole(struct sending *x, struct evbuffer *rest)
+{
+	int err = http_parse_feed(&x->parse, rest);
+
+	return err == HTTP_OK ||
+	       (err == HTTP_ENOMESSAGE && http_parse_end(&x->parse) == HTTP_OK);
+}
+
 /* The connection opened or ended. */
 static void
 on_event(struct bufferevent *bev, short what, void *arg)
 {
 	struct sending *x = arg;
 
-	(void)bev;
 	if (what & BEV_EVENT_CONNECTED) {
 		x->connected = 1;
 		evtimer_del(x->timer);
 		return;
 	}
-	/* A clean end may be the end of an answer without length. */
+	/*
+	 * A clean end may be the end of an answer without length, of which some
+	 * bytes may wait for credit.
+	 */
 	if (x->calls != NULL && (what & BEV_EVENT_EOF) &&
-	    http_parse_end(&x->parse) == HTTP_OK)
+	    ends_whole(x, bufferevent_get_input(bev)))
 		take_answer(x);
 	else
 		fail(x);
--- a/test/test_stream.c
+++ b/test/test_stream.c
@@ -22,6 +22,7 @@
 	const char *again; /* then this, over and over */
 	int64_t most;	   /* bytes of it, 0: without end */
 	int cut;	   /* it resets the connection after these */
+	int ends;	   /* it ends the connection well after these */
 	int drip_ms;	   /* between two bytes, 0: as fast as may be */
 	int conns;	   /* connections that are open and have more to send */
 };
@@ -69,6 +70,8 @@
 		c->done = 1;
 		s->conns -= c->counted;
 		c->counted = 0;
+		if (s->ends && shutdown(bufferevent_getfd(bev), SHUT_WR) != 0)
+			g_error("a source cannot end its answer");
 		if (s->cut)
 			source_free(c);
 	}
@@ -305,6 +308,38 @@
 	}
 }
 
+/*
+ * An answer that ends with its connection, taken slowly: its last bytes have
+ * arrived, and wait for credit, when the end comes.
+ */
+static void
+the_end_waits_for_the_rest(void)
+{
+	struct rig r;
+	struct source s = { .begin = HEAD "\r\n",
+		.again = "0123456789",
+		.most = 3000000,
+		.ends = 1 };
+	struct taker t;
+	int node, k;
+
+	for (node = 0; node < 2; node++) {
+		start(&r, &s);
+		taker_start(&r, &t, node, "1.1");
+		for (k = 0; k < 40 && !t.whole; k++) {
+			bufferevent_disable(t.bev, EV_READ);
+			rig_run(&r, 8);
+			bufferevent_enable(t.bev, EV_READ);
+			rig_run(&r, 2);
+		}
+		taker_wait(&r, &t);
+		CU_ASSERT(t.whole && !t.ended);
+		CU_ASSERT_EQUAL(t.got, 3000000);
+		taker_end(&t);
+		stop(&r, &s);
+	}
+}
+
 /* A short answer does not wait for a long one on the same link. */
 static void
 short_answers_go_between(void)
@@ -496,6 +531,7 @@
 
 static const struct test tests[] = {
 	{ "long answers", long_answers },
+	{ "the end waits for the rest", the_end_waits_for_the_rest },
 	{ "short answers go between", short_answers_go_between },
 	{ "targets without end", targets_without_end },
 	{ "callers with large bodies", callers_with_large_bodies },
