Logs tell why a status check failed, what broke off, and which counts were told

gate-check-failed has the result; gate-failed, gate-resent and crash-told are new. tools/events.sh reads formats with G_GINT64_MODIFIER whole: it saw only the first field of crash-suspect, so that the manual page lacked the others. No logic changes.

--- a/proxy/gate.c
+++ b/proxy/gate.c
@@ -307,6 +307,9 @@
 	j->sending = NULL;
 	if (u == UPSTREAM_STALE && may_resend(g, j, base_now_ms())) {
 		j->resent = 1;
+		base_log(G_LOG_LEVEL_INFO, "gate-resent",
+		    "id=%s fingerprint=%016" G_GINT64_MODIFIER "x target=%s",
+		    j->id, j->fingerprint, g->id);
 		send_job(g, j);
 		return;
 	}
--- a/proxy/links.c
+++ b/proxy/links.c
@@ -243,6 +243,10 @@
 			link_stream_credit(l, f->stream, f->credit->bytes);
 		break;
 	case LINK__FRAME__BODY_SUSPECT:
+		base_log(G_LOG_LEVEL_MESSAGE, "crash-told",
+		    "fingerprint=%016" G_GINT64_MODIFIER "x crashes=%u peer=%s",
+		    f->suspect->fingerprint, f->suspect->crashes,
+		    l->addr != NULL ? l->addr : "-");
 		gate_suspect(&l->links->proxy->gate, f->suspect->fingerprint,
 		    (int)f->suspect->crashes);
 		break;
--- a/proxy/probe.c
+++ b/proxy/probe.c
@@ -237,7 +237,8 @@
 		up(g, m);
 	} else {
 		base_log(G_LOG_LEVEL_INFO, "gate-check-failed",
-		    "target=%s status=%d", g->id, m != NULL ? m->status : 0);
+		    "target=%s result=%s status=%d", g->id,
+		    upstream_results[u], m != NULL ? m->status : 0);
 		if (u == UPSTREAM_NOT_SENT) {
 			crashed(g);
 			if (g->state == GATE_UP)
@@ -284,6 +285,9 @@
 	struct broken b = { j->fingerprint, base_now_ms() };
 
 	counter_add(CTR_TARGET_FAILURES, 1);
+	base_log(G_LOG_LEVEL_MESSAGE, "gate-failed",
+	    "id=%s fingerprint=%016" G_GINT64_MODIFIER "x result=%s target=%s",
+	    j->id, j->fingerprint, upstream_results[u], g->id);
 	if (u == UPSTREAM_BROKEN || u == UPSTREAM_STALE) {
 		if (g->broken->len > 0 &&
 		    b.at - g_array_index(g->broken, struct broken, 0).at >
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -77,6 +77,8 @@
 	UPSTREAM_STALE,	   /* a connection that was idle ended without a byte */
 	UPSTREAM_BROKEN,   /* it may have run */
 };
+/* Their names in logs. */
+extern const char *const upstream_results[];
 
 struct upstream; /* opaque: see upstream.c */
 struct sending;	 /* opaque: one request at the target */
--- a/proxy/upstream.c
+++ b/proxy/upstream.c
@@ -47,6 +47,13 @@
 	GHashTable *all; /* of struct sending */
 };
 
+const char *const upstream_results[] = {
+	[UPSTREAM_ANSWER] = "answer",
+	[UPSTREAM_NOT_SENT] = "no_connection",
+	[UPSTREAM_STALE] = "idle_closed",
+	[UPSTREAM_BROKEN] = "broken",
+};
+
 static struct sending *open_sending(struct upstream *);
 static void close_sending(struct sending *);
 static void
--- a/tools/events.sh
+++ b/tools/events.sh
@@ -10,6 +10,7 @@
 	    tr '\n' ' ' | grep -oE 'base_log\([^;]*;' |
 	    sed -E "s/\\\\\"/'/g" |
 	    sed -E 's/"[[:space:]]*G_GU?INT64_FORMAT([[:space:]]*")?/N/g
+		s/"[[:space:]]*G_GINT64_MODIFIER[[:space:]]*"/N/g
 		s/"[[:space:]]+"//g' |
 	    awk -F'"' '{
 		n = split($4, w, /[ ]+/)
