A crash of the target is counted whatever connection shows it

Callers saw: a request that crashes each target ran again and again.

Cause: the gate counted a crash only if one status check, sent right after a request had broken off, was refused a connection. (1) The check could use a kept connection, which ended with the target and says nothing; no further one followed. (2) A request on a connection that was idle for 300 ms or more was taken for a race with the target's own close, sent once more, found no connection, and counted as not run. (3) A target that was back before the check was taken for one that had lived on.

Ruled out for this: counts of other gates; one node alone shows it.

Change: what broke off stays suspect until the target's fate is known: the check uses a new connection and is sent again until it is answered, which acquits what broke off before it, or nobody listens or another target answers, which counts. A refused request tells as much as a refused check. 'Nobody listens' is told apart from a connection that is reset as it opens, as by a target that is full. A request that was sent twice is no 'not run'.

The rig's targets can come back at once, as 1 ms was enough for a check to be refused.

--- a/proxy/gate.c
+++ b/proxy/gate.c
@@ -10,7 +10,9 @@
 
 static void refuse(struct gate *, struct job *, enum call_outcome);
 static void run(struct gate *, struct job *);
-static void send_job(struct gate *, struct job *);
+static void send_job(struct gate *, struct job *, enum upstream_reuse);
+static enum call_outcome outcome_of(struct gate *, const struct job *,
+    enum upstream_result, const struct http_message *);
 static int may_resend(struct gate *, const struct job *, int64_t);
 static void learn(struct gate *, enum outlier_event);
 static void flush(struct gate *, enum call_outcome);
@@ -40,6 +42,7 @@
 	g->poison = poison_new();
 	g->wake = evtimer_new(p->base, on_wake, g);
 	gate_probe_init(g);
+	crash_init(g);
 }
 
 /* Releases the gate; jobs end without a call. */
@@ -47,6 +50,7 @@
 gate_clear(struct gate *g)
 {
 	gate_probe_clear(g);
+	crash_clear(g);
 	upstream_free(g->upstream);
 	admit_clear(&g->admit);
 	poison_free(g->poison);
@@ -192,19 +196,20 @@
 	counter_add(CTR_GUARD_RUNS, 1);
 	histogram_add(HIST_GATE_WAIT, base_now_ms() - j->offered_at);
 	outlier_begin(&g->outlier);
-	send_job(g, j);
+	send_job(
+	    g, j, j->repeatable ? UPSTREAM_REUSE_ANY : UPSTREAM_REUSE_RECENT);
 }
 
 /* Writes a job's request on a connection to the target. */
 static void
-send_job(struct gate *g, struct job *j)
+send_job(struct gate *g, struct job *j, enum upstream_reuse reuse)
 {
 	struct evbuffer *written = evbuffer_new();
 	int64_t now = base_now_ms();
 
 	prepare(g, j, now);
 	http_write_request(written, j->msg);
-	j->sending = upstream_send(g->upstream, written, j->id, j->repeatable,
+	j->sending = upstream_send(g->upstream, written, j->id, reuse,
 	    strcmp(j->msg->method, "HEAD") == 0, &calls, j);
 	evbuffer_free(written);
 	base_log(G_LOG_LEVEL_INFO, "gate-sent",
@@ -293,6 +298,25 @@
 	admit_set_slots(&g->admit, outlier_slots(&g->outlier, g->slots));
 }
 
+/* What an exchange with the target says of its job. */
+static enum call_outcome
+outcome_of(struct gate *g, const struct job *j, enum upstream_result u,
+    const struct http_message *m)
+{
+	switch (u) {
+	case UPSTREAM_ANSWER:
+		return judge(g, j, m);
+	case UPSTREAM_REFUSED:
+	case UPSTREAM_NOT_SENT:
+		/* The first sending may have run it. */
+		return j->resent ? OUTCOME_BROKEN : OUTCOME_REFUSED;
+	case UPSTREAM_STALE:
+	case UPSTREAM_BROKEN:
+		break;
+	}
+	return OUTCOME_BROKEN;
+}
+
 /* A job came back from the target. */
 static void
 on_done(void *arg, enum upstream_result u, struct http_message *m)
@@ -310,33 +334,26 @@
 		base_log(G_LOG_LEVEL_INFO, "gate-resent",
 		    "id=%s fingerprint=%016" G_GINT64_MODIFIER "x target=%s",
 		    j->id, j->fingerprint, g->id);
-		send_job(g, j);
+		/* Its end may have been the target's. */
+		crash_suspect(g, j->fingerprint);
+		send_job(g, j, UPSTREAM_REUSE_NONE);
 		return;
 	}
 	g_ptr_array_remove_fast(g->running, j);
-	switch (u) {
-	case UPSTREAM_ANSWER:
-		r.outcome = judge(g, j, m);
-		r.answer = j->in_pieces ? NULL : m;
-		break;
-	case UPSTREAM_NOT_SENT:
-		r.outcome = OUTCOME_REFUSED;
-		break;
-	case UPSTREAM_STALE:
-	case UPSTREAM_BROKEN:
-		r.outcome = OUTCOME_BROKEN;
-		break;
-	}
+	r.outcome = outcome_of(g, j, u, m);
+	r.answer = j->in_pieces ? NULL : m;
 	admit_done(
 	    &g->admit, j->kind, r.outcome == OUTCOME_ANSWERED ? (int)us : -1);
 	if (r.outcome == OUTCOME_ANSWERED)
 		admit_note(&g->admit, j->kind,
 		    m->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR);
-	if (r.outcome == OUTCOME_ANSWERED)
+	if (r.outcome == OUTCOME_ANSWERED) {
 		poison_clear(g->poison, j->fingerprint);
-	else
+		crash_acquit(g, j->fingerprint);
+	} else {
 		gate_doubt(g, j, u, m);
-	if (u != UPSTREAM_NOT_SENT && u != UPSTREAM_STALE)
+	}
+	if (u == UPSTREAM_ANSWER || u == UPSTREAM_BROKEN)
 		learn(g, r.outcome == OUTCOME_ANSWERED ? OUTLIER_SERVED
 			 : r.outcome == OUTCOME_SHED   ? OUTLIER_SHED
 						       : OUTLIER_BROKEN);
--- a/proxy/probe.c
+++ b/proxy/probe.c
@@ -6,13 +6,11 @@
  */
 #include <string.h>
 
-#include "../mesh/poison.h"
 #include "gate_int.h"
 
 #define PROBE_PAUSE_MS	   100 /* before the second check, then doubling */
 #define PROBE_PAUSE_MAX_MS 1000
 #define PROBE_MS	   1000 /* for an answer; it may wait for a slot */
-#define CRASH_MS	   500 /* a failure and a refused check this close: a crash */
 /*
  * Of what the settings let a cold target bear in a second.  The rest is for
  * status checks, and for what a process before this one may have sent: such a
@@ -34,7 +32,6 @@
 static void on_answer(void *, enum upstream_result, struct http_message *);
 static int64_t cold_left(const struct gate *, const struct http_message *);
 static void up(struct gate *, const struct http_message *);
-static void crashed(struct gate *);
 static void on_blind(evutil_socket_t, short, void *);
 
 /* An answer to a status check is short. */
@@ -47,7 +44,6 @@
 	g->probe_timer = evtimer_new(g->proxy->base, on_timer, g);
 	g->probe_pause_ms = PROBE_PAUSE_MS;
 	g->blind = evtimer_new(g->proxy->base, on_blind, g);
-	g->broken = g_array_new(FALSE, FALSE, sizeof(struct broken));
 }
 
 /* Releases them. */
@@ -56,7 +52,6 @@
 {
 	event_free(g->probe_timer);
 	event_free(g->blind);
-	g_array_free(g->broken, TRUE);
 }
 
 /* A report came. */
@@ -143,7 +138,12 @@
 	evbuffer_add_printf(written, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
 	    c->services[i].health_path, g->proxy->settings->target);
 	counter_add(CTR_PROBES, 1);
-	g->probe = upstream_send(g->upstream, written, NULL, 1, 0, &calls, g);
+	g->probe_sent_us = base_now_us();
+	/* A kept connection may have ended with a target that is back. */
+	g->probe = upstream_send(g->upstream, written, NULL,
+	    g->state != GATE_UP || crash_is_open(g) ? UPSTREAM_REUSE_NONE
+						    : UPSTREAM_REUSE_ANY,
+	    0, &calls, g);
 	evbuffer_free(written);
 	evtimer_add(g->probe_timer, &tv);
 }
@@ -173,7 +173,7 @@
 	}
 	upstream_cancel(g->probe);
 	g->probe = NULL;
-	if (g->state != GATE_UP)
+	if (g->state != GATE_UP || crash_is_open(g))
 		again(g);
 }
 
@@ -208,6 +208,7 @@
 	if (id != NULL && strlen(id) <= VIEW_ID_MAX && strcmp(id, g->id) != 0) {
 		base_log(G_LOG_LEVEL_MESSAGE, "gate-target",
 		    "id=%s before=%s cold_ms=%d", id, g->id, (int)cold);
+		crash_found(g);
 		g_strlcpy(g->id, id, sizeof(g->id));
 		g->revision = 0;
 		g->gone = g->listed = 0;
@@ -235,67 +236,41 @@
 	evtimer_del(g->probe_timer);
 	if (u == UPSTREAM_ANSWER && m->status == HTTP_STATUS_OK) {
 		up(g, m);
+		crash_denied(g, g->probe_sent_us);
 	} else {
 		base_log(G_LOG_LEVEL_INFO, "gate-check-failed",
-		    "target=%s result=%s status=%d", g->id,
-		    upstream_results[u], m != NULL ? m->status : 0);
-		if (u == UPSTREAM_NOT_SENT) {
-			crashed(g);
-			if (g->state == GATE_UP)
-				gate_set_state(
-				    g, GATE_UNKNOWN, "no connection");
-		}
+		    "target=%s result=%s status=%d", g->id, upstream_results[u],
+		    m != NULL ? m->status : 0);
+		if (u == UPSTREAM_REFUSED)
+			crash_found(g);
+		else if (u == UPSTREAM_ANSWER)
+			crash_denied(g, g->probe_sent_us);
+		if ((u == UPSTREAM_REFUSED || u == UPSTREAM_NOT_SENT) &&
+		    g->state == GATE_UP)
+			gate_set_state(g, GATE_UNKNOWN, "no connection");
 		if (g->state == GATE_UNKNOWN)
 			again(g);
 	}
+	if (crash_is_open(g) && g->probe == NULL &&
+	    !evtimer_pending(g->probe_timer, NULL))
+		again(g);
 	http_message_free(m);
 }
 
-/* The target is down right after it broke off requests: they are suspect. */
-static void
-crashed(struct gate *g)
-{
-	const struct broken *b;
-	int64_t now = base_now_ms();
-	guint i;
-	int n;
-
-	for (i = 0; i < g->broken->len; i++) {
-		b = &g_array_index(g->broken, struct broken, i);
-		if (now - b->at > CRASH_MS)
-			continue;
-		n = poison_crashes(g->poison, b->fingerprint, now) + 1;
-		poison_raise(g->poison, b->fingerprint, n, now);
-		links_suspect(&g->proxy->links, b->fingerprint, n);
-		base_log(G_LOG_LEVEL_MESSAGE, "crash-suspect",
-		    "fingerprint=%016" G_GINT64_MODIFIER
-		    "x crashes=%d target=%s",
-		    b->fingerprint, n, g->id);
-	}
-	if (g->broken->len > 0)
-		counter_add(CTR_TARGET_CRASHES, 1);
-	g_array_set_size(g->broken, 0);
-}
-
 /* A job failed: whether the target still stands there is asked. */
 void
 gate_doubt(struct gate *g, const struct job *j, enum upstream_result u,
     const struct http_message *m)
 {
-	struct broken b = { j->fingerprint, base_now_ms() };
-
 	counter_add(CTR_TARGET_FAILURES, 1);
 	base_log(G_LOG_LEVEL_MESSAGE, "gate-failed",
 	    "id=%s fingerprint=%016" G_GINT64_MODIFIER "x result=%s target=%s",
 	    j->id, j->fingerprint, upstream_results[u], g->id);
 	if (u == UPSTREAM_BROKEN || u == UPSTREAM_STALE) {
-		if (g->broken->len > 0 &&
-		    b.at - g_array_index(g->broken, struct broken, 0).at >
-			CRASH_MS)
-			g_array_set_size(g->broken, 0);
-		g_array_append_val(g->broken, b);
-		gate_probe(g);
-	} else if (u == UPSTREAM_NOT_SENT || (m != NULL && m->status == 421)) {
+		crash_suspect(g, j->fingerprint);
+	} else if (u != UPSTREAM_ANSWER || m->status == 421) {
+		if (u == UPSTREAM_REFUSED)
+			crash_found(g);
 		if (g->state == GATE_UP)
 			gate_set_state(g, GATE_UNKNOWN,
 			    m != NULL ? "another target" : "no connection");
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -73,6 +73,7 @@
 
 enum upstream_result {
 	UPSTREAM_ANSWER,   /* the target's whole answer */
+	UPSTREAM_REFUSED,  /* nobody listens there: nothing was sent */
 	UPSTREAM_NOT_SENT, /* no connection: nothing was sent */
 	UPSTREAM_STALE,	   /* a connection that was idle ended without a byte */
 	UPSTREAM_BROKEN,   /* it may have run */
@@ -92,6 +93,13 @@
 	    void *arg, enum upstream_result, struct http_message *answer);
 };
 
+/* Kept connections that a request may be sent on. */
+enum upstream_reuse {
+	UPSTREAM_REUSE_ANY,    /* while the target is thought to keep them */
+	UPSTREAM_REUSE_RECENT, /* used so lately that none can have ended */
+	UPSTREAM_REUSE_NONE,   /* none: the outcome tells of the target now */
+};
+
 struct upstream *upstream_new(
     struct event_base *, const char *addr, const struct header_names *);
 void upstream_free(struct upstream *);
@@ -105,7 +113,7 @@
  */
 struct sending *
 upstream_send(struct upstream *, struct evbuffer *written, const char *id,
-    int repeatable, int is_head, const struct upstream_calls *, void *arg);
+    enum upstream_reuse, int is_head, const struct upstream_calls *, void *arg);
 /* So many more bytes of a long answer may come. */
 void upstream_take(struct sending *, size_t);
 /* Gives an exchange up: its connection is closed, nothing is called. */
@@ -122,7 +130,7 @@
 /* A request that the target broke off. */
 struct broken {
 	uint64_t fingerprint;
-	int64_t at;
+	int64_t at_us;
 };
 
 struct gate {
@@ -140,6 +148,7 @@
 	int listed;		  /* its entry was seen */
 	int gone;		  /* and is gone */
 	struct sending *probe;
+	int64_t probe_sent_us;
 	struct event *probe_timer; /* for its answer, or before the next */
 	int probe_pause_ms;
 	struct event *blind; /* no report of the target came in time */
@@ -147,7 +156,7 @@
 	struct event *wake;
 	GPtrArray *running; /* of struct job */
 	struct poison *poison;
-	GArray *broken; /* of struct broken: the last that broke off */
+	GArray *broken; /* of struct broken, until the target's fate is known */
 };
 
 void gate_init(struct gate *, struct proxy *);
--- a/proxy/upstream.c
+++ b/proxy/upstream.c
@@ -1,4 +1,5 @@
 /* Connections to the target beside the node: one exchange at a time on each. */
+#include <errno.h>
 #include <string.h>
 
 #include "proxy_int.h"
@@ -49,6 +50,7 @@
 
 const char *const upstream_results[] = {
 	[UPSTREAM_ANSWER] = "answer",
+	[UPSTREAM_REFUSED] = "refused",
 	[UPSTREAM_NOT_SENT] = "no_connection",
 	[UPSTREAM_STALE] = "idle_closed",
 	[UPSTREAM_BROKEN] = "broken",
@@ -61,7 +63,8 @@
 static void keep(struct sending *, const struct http_message *);
 static void learn_idle(struct upstream *, int64_t);
 static int64_t idle_max(const struct upstream *);
-static void fail(struct sending *);
+static int64_t idle_allowed(const struct upstream *, enum upstream_reuse);
+static void fail(struct sending *, int);
 static int64_t announced_idle(const struct http_message *);
 static int is_stray(const struct sending *, const struct http_message *);
 static void pass_on(struct sending *);
@@ -160,16 +163,31 @@
 	g_free(x);
 }
 
+/* How long a connection may have been idle to be used, below 0: none is. */
+static int64_t
+idle_allowed(const struct upstream *u, enum upstream_reuse reuse)
+{
+	switch (reuse) {
+	case UPSTREAM_REUSE_ANY:
+		return idle_max(u);
+	case UPSTREAM_REUSE_RECENT:
+		return FRESH_MS;
+	case UPSTREAM_REUSE_NONE:
+		break;
+	}
+	return -1;
+}
+
 /* Sends a request. */
 struct sending *
 upstream_send(struct upstream *u, struct evbuffer *written, const char *id,
-    int repeatable, int is_head, const struct upstream_calls *calls, void *arg)
+    enum upstream_reuse reuse, int is_head, const struct upstream_calls *calls,
+    void *arg)
 {
 	struct sending *x = g_queue_peek_head(&u->idle);
 	int64_t now = base_now_ms();
 
-	if (x != NULL &&
-	    now - x->used_at <= (repeatable ? idle_max(u) : FRESH_MS)) {
+	if (x != NULL && now - x->used_at <= idle_allowed(u, reuse)) {
 		g_queue_remove(&u->idle, x);
 		evtimer_del(x->timer);
 		x->reused = 1;
@@ -258,9 +276,9 @@
 	return base_now_ms() < u->idle_until ? u->idle_max : IDLE_MAX_MS;
 }
 
-/* The connection ended before a whole answer. */
+/* The connection ended before a whole answer, by that error or 0. */
 static void
-fail(struct sending *x)
+fail(struct sending *x, int error)
 {
 	enum upstream_result r;
 	int64_t idle;
@@ -277,7 +295,11 @@
 		finish(x, UPSTREAM_STALE, NULL);
 		return;
 	}
-	r = x->reused || x->connected ? UPSTREAM_BROKEN : UPSTREAM_NOT_SENT;
+	if (x->reused || x->connected)
+		r = UPSTREAM_BROKEN;
+	else
+		r = error == ECONNREFUSED ? UPSTREAM_REFUSED
+					  : UPSTREAM_NOT_SENT;
 	finish(x, r, NULL);
 }
 
@@ -416,7 +438,7 @@
 	    ends_whole(x, bufferevent_get_input(bev)))
 		take_answer(x);
 	else
-		fail(x);
+		fail(x, what & BEV_EVENT_ERROR ? EVUTIL_SOCKET_ERROR() : 0);
 }
 
 /* It did not open in time, or was idle for long enough. */
@@ -425,5 +447,5 @@
 {
 	(void)fd;
 	(void)what;
-	fail(arg);
+	fail(arg, 0);
 }
--- a/test/rig.h
+++ b/test/rig.h
@@ -7,7 +7,8 @@
 
 #include "../platform/platform.h"
 
-#define RIG_NODES 4
+#define RIG_NODES   4
+#define RIG_AT_ONCE -1 /* a crashed target is back before anybody can tell */
 
 /* What a scripted target does after its bytes. */
 enum rig_then {
@@ -32,7 +33,8 @@
 	int no_seal; /* its answers carry no proof */
 	/*
 	 * A request whose path ends with "/crash" ends the target when it
-	 * begins; it is back after this, ms.  0: such a request is served.
+	 * begins; it is back after this, ms, or RIG_AT_ONCE.  0: such a
+	 * request is served.
 	 */
 	int crash_ms;
 	int crashes;
--- a/test/rig_target.c
+++ b/test/rig_target.c
@@ -55,7 +55,7 @@
 static int
 crashes_target(const struct rig_target *t, const char *path)
 {
-	return t->crash_ms > 0 && g_str_has_suffix(path, "/crash");
+	return t->crash_ms != 0 && g_str_has_suffix(path, "/crash");
 }
 
 /* The target's process ends: all its connections close, it is gone a while. */
@@ -71,7 +71,10 @@
 	t->crashes++;
 	http_server_free(t->server);
 	t->server = NULL;
-	http_timer(t->back, t->crash_ms);
+	if (t->crash_ms == RIG_AT_ONCE)
+		on_back(-1, 0, t);
+	else
+		http_timer(t->back, t->crash_ms);
 }
 
 /* It has started again. */
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -2,6 +2,8 @@
  * Requests that crash each target that begins to run them, from a caller to
  * targets: how many targets end before the request is refused everywhere.
  */
+#include <stdio.h>
+
 #include "rig.h"
 #include "test.h"
 
@@ -21,6 +23,15 @@
 	return n;
 }
 
+/* No more than so many targets may have ended. */
+static void
+at_most(const struct rig *r, int n)
+{
+	CU_ASSERT(ended(r) <= n);
+	if (ended(r) > n)
+		printf("%d nodes: %d targets ended\n", r->nnodes, ended(r));
+}
+
 /* A mesh whose targets a request may crash. */
 static void
 start(struct rig *r, int nodes)
@@ -80,7 +91,7 @@
 
 	start(&r, 4);
 	send_many(&r, "/once/crash", 12);
-	CU_ASSERT(ended(&r) <= ENDED_MAX);
+	at_most(&r, ENDED_MAX);
 	rig_stop(&r);
 }
 
@@ -103,7 +114,7 @@
 	rig_run(&r, PAUSE_MS);
 	CU_ASSERT(ended(&r) >= 2);
 	send_many(&r, "/once/crash", 9);
-	CU_ASSERT(ended(&r) <= ENDED_MAX);
+	at_most(&r, ENDED_MAX);
 	rig_stop(&r);
 }
 
@@ -115,15 +126,17 @@
 crashes_on_idle_connections_count(void)
 {
 	struct rig r;
-	int i;
+	int i, nodes;
 
-	start(&r, 2);
-	for (i = 0; i < 6; i++) {
-		warm(&r, PAUSE_MS);
-		send_one(&r, i % 2, "/run/crash");
+	for (nodes = 1; nodes <= 2; nodes++) {
+		start(&r, nodes);
+		for (i = 0; i < 6; i++) {
+			warm(&r, PAUSE_MS);
+			send_one(&r, i % nodes, "/run/crash");
+		}
+		at_most(&r, ENDED_MAX);
+		rig_stop(&r);
 	}
-	CU_ASSERT(ended(&r) <= ENDED_MAX);
-	rig_stop(&r);
 }
 
 /* BUDGET: a status check on a kept connection must not hide the crash. */
@@ -131,15 +144,17 @@
 crashes_beside_kept_connections_count(void)
 {
 	struct rig r;
-	int i;
+	int i, nodes;
 
-	start(&r, 2);
-	for (i = 0; i < 6; i++) {
-		warm(&r, 20);
-		send_one(&r, i % 2, "/run/crash");
+	for (nodes = 1; nodes <= 2; nodes++) {
+		start(&r, nodes);
+		for (i = 0; i < 6; i++) {
+			warm(&r, 20);
+			send_one(&r, i % nodes, "/run/crash");
+		}
+		at_most(&r, ENDED_MAX);
+		rig_stop(&r);
 	}
-	CU_ASSERT(ended(&r) <= ENDED_MAX);
-	rig_stop(&r);
 }
 
 /* BUDGET: a target that is back before its status check has crashed as well. */
@@ -147,16 +162,18 @@
 crashes_of_targets_that_return_at_once_count(void)
 {
 	struct rig r;
-	int i;
+	int i, nodes;
 
-	start(&r, 2);
-	for (i = 0; i < 2; i++) {
-		r.nodes[i].target.crash_ms = 1;
-		r.nodes[i].target.renews = 1;
+	for (nodes = 1; nodes <= 2; nodes++) {
+		start(&r, nodes);
+		for (i = 0; i < nodes; i++) {
+			r.nodes[i].target.crash_ms = RIG_AT_ONCE;
+			r.nodes[i].target.renews = 1;
+		}
+		send_many(&r, "/once/crash", 8);
+		at_most(&r, ENDED_MAX);
+		rig_stop(&r);
 	}
-	send_many(&r, "/once/crash", 8);
-	CU_ASSERT(ended(&r) <= ENDED_MAX);
-	rig_stop(&r);
 }
 
 /* BUDGET: a process that starts again must learn what its peers know. */
@@ -175,7 +192,7 @@
 		rig_run(&r, 100);
 		send_many(&r, "/once/crash", 2);
 	}
-	CU_ASSERT(ended(&r) <= ENDED_MAX);
+	at_most(&r, ENDED_MAX);
 	rig_stop(&r);
 }
 
@@ -243,7 +260,7 @@
 		rig_call_end(&c[0]);
 	}
 	CU_ASSERT_EQUAL(served, 2);
-	CU_ASSERT(ended(&r) <= ENDED_MAX);
+	at_most(&r, ENDED_MAX);
 	rig_stop(&r);
 }
 
