--- a/bench/bench_mesh.c
+++ b/bench/bench_mesh.c
@@ -82,7 +82,7 @@
 static double
 id_bytes(void)
 {
-	struct guard *g = guard_new(1, 0);
+	struct guard *g = guard_new(1, 0, 0);
 	struct guard_request r = { .once = 1, .fresh = 1 };
 	size_t before = mallinfo2().uordblks;
 	int i;
@@ -100,7 +100,7 @@
 static double
 decision_us(void)
 {
-	struct guard *g = guard_new(12, 0);
+	struct guard *g = guard_new(12, 0, 0);
 	struct guard_request r = { .once = 0, .deadline = 1000000 };
 	enum guard_verdict v;
 	int64_t began = base_now_us();
--- a/mesh/call.c
+++ b/mesh/call.c
@@ -183,7 +183,7 @@
 		return CALL_REFUSE;
 	if (!o->not_run && c->once)
 		return CALL_REFUSE;
-	if (out == OUTCOME_BROKEN && c->crashes >= GUARD_CRASHES_MAX)
+	if (out == OUTCOME_BROKEN && c->crashes.n >= POISON_CRASHES_MAX)
 		return refuse(c, OUTCOME_POISON);
 	if (!o->not_run)
 		return again(c, b, now);
--- a/mesh/call.h
+++ b/mesh/call.h
@@ -83,9 +83,9 @@
 	int64_t wake;		/* when call_timer is due */
 	enum call_outcome last; /* why it was not answered yet */
 	int retry_after_ms;
-	int crashes;   /* of targets, under its fingerprint */
-	int maybe_run; /* 1: a sending of this call may have run */
-	int unsure;    /* 1: a call before, under the same id, may have run */
+	struct crashes crashes; /* of targets, under its fingerprint */
+	int maybe_run;		/* 1: a sending of this call may have run */
+	int unsure; /* 1: a call before, under the same id, may have run */
 };
 
 enum call_action {
--- a/mesh/guard.c
+++ b/mesh/guard.c
@@ -17,6 +17,7 @@
 	struct limit limit;
 	struct memory *memory;
 	struct poison *poison;
+	uint64_t origin; /* of crashes seen here, which are counted in it */
 	struct guard_request queue[GUARD_QUEUE_MAX + 1]; /* best first */
 	int waiting;
 	int running;
@@ -41,7 +42,7 @@
 
 /* Creates a guard that is cold and whose memory begins now. */
 struct guard *
-guard_new(int slots, int64_t wall_ms)
+guard_new(int slots, int64_t wall_ms, uint64_t origin)
 {
 	struct guard *g;
 
@@ -49,6 +50,7 @@
 	limit_init(&g->limit, slots);
 	g->memory = memory_new(wall_ms);
 	g->poison = poison_new();
+	g->origin = origin;
 	g->at_target = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	return g;
 }
@@ -166,8 +168,8 @@
 		return refuse(g, &r, GUARD_LATE, now);
 	if (g->out)
 		return refuse(g, &r, GUARD_OUT, now);
-	poison_raise(g->poison, r.fingerprint, r.crashes, now);
-	if (poison_crashes(g->poison, r.fingerprint, now) >= GUARD_CRASHES_MAX)
+	guard_suspect(g, r.fingerprint, &r.crashes, now);
+	if (poison_crashes(g->poison, r.fingerprint, now) >= POISON_CRASHES_MAX)
 		return refuse(g, &r, GUARD_POISON, now);
 	if (now + wait_ms(g, &r) > r.deadline)
 		return refuse(g, &r, GUARD_BUSY, now);
@@ -225,7 +227,7 @@
 			return 1;
 		}
 		if (poison_crashes(g->poison, r->fingerprint, now) >=
-		    GUARD_CRASHES_MAX) {
+		    POISON_CRASHES_MAX) {
 			dequeue(g, i);
 			*v = refuse(g, r, GUARD_POISON, now);
 			return 1;
@@ -262,16 +264,15 @@
 static void
 crashed(struct guard *g, int64_t now)
 {
+	struct crashes c = { 1, { ++g->origin } };
 	uint64_t fp;
-	int n;
 	guint i;
 
 	for (i = 0; i < g->at_target->len; i++) {
 		fp = g_array_index(g->at_target, uint64_t, i);
-		n = poison_crashes(g->poison, fp, now);
-		if (g->nsuspects > 0 && n == 0)
+		if (g->nsuspects > 0 && poison_crashes(g->poison, fp, now) == 0)
 			continue;
-		poison_raise(g->poison, fp, n + 1, now);
+		guard_suspect(g, fp, &c, now);
 	}
 }
 
@@ -288,7 +289,7 @@
 	}
 	g->nsuspects -= r->suspect;
 	if (e == EXCHANGE_OK)
-		poison_clear(g->poison, r->fingerprint);
+		poison_succeeded(g->poison, r->fingerprint, now);
 	forget_running(g, r->fingerprint);
 	g->running--;
 	limit_note(&g->limit, e, latency_us, r->inflight, now);
@@ -408,9 +409,10 @@
 
 /* Learns of crashes elsewhere. */
 void
-guard_suspect(struct guard *g, uint64_t fp, int crashes, int64_t now)
+guard_suspect(
+    struct guard *g, uint64_t fp, const struct crashes *c, int64_t now)
 {
-	poison_raise(g->poison, fp, crashes, now);
+	poison_add(g->poison, fp, c, now + POISON_QUARANTINE_MS, now);
 }
 
 /* Crashes counted under a fingerprint. */
@@ -420,6 +422,13 @@
 	return poison_crashes(g->poison, fp, now);
 }
 
+/* Their ids. */
+void
+guard_crash_ids(struct guard *g, uint64_t fp, struct crashes *c, int64_t now)
+{
+	poison_get(g->poison, fp, c, now);
+}
+
 /* Forgets a quarantine by the operator's word. */
 int
 guard_release(struct guard *g, uint64_t fp)
--- a/mesh/guard_int.h
+++ b/mesh/guard_int.h
@@ -3,7 +3,6 @@
 #define GUARD_INT_H
 
 #include "mesh.h"
-#include "poison.h"
 
 /* ---- memory of ids that may run at most once ---- */
 
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -7,6 +7,7 @@
 #define MESH_H
 
 #include "../base/base.h"
+#include "poison.h"
 
 /* Errors of this package. */
 enum mesh_err {
@@ -282,10 +283,6 @@
 #define GUARD_IDS_MAX	  300000 /* 120 s of 2,500 such calls a second, 41 MB */
 #define GUARD_QUEUE_MAX	  64	 /* requests that wait for a slot */
 #define GUARD_SKEW_MS	  5000	 /* allowed difference of two wall clocks */
-#define GUARD_CRASHES_MAX 2 /* crashes after which a fingerprint is poison */
-#define GUARD_QUARANTINE_MS                               \
-	600000 /* a poison fingerprint is refused so long \
-		*/
 
 enum guard_verdict {
 	GUARD_RUN,	 /* hand it to the target now */
@@ -304,21 +301,24 @@
 	char id[GUARD_ID_MAX + 1];
 	int once;  /* 1: may run at most once under this id */
 	int fresh; /* 1: made by its entry and sent nowhere else before */
-	int64_t born_wall_ms; /* when the id was made */
-	int64_t deadline;     /* monotonic ms of this node */
-	int priority;	      /* enum set_priority */
-	uint64_t fingerprint; /* of method, path and body */
-	int crashes;	      /* already counted for it elsewhere */
-	void *cookie;	      /* of the layer above */
-	int64_t arrived;      /* ms, when it was admitted */
+	int64_t born_wall_ms;	/* when the id was made */
+	int64_t deadline;	/* monotonic ms of this node */
+	int priority;		/* enum set_priority */
+	uint64_t fingerprint;	/* of method, path and body */
+	struct crashes crashes; /* that its sender knows of */
+	void *cookie;		/* of the layer above */
+	int64_t arrived;	/* ms, when it was admitted */
 	int inflight; /* requests at the target when it was handed out */
 	int suspect;  /* 1: was under suspicion when it was handed out */
 };
 
 struct guard; /* opaque: see guard.c */
 
-/* Slots are those of the target; memory of ids begins at wall_ms. */
-struct guard *guard_new(int slots, int64_t wall_ms);
+/*
+ * Slots are those of the target; memory of ids begins at wall_ms.  The origin,
+ * of which no two processes have the same, sets apart the crashes seen here.
+ */
+struct guard *guard_new(int slots, int64_t wall_ms, uint64_t origin);
 void guard_free(struct guard *);
 struct limit *guard_limit(struct guard *);
 /* Whether an id made at a time is one that this guard would remember. */
@@ -363,10 +363,13 @@
 /* ms after which a refused sender may come back. */
 int guard_retry_after(const struct guard *);
 /* Learns of crashes under a fingerprint from another guard. */
-void
-guard_suspect(struct guard *, uint64_t fingerprint, int crashes, int64_t now);
+void guard_suspect(
+    struct guard *, uint64_t fingerprint, const struct crashes *, int64_t now);
 /* Crashes counted under a fingerprint, 0 once they have been forgotten. */
 int guard_crashes(struct guard *, uint64_t fingerprint, int64_t now);
+/* The ids of these. */
+void guard_crash_ids(
+    struct guard *, uint64_t fingerprint, struct crashes *, int64_t now);
 /* Forgets a quarantine by the operator's word; 0 when there was none. */
 int guard_release(struct guard *, uint64_t fingerprint);
 /* Appends the quarantined fingerprints as a JSON array. */
--- a/mesh/poison.c
+++ b/mesh/poison.c
@@ -1,21 +1,55 @@
 /* Fingerprints of requests that were at targets when those crashed. */
 #include <inttypes.h>
+#include <string.h>
 
-#include "guard_int.h"
+#include "poison.h"
 
-#define SUSPECTS_MAX 1024 /* fingerprints; beyond, the oldest is forgotten */
+#define SUSPECTS_MAX 1024 /* fingerprints; beyond, the first due is forgotten \
+			   */
+#define GOOD_MAX 1024	  /* fingerprints that succeeded lately */
+/*
+ * A request that succeeded so shortly before is not what crashed a target.  It
+ * keeps requests that many callers send alike out of quarantine when several
+ * targets end at the same time.
+ */
+#define GOOD_MS 5000
 
 struct suspect {
 	uint64_t fingerprint;
-	int crashes;
+	struct crashes crashes;
+	int refuted;   /* so many of these, the oldest, do not count */
 	int64_t until; /* forgotten then */
 };
 
+struct good {
+	uint64_t fingerprint;
+	int64_t until;
+};
+
 struct poison {
-	GArray *suspects; /* of struct suspect, oldest first */
+	GHashTable *suspects; /* fingerprint to struct suspect, owned */
+	struct good good[GOOD_MAX];
 };
 
-static struct suspect *find(struct poison *, uint64_t, guint *);
+static struct suspect *find(struct poison *, uint64_t, int64_t);
+static struct suspect *suspect_new(struct poison *, uint64_t);
+static int is_good(const struct poison *, uint64_t, int64_t);
+static int counted(const struct suspect *);
+
+/* Adds one id. */
+int
+crashes_add(struct crashes *c, uint64_t id)
+{
+	int i;
+
+	for (i = 0; i < c->n; i++)
+		if (c->ids[i] == id)
+			return 0;
+	if (c->n == CRASHES_KEPT)
+		memmove(c->ids, c->ids + 1, --c->n * sizeof(c->ids[0]));
+	c->ids[c->n++] = id;
+	return 1;
+}
 
 /* Creates an empty table. */
 struct poison *
@@ -24,7 +58,8 @@
 	struct poison *p;
 
 	p = g_new0(struct poison, 1);
-	p->suspects = g_array_new(FALSE, FALSE, sizeof(struct suspect));
+	p->suspects =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	return p;
 }
 
@@ -32,72 +67,150 @@
 void
 poison_free(struct poison *p)
 {
-	g_array_free(p->suspects, TRUE);
+	g_hash_table_destroy(p->suspects);
 	g_free(p);
 }
 
-/* Finds a fingerprint and its index. */
+/* Finds a fingerprint; one past its time is forgotten. */
 static struct suspect *
-find(struct poison *p, uint64_t fp, guint *at)
+find(struct poison *p, uint64_t fp, int64_t now)
 {
-	struct suspect *s;
-	guint i;
+	struct suspect *s = g_hash_table_lookup(p->suspects, &fp);
 
-	for (i = 0; i < p->suspects->len; i++) {
-		s = &g_array_index(p->suspects, struct suspect, i);
-		if (s->fingerprint == fp) {
-			*at = i;
-			return s;
+	if (s == NULL || s->until > now)
+		return s;
+	g_hash_table_remove(p->suspects, &fp);
+	return NULL;
+}
+
+/* Makes room for a fingerprint. */
+static struct suspect *
+suspect_new(struct poison *p, uint64_t fp)
+{
+	struct suspect *s, *first = NULL;
+	GHashTableIter it;
+	gpointer value;
+
+	if (g_hash_table_size(p->suspects) >= SUSPECTS_MAX) {
+		g_hash_table_iter_init(&it, p->suspects);
+		while (g_hash_table_iter_next(&it, NULL, &value)) {
+			s = value;
+			if (first == NULL || s->until < first->until)
+				first = s;
 		}
+		g_hash_table_remove(p->suspects, &first->fingerprint);
 	}
-	return NULL;
+	s = g_new0(struct suspect, 1);
+	s->fingerprint = fp;
+	g_hash_table_insert(p->suspects, &s->fingerprint, s);
+	return s;
+}
+
+/* Whether it succeeded lately. */
+static int
+is_good(const struct poison *p, uint64_t fp, int64_t now)
+{
+	const struct good *g = &p->good[fp % GOOD_MAX];
+
+	return g->fingerprint == fp && g->until > now;
+}
+
+/* Crashes that count. */
+static int
+counted(const struct suspect *s)
+{
+	return s->crashes.n - s->refuted;
 }
 
-/* Reads the count; one past its time is forgotten. */
+/* Reads the count. */
 int
 poison_crashes(struct poison *p, uint64_t fp, int64_t now)
+{
+	const struct suspect *s = find(p, fp, now);
+
+	return s != NULL ? counted(s) : 0;
+}
+
+/* Reads the ids of the crashes that count. */
+int64_t
+poison_get(struct poison *p, uint64_t fp, struct crashes *c, int64_t now)
+{
+	const struct suspect *s = find(p, fp, now);
+	int i;
+
+	c->n = 0;
+	if (s == NULL)
+		return now;
+	for (i = s->refuted; i < s->crashes.n; i++)
+		c->ids[c->n++] = s->crashes.ids[i];
+	return s->until;
+}
+
+/* Adds crashes; those that are known do not lengthen the time. */
+int
+poison_add(struct poison *p, uint64_t fp, const struct crashes *c,
+    int64_t until, int64_t now)
 {
 	struct suspect *s;
-	guint i;
+	int i, full, added = 0;
 
-	if ((s = find(p, fp, &i)) == NULL)
+	if (c->n == 0)
 		return 0;
-	if (s->until > now)
-		return s->crashes;
-	g_array_remove_index(p->suspects, i);
-	return 0;
+	if ((s = find(p, fp, now)) == NULL)
+		s = suspect_new(p, fp);
+	for (i = 0; i < c->n; i++) {
+		full = s->crashes.n == CRASHES_KEPT;
+		if (!crashes_add(&s->crashes, c->ids[i]))
+			continue;
+		added++;
+		if (full && s->refuted > 0)
+			s->refuted--;
+		if (is_good(p, fp, now))
+			s->refuted = s->crashes.n;
+	}
+	if (added > 0)
+		s->until = MAX(s->until, until);
+	return added;
 }
 
-/* Raises the count. */
+/* It succeeded. */
 void
-poison_raise(struct poison *p, uint64_t fp, int crashes, int64_t now)
+poison_succeeded(struct poison *p, uint64_t fp, int64_t now)
 {
-	struct suspect *s, fresh = { .fingerprint = fp };
-	guint i;
-
-	if (crashes <= poison_crashes(p, fp, now))
-		return;
-	if ((s = find(p, fp, &i)) == NULL) {
-		if (p->suspects->len >= SUSPECTS_MAX)
-			g_array_remove_index(p->suspects, 0);
-		g_array_append_val(p->suspects, fresh);
-		s = &g_array_index(
-		    p->suspects, struct suspect, p->suspects->len - 1);
-	}
-	s->crashes = crashes;
-	s->until = now + GUARD_QUARANTINE_MS;
+	struct suspect *s = find(p, fp, now);
+
+	p->good[fp % GOOD_MAX] = (struct good){ fp, now + GOOD_MS };
+	if (s != NULL)
+		s->refuted = s->crashes.n;
 }
 
 /* Forgets a fingerprint. */
 int
 poison_clear(struct poison *p, uint64_t fp)
 {
-	guint i;
+	return g_hash_table_remove(p->suspects, &fp);
+}
 
-	if (find(p, fp, &i) == NULL)
-		return 0;
-	g_array_remove_index(p->suspects, i);
-	return 1;
+/* Goes through those that are remembered. */
+void
+poison_each(struct poison *p, int crashes, int64_t now,
+    void (*f)(void *, uint64_t, const struct crashes *, int64_t), void *arg)
+{
+	const struct suspect *s;
+	struct crashes c;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, p->suspects);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		s = value;
+		if (s->until <= now || counted(s) < crashes)
+			continue;
+		c.n = counted(s);
+		memcpy(
+		    c.ids, s->crashes.ids + s->refuted, c.n * sizeof(c.ids[0]));
+		f(arg, s->fingerprint, &c, s->until);
+	}
 }
 
 /* Appends the quarantined ones. */
@@ -106,17 +219,19 @@
 {
 	const struct suspect *s;
 	const char *sep = "";
-	guint i;
+	GHashTableIter it;
+	gpointer value;
 
 	g_string_append_c(out, '[');
-	for (i = 0; i < p->suspects->len; i++) {
-		s = &g_array_index(p->suspects, struct suspect, i);
-		if (s->crashes < GUARD_CRASHES_MAX || s->until <= now)
+	g_hash_table_iter_init(&it, p->suspects);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		s = value;
+		if (counted(s) < POISON_CRASHES_MAX || s->until <= now)
 			continue;
 		g_string_append_printf(out,
 		    "%s{\"fingerprint\":\"%016" PRIx64
 		    "\",\"crashes\":%d,\"for_ms\":%" PRId64 "}",
-		    sep, s->fingerprint, s->crashes, s->until - now);
+		    sep, s->fingerprint, counted(s), s->until - now);
 		sep = ",";
 	}
 	g_string_append_c(out, ']');
--- a/node/entry.c
+++ b/node/entry.c
@@ -122,6 +122,7 @@
 	enum call_action act_now;
 	enum call_outcome out;
 	int64_t now = base_now_ms();
+	size_t i;
 	int m;
 
 	if ((ec = send_find(n, number)) == NULL) {
@@ -141,7 +142,8 @@
 	if (a->boot > 0 && (m = member_find(n->members, ec->vm)) >= 0)
 		member_at(n->members, m)->boot = a->boot;
 	ec->call.retry_after_ms = a->retry_after_ms;
-	ec->call.crashes = MAX(ec->call.crashes, a->crashes);
+	for (i = 0; i < a->n_crashes; i++)
+		crashes_add(&ec->call.crashes, a->crashes[i]);
 	act_now = call_outcome(&ec->call, out, &n->entry->budget, now);
 	if (act_now != CALL_WAIT || ec->call.state == CALL_PAUSED)
 		send_settle(n, ec);
--- a/node/gossip.c
+++ b/node/gossip.c
@@ -424,7 +424,8 @@
 
 /* Tells the guards of this node's service of crashes under a fingerprint. */
 void
-gossip_suspect(struct node *n, uint64_t fp, int crashes, int released)
+gossip_suspect(
+    struct node *n, uint64_t fp, const struct crashes *c, int released)
 {
 	const struct config *cfg = config_get(n->config);
 	Wire__Datagram d = WIRE__DATAGRAM__INIT;
@@ -438,7 +439,8 @@
 		return;
 	v = &cfg->set->services[cfg->set->targets[i].service];
 	w.fingerprint = fp;
-	w.crashes = crashes;
+	w.crashes = (uint64_t *)c->ids;
+	w.n_crashes = (size_t)c->n;
 	w.released = released;
 	for (i = 0; i < v->ntargets; i++) {
 		m = member_find(
--- a/node/gossip.h
+++ b/node/gossip.h
@@ -47,8 +47,8 @@
 void gossip_send(
     struct node *, const struct member_send *, const struct config_delta *push);
 /* Tells the guards of a service of crashes under a fingerprint. */
-void
-gossip_suspect(struct node *, uint64_t fingerprint, int crashes, int released);
+void gossip_suspect(
+    struct node *, uint64_t fingerprint, const struct crashes *, int released);
 /* Takes a VM list over. */
 void gossip_vms(struct node *, struct vm_list *);
 /* Greets the node at an address, which need not be known. */
--- a/node/record.c
+++ b/node/record.c
@@ -36,9 +36,22 @@
 	g_string_free(out, TRUE);
 }
 
+/* Ids of crashes in hexadecimal; the string is the caller's. */
+static char *
+crash_ids(const struct crashes *c)
+{
+	GString *s = g_string_new(NULL);
+	int i;
+
+	for (i = 0; i < c->n; i++)
+		g_string_append_printf(
+		    s, "%s%" PRIx64, i > 0 ? " " : "", c->ids[i]);
+	return g_string_free(s, FALSE);
+}
+
 /* Begins a trace. */
 void
-record_open(struct node *n, int slots, int64_t wall)
+record_open(struct node *n, int slots, int64_t wall, uint64_t origin)
 {
 	if (n->settings.record == NULL ||
 	    (n->trace = fopen(n->settings.record, "w")) == NULL)
@@ -47,9 +60,10 @@
 	setvbuf(n->trace, NULL, _IOLBF, 0);
 	fprintf(n->trace,
 	    "{\"trace\": 1, \"module\": \"guard\", \"about\": \"recorded by "
-	    "%s\", \"slots\": %d, \"limit\": %d, \"wall\": %" PRId64 "}\n",
+	    "%s\", \"slots\": %d, \"limit\": %d, \"wall\": %" PRId64
+	    ", \"origin\": \"%" PRIx64 "\"}\n",
 	    n->settings.name, slots, guard_limit(n->guard->guard)->current,
-	    wall);
+	    wall, origin);
 }
 
 /* Ends it. */
@@ -68,18 +82,21 @@
 	int64_t now = base_now_ms(), wall = base_wall_ms();
 	enum guard_verdict v;
 	GString *id;
+	char *ids;
 
 	v = guard_admit(n->guard->guard, r, now, wall);
 	if (n->trace == NULL)
 		return v;
 	id = g_string_new(NULL);
 	json_quote(id, r->id);
+	ids = crash_ids(&r->crashes);
 	line(n, now, wall, "admit", guard_verdict_names[v],
 	    ", \"id\": %s, \"once\": %d, \"fresh\": %d, \"born\": %" PRId64
 	    ", \"deadline\": %" PRId64 ", \"priority\": %d, "
-	    "\"fingerprint\": \"%" PRIx64 "\", \"crashes\": %d",
+	    "\"fingerprint\": \"%" PRIx64 "\", \"crash_ids\": \"%s\"",
 	    id->str, r->once, r->fresh, r->born_wall_ms, r->deadline,
-	    r->priority, r->fingerprint, r->crashes);
+	    r->priority, r->fingerprint, ids);
+	g_free(ids);
 	g_string_free(id, TRUE);
 	return v;
 }
@@ -196,13 +213,17 @@
 
 /* Another guard saw crashes. */
 void
-record_suspect(struct node *n, uint64_t fp, int crashes)
+record_suspect(struct node *n, uint64_t fp, const struct crashes *c)
 {
 	int64_t now = base_now_ms();
 
-	guard_suspect(n->guard->guard, fp, crashes, now);
+	char *ids = crash_ids(c);
+
+	guard_suspect(n->guard->guard, fp, c, now);
 	line(n, now, base_wall_ms(), "suspect", NULL,
-	    ", \"fingerprint\": \"%" PRIx64 "\", \"crashes\": %d", fp, crashes);
+	    ", \"fingerprint\": \"%" PRIx64 "\", \"crash_ids\": \"%s\"", fp,
+	    ids);
+	g_free(ids);
 }
 
 /* A quarantine is lifted. */
--- a/node/record.h
+++ b/node/record.h
@@ -8,7 +8,8 @@
 #include "serve_int.h"
 
 /* Begins a trace when the settings ask for one; after guard_new. */
-void record_open(struct node *, int slots, int64_t wall_ms);
+void record_open(
+    struct node *, int slots, int64_t wall_ms, uint64_t origin);
 enum guard_verdict record_admit(struct node *, const struct guard_request *);
 int record_next(
     struct node *, struct guard_request *, enum guard_verdict *, int64_t now);
@@ -21,7 +22,8 @@
 void record_removed(struct node *, const char *target);
 void record_forget(struct node *);
 void record_slots(struct node *, int slots);
-void record_suspect(struct node *, uint64_t fingerprint, int crashes);
+void
+record_suspect(struct node *, uint64_t fingerprint, const struct crashes *);
 int record_release(struct node *, uint64_t fingerprint);
 
 #endif
--- a/node/reply.c
+++ b/node/reply.c
@@ -39,12 +39,15 @@
 /* Sends an outcome without an answer of the target. */
 void
 reply_outcome(struct node *n, const struct link_route *r, uint64_t call,
-    enum call_outcome out, int crashes)
+    enum call_outcome out, const struct crashes *crashes)
 {
 	Wire__Answer a = WIRE__ANSWER__INIT;
 
 	a.outcome = out;
-	a.crashes = crashes;
+	if (crashes != NULL) {
+		a.crashes = (uint64_t *)crashes->ids;
+		a.n_crashes = (size_t)crashes->n;
+	}
 	a.boot = n->boot;
 	if (n->guard->guard != NULL) {
 		a.load = guard_load(n->guard->guard);
@@ -73,12 +76,15 @@
 reply_all_outcome(struct node *n, struct served *s, enum call_outcome out)
 {
 	Wire__Answer a = WIRE__ANSWER__INIT;
+	struct crashes crashes;
 
 	a.outcome = out;
 	a.load = guard_load(n->guard->guard);
 	a.retry_after_ms = guard_retry_after(n->guard->guard);
-	a.crashes =
-	    guard_crashes(n->guard->guard, s->req.fingerprint, base_now_ms());
+	guard_crash_ids(
+	    n->guard->guard, s->req.fingerprint, &crashes, base_now_ms());
+	a.crashes = crashes.ids;
+	a.n_crashes = (size_t)crashes.n;
 	if (outcomes[out].not_run)
 		counter_add(CTR_GUARD_REFUSED, 1);
 	reply_all(n, s, &a);
--- a/node/send.c
+++ b/node/send.c
@@ -83,7 +83,8 @@
 	f->path = r->path;
 	f->body.data = r->body->data;
 	f->body.len = r->body->len;
-	f->crashes = ec->call.crashes;
+	f->crashes = ec->call.crashes.ids;
+	f->n_crashes = (size_t)ec->call.crashes.n;
 	f->fingerprint = ec->fingerprint;
 }
 
--- a/node/serve.c
+++ b/node/serve.c
@@ -44,10 +44,12 @@
 void
 serve_begin(struct node *n, int slots, int64_t wall_ms)
 {
-	n->guard->guard = guard_new(slots, wall_ms);
+	uint64_t origin = (uint64_t)g_random_int() << 32 | g_random_int();
+
+	n->guard->guard = guard_new(slots, wall_ms, origin);
 	if (n->settings.no_slow_start)
 		guard_limit(n->guard->guard)->current = slots;
-	record_open(n, slots, wall_ms);
+	record_open(n, slots, wall_ms, origin);
 }
 
 /* Releases the guard's side; the workers end first. */
@@ -91,13 +93,13 @@
 		if (served_wait(s, r, call))
 			reply_ack(n, r, call);
 		else
-			reply_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
+			reply_outcome(n, r, call, OUTCOME_UNKNOWN, NULL);
 		return;
 	}
 	if (reply_kept(n, &n->guard->kept_once, r, call, id))
 		return;
 	/* It ran, or it runs past its deadline; how it ended is not known. */
-	reply_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
+	reply_outcome(n, r, call, OUTCOME_UNKNOWN, NULL);
 }
 
 /* Whether a request has come to the right place. */
@@ -156,6 +158,7 @@
 {
 	struct served *s;
 	struct exchange_job *j;
+	size_t i;
 
 	(void)n;
 	s = g_new0(struct served, 1);
@@ -166,7 +169,8 @@
 	s->req.born_wall_ms = f->born_wall_ms;
 	s->req.deadline = base_now_ms() + f->remaining_ms;
 	s->req.priority = f->priority;
-	s->req.crashes = f->crashes;
+	for (i = 0; i < f->n_crashes; i++)
+		crashes_add(&s->req.crashes, f->crashes[i]);
 	s->req.cookie = s;
 	trace_begin(&s->trace, f->trace);
 	s->began_us = base_now_us();
@@ -187,6 +191,7 @@
     const Wire__Forward *f)
 {
 	struct served *s;
+	struct crashes crashes;
 	enum guard_verdict v;
 
 	s = served_new(n, r, call, f);
@@ -198,12 +203,13 @@
 		reply_ack(n, r, call);
 		return;
 	}
-	if (v == GUARD_DUPLICATE)
+	if (v == GUARD_DUPLICATE) {
 		duplicate(n, r, call, f->id);
-	else
-		reply_outcome(n, r, call, outcome_by_verdict[v],
-		    guard_crashes(
-			n->guard->guard, s->req.fingerprint, base_now_ms()));
+	} else {
+		guard_crash_ids(n->guard->guard, s->req.fingerprint, &crashes,
+		    base_now_ms());
+		reply_outcome(n, r, call, outcome_by_verdict[v], &crashes);
+	}
 	served_free(s);
 }
 
@@ -218,7 +224,7 @@
 		return;
 	out = reachable(n, f);
 	if (out != OUTCOME_ANSWERED) {
-		reply_outcome(n, r, call, out, 0);
+		reply_outcome(n, r, call, out, NULL);
 		return;
 	}
 	admit(n, r, call, f);
@@ -317,7 +323,7 @@
 {
 	struct served *s = j->cookie;
 	int64_t now = base_now_ms();
-	int crashes;
+	struct crashes crashes;
 
 	record_done(n, &s->req, j->result, j->latency_us, now);
 	if (n->settings.no_slow_start)
@@ -325,10 +331,10 @@
 		    guard_limit(n->guard->guard)->slots;
 	if (j->result == EXCHANGE_BROKEN) {
 		counter_add(CTR_TARGET_FAILURES, 1);
-		crashes =
-		    guard_crashes(n->guard->guard, s->req.fingerprint, now);
-		if (crashes > 0)
-			gossip_suspect(n, s->req.fingerprint, crashes, 0);
+		guard_crash_ids(
+		    n->guard->guard, s->req.fingerprint, &crashes, now);
+		if (crashes.n > 0)
+			gossip_suspect(n, s->req.fingerprint, &crashes, 0);
 	}
 	g_ptr_array_remove_fast(n->guard->held, s);
 	if (!s->answered)
@@ -363,11 +369,11 @@
 
 	/* What was meant for no incarnation that there is cannot have run. */
 	if (f->guard_boot == 0) {
-		reply_outcome(n, r, call, OUTCOME_RESTARTED, 0);
+		reply_outcome(n, r, call, OUTCOME_RESTARTED, NULL);
 		return;
 	}
 	if (f->guard_boot != n->boot && !is_younger(n, f)) {
-		reply_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
+		reply_outcome(n, r, call, OUTCOME_UNKNOWN, NULL);
 		return;
 	}
 	if ((s = served_find(n, f->id, NULL, call)) != NULL) {
@@ -382,14 +388,14 @@
 		return;
 	/* What may be repeated is not remembered: it may have run and gone. */
 	if (!f->once || n->guard->guard == NULL) {
-		reply_outcome(n, r, call, OUTCOME_UNKNOWN, 0);
+		reply_outcome(n, r, call, OUTCOME_UNKNOWN, NULL);
 		return;
 	}
 	v = record_fence(n, f->id, f->fresh, f->born_wall_ms);
 	if (v == GUARD_DUPLICATE)
 		duplicate(n, r, call, f->id);
 	else
-		reply_outcome(n, r, call, outcome_by_verdict[v], 0);
+		reply_outcome(n, r, call, outcome_by_verdict[v], NULL);
 }
 
 /* Nobody waits any more: a request still in the queue leaves it. */
@@ -463,22 +469,28 @@
 void
 serve_suspected(struct node *n, const Wire__Suspect *s)
 {
+	struct crashes c = { 0 };
+	size_t i;
+
 	if (n->guard->guard == NULL)
 		return;
+	for (i = 0; i < s->n_crashes; i++)
+		crashes_add(&c, s->crashes[i]);
 	if (s->released)
 		record_release(n, s->fingerprint);
 	else
-		record_suspect(n, s->fingerprint, s->crashes);
+		record_suspect(n, s->fingerprint, &c);
 }
 
 /* Lifts a quarantine, here and at the other guards of the service. */
 int
 serve_release(struct node *n, uint64_t fingerprint)
 {
+	struct crashes none = { 0 };
 	int had = 0;
 
 	if (n->guard->guard != NULL)
 		had = record_release(n, fingerprint);
-	gossip_suspect(n, fingerprint, 0, 1);
+	gossip_suspect(n, fingerprint, &none, 1);
 	return had;
 }
--- a/node/serve_int.h
+++ b/node/serve_int.h
@@ -86,7 +86,7 @@
     struct node *n, const struct link_route *r, uint64_t call, Wire__Answer *a);
 /* Sends an outcome without an answer of the target. */
 void reply_outcome(struct node *n, const struct link_route *r, uint64_t call,
-    enum call_outcome out, int crashes);
+    enum call_outcome out, const struct crashes *);
 /* Gives all who wait the same answer. */
 void reply_all(struct node *n, struct served *s, Wire__Answer *a);
 /* Gives all who wait an outcome without an answer. */
--- a/node/wire.pb-c.c
+++ b/node/wire.pb-c.c
@@ -885,18 +885,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "crashes",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Forward, crashes),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "trace",
     14,
@@ -957,17 +945,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wire__Forward, n_crashes),
+    offsetof(Wire__Forward, crashes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__forward__field_indices_by_name[] = {
   11,   /* field[11] = body */
   2,   /* field[2] = born_wall_ms */
-  12,   /* field[12] = crashes */
-  16,   /* field[16] = fingerprint */
-  17,   /* field[17] = fresh */
-  14,   /* field[14] = from */
+  17,   /* field[17] = crashes */
+  15,   /* field[15] = fingerprint */
+  16,   /* field[16] = fresh */
+  13,   /* field[13] = from */
   4,   /* field[4] = guard_boot */
   10,   /* field[10] = headers */
-  15,   /* field[15] = homes */
+  14,   /* field[14] = homes */
   0,   /* field[0] = id */
   8,   /* field[8] = method */
   1,   /* field[1] = once */
@@ -976,11 +976,12 @@
   5,   /* field[5] = remaining_ms */
   3,   /* field[3] = set */
   6,   /* field[6] = target */
-  13,   /* field[13] = trace */
+  12,   /* field[12] = trace */
 };
-static const ProtobufCIntRange wire__forward__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__forward__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 14, 12 },
   { 0, 18 }
 };
 const ProtobufCMessageDescriptor wire__forward__descriptor =
@@ -994,7 +995,7 @@
   18,
   wire__forward__field_descriptors,
   wire__forward__field_indices_by_name,
-  1,  wire__forward__number_ranges,
+  2,  wire__forward__number_ranges,
   (ProtobufCMessageInit) wire__forward__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1110,18 +1111,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "crashes",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT32,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Answer, crashes),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "length",
     8,
@@ -1146,21 +1135,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wire__Answer, n_crashes),
+    offsetof(Wire__Answer, crashes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__answer__field_indices_by_name[] = {
   3,   /* field[3] = body */
-  8,   /* field[8] = boot */
-  6,   /* field[6] = crashes */
+  7,   /* field[7] = boot */
+  8,   /* field[8] = crashes */
   2,   /* field[2] = headers */
-  7,   /* field[7] = length */
+  6,   /* field[6] = length */
   4,   /* field[4] = load */
   0,   /* field[0] = outcome */
   5,   /* field[5] = retry_after_ms */
   1,   /* field[1] = status */
 };
-static const ProtobufCIntRange wire__answer__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__answer__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 8, 6 },
   { 0, 9 }
 };
 const ProtobufCMessageDescriptor wire__answer__descriptor =
@@ -1174,7 +1176,7 @@
   9,
   wire__answer__field_descriptors,
   wire__answer__field_indices_by_name,
-  1,  wire__answer__number_ranges,
+  2,  wire__answer__number_ranges,
   (ProtobufCMessageInit) wire__answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1713,38 +1715,39 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "crashes",
-    2,
+    "released",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wire__Suspect, crashes),
+    offsetof(Wire__Suspect, released),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "released",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Wire__Suspect, released),
+    "crashes",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wire__Suspect, n_crashes),
+    offsetof(Wire__Suspect, crashes),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned wire__suspect__field_indices_by_name[] = {
-  1,   /* field[1] = crashes */
+  2,   /* field[2] = crashes */
   0,   /* field[0] = fingerprint */
-  2,   /* field[2] = released */
+  1,   /* field[1] = released */
 };
-static const ProtobufCIntRange wire__suspect__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__suspect__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 3, 1 },
   { 0, 3 }
 };
 const ProtobufCMessageDescriptor wire__suspect__descriptor =
@@ -1758,7 +1761,7 @@
   3,
   wire__suspect__field_descriptors,
   wire__suspect__field_indices_by_name,
-  1,  wire__suspect__number_ranges,
+  2,  wire__suspect__number_ranges,
   (ProtobufCMessageInit) wire__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/node/wire.pb-c.h
+++ b/node/wire.pb-c.h
@@ -83,7 +83,6 @@
   size_t n_headers;
   Wire__Header **headers;
   ProtobufCBinaryData body;
-  int32_t crashes;
   /*
    * W3C traceparent of the entry's span
    */
@@ -104,10 +103,15 @@
    * the id was made by the entry and sent nowhere before
    */
   protobuf_c_boolean fresh;
+  /*
+   * ids of crashes under the fingerprint
+   */
+  size_t n_crashes;
+  uint64_t *crashes;
 };
 #define WIRE__FORWARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__forward__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -139,7 +143,6 @@
   ProtobufCBinaryData body;
   int32_t load;
   int32_t retry_after_ms;
-  int32_t crashes;
   /*
    * of the body, so that a cut one is noticed
    */
@@ -148,10 +151,15 @@
    * incarnation of the guard, in refusals
    */
   uint64_t boot;
+  /*
+   * ids of crashes under the fingerprint
+   */
+  size_t n_crashes;
+  uint64_t *crashes;
 };
 #define WIRE__ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__answer__descriptor) \
-    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -290,18 +298,19 @@
 
 
 /*
- * Crashes seen under a fingerprint.
+ * Crashes seen under a fingerprint, by ids that differ between all crashes.
  */
 struct  Wire__Suspect
 {
   ProtobufCMessage base;
   uint64_t fingerprint;
-  int32_t crashes;
   protobuf_c_boolean released;
+  size_t n_crashes;
+  uint64_t *crashes;
 };
 #define WIRE__SUSPECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__suspect__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0,NULL }
 
 
 /*
--- a/proxy/crash.c
+++ b/proxy/crash.c
@@ -3,11 +3,12 @@
  * is counted when the target is found to be gone, or another one in its place,
  * before it has answered anything that was sent later.
  */
-#include "../mesh/poison.h"
 #include "gate_int.h"
 
 #define CRASH_US 2000000 /* from a request that broke off to the finding */
 
+static uint64_t crash_id(GRand *);
+
 /* Prepares the list of requests that broke off. */
 void
 crash_init(struct gate *g)
@@ -71,26 +72,34 @@
 	g_array_remove_range(g->broken, 0, n);
 }
 
+/* An id that no other crash has. */
+static uint64_t
+crash_id(GRand *rand)
+{
+	return (uint64_t)g_rand_int(rand) << 32 | g_rand_int(rand);
+}
+
 /* The target has ended: what broke off is counted, and told. */
 void
 crash_found(struct gate *g)
 {
 	const struct broken *b;
+	struct crashes c = { 1, { crash_id(g->proxy->rand) } };
 	int64_t now = base_now_ms();
 	guint i;
-	int n;
 
 	if (!crash_is_open(g))
 		return;
 	for (i = 0; i < g->broken->len; i++) {
 		b = &g_array_index(g->broken, struct broken, i);
-		n = poison_crashes(g->poison, b->fingerprint, now) + 1;
-		poison_raise(g->poison, b->fingerprint, n, now);
-		links_suspect(&g->proxy->links, b->fingerprint, n);
+		poison_add(g->poison, b->fingerprint, &c,
+		    now + POISON_QUARANTINE_MS, now);
+		links_suspect(&g->proxy->links, b->fingerprint, &c);
 		base_log(G_LOG_LEVEL_MESSAGE, "crash-suspect",
 		    "fingerprint=%016" G_GINT64_MODIFIER
 		    "x crashes=%d target=%s",
-		    b->fingerprint, n, g->id);
+		    b->fingerprint,
+		    poison_crashes(g->poison, b->fingerprint, now), g->id);
 	}
 	counter_add(CTR_TARGET_CRASHES, 1);
 	g_array_set_size(g->broken, 0);
--- a/proxy/gate.c
+++ b/proxy/gate.c
@@ -5,7 +5,6 @@
  */
 #include <string.h>
 
-#include "../mesh/poison.h"
 #include "gate_int.h"
 
 static void refuse(struct gate *, struct job *, enum call_outcome);
@@ -98,7 +97,7 @@
 	    !outlier_admits(&g->outlier, j->repeatable, base_now_ms()))
 		return OUTCOME_REFUSED;
 	if (poison_crashes(g->poison, j->fingerprint, base_now_ms()) >=
-	    POISON_CRASHES)
+	    POISON_CRASHES_MAX)
 		return OUTCOME_POISON;
 	return OUTCOME_COUNT;
 }
@@ -119,7 +118,6 @@
 	j->gate = g;
 	j->sending = NULL;
 	j->offered_at = now;
-	poison_raise(g->poison, j->fingerprint, j->crashes, now);
 	if ((closed = closed_to(g, j)) != OUTCOME_COUNT) {
 		refuse(g, j, closed);
 		return;
@@ -348,7 +346,7 @@
 		admit_note(&g->admit, j->kind,
 		    m->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR);
 	if (r.outcome == OUTCOME_ANSWERED) {
-		poison_clear(g->poison, j->fingerprint);
+		poison_succeeded(g->poison, j->fingerprint, base_now_ms());
 		crash_acquit(g, j->fingerprint);
 	} else {
 		gate_doubt(g, j, u, m);
@@ -428,9 +426,11 @@
 
 /* Counts crashes told by another gate. */
 void
-gate_suspect(struct gate *g, uint64_t fingerprint, int crashes)
+gate_suspect(struct gate *g, uint64_t fingerprint, const struct crashes *c)
 {
-	poison_raise(g->poison, fingerprint, crashes, base_now_ms());
+	int64_t now = base_now_ms();
+
+	poison_add(g->poison, fingerprint, c, now + POISON_QUARANTINE_MS, now);
 }
 
 /* Takes over what the view holds of the target. */
--- a/proxy/gate_int.h
+++ b/proxy/gate_int.h
@@ -4,12 +4,6 @@
 
 #include "proxy_int.h"
 
-/*
- * A request that was running when a target crashed three times is refused: the
- * users' rule allows three more retries after the third crash.
- */
-#define POISON_CRASHES 3
-
 void gate_pump(struct gate *);
 void gate_probe_init(struct gate *);
 void gate_probe_clear(struct gate *);
--- a/proxy/link.pb-c.c
+++ b/proxy/link.pb-c.c
@@ -733,7 +733,7 @@
   (ProtobufCMessageInit) link__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__request__field_descriptors[13] =
+static const ProtobufCFieldDescriptor link__request__field_descriptors[12] =
 {
   {
     "method",
@@ -879,23 +879,10 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "crashes",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Link__Request, crashes),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned link__request__field_indices_by_name[] = {
   3,   /* field[3] = body */
   5,   /* field[5] = caller */
-  12,   /* field[12] = crashes */
   8,   /* field[8] = goal_ms */
   2,   /* field[2] = headers */
   6,   /* field[6] = id */
@@ -910,7 +897,7 @@
 static const ProtobufCIntRange link__request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor link__request__descriptor =
 {
@@ -920,7 +907,7 @@
   "Link__Request",
   "link",
   sizeof(Link__Request),
-  13,
+  12,
   link__request__field_descriptors,
   link__request__field_indices_by_name,
   1,  link__request__number_ranges,
@@ -1217,14 +1204,14 @@
   },
   {
     "crashes",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Link__Suspect, n_crashes),
     offsetof(Link__Suspect, crashes),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
@@ -1232,9 +1219,10 @@
   1,   /* field[1] = crashes */
   0,   /* field[0] = fingerprint */
 };
-static const ProtobufCIntRange link__suspect__number_ranges[1 + 1] =
+static const ProtobufCIntRange link__suspect__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 3, 1 },
   { 0, 2 }
 };
 const ProtobufCMessageDescriptor link__suspect__descriptor =
@@ -1248,7 +1236,7 @@
   2,
   link__suspect__field_descriptors,
   link__suspect__field_indices_by_name,
-  1,  link__suspect__number_ranges,
+  2,  link__suspect__number_ranges,
   (ProtobufCMessageInit) link__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proxy/link.pb-c.h
+++ b/proxy/link.pb-c.h
@@ -79,14 +79,10 @@
    * hash of the route, for estimates of its work
    */
   uint32_t kind;
-  /*
-   * of targets, counted for this request
-   */
-  uint32_t crashes;
 };
 #define LINK__REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__request__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -181,17 +177,21 @@
 
 
 /*
- * A crash was counted under a fingerprint.
+ * Targets ended while they ran requests of a fingerprint.
  */
 struct  Link__Suspect
 {
   ProtobufCMessage base;
   uint64_t fingerprint;
-  uint32_t crashes;
+  /*
+   * ids, which differ between all crashes
+   */
+  size_t n_crashes;
+  uint64_t *crashes;
 };
 #define LINK__SUSPECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__suspect__descriptor) \
-    , 0, 0 }
+    , 0, 0,NULL }
 
 
 struct  Link__Ping
--- a/proxy/link_ask.c
+++ b/proxy/link_ask.c
@@ -65,7 +65,6 @@
 	q.goal_ms = (int32_t)(j->goal - now);
 	q.priority = (uint32_t)j->priority;
 	q.repeatable = j->repeatable;
-	q.crashes = (uint32_t)j->crashes;
 	link_write(l, &f);
 	link_headers_free(q.headers, q.n_headers);
 }
--- a/proxy/link_serve.c
+++ b/proxy/link_serve.c
@@ -39,7 +39,6 @@
 	s->job.fingerprint = job_fingerprint(s->job.msg, s->caller);
 	s->job.priority = (int)r->priority;
 	s->job.repeatable = r->repeatable;
-	s->job.crashes = (int)r->crashes;
 	s->job.goal = now + r->goal_ms;
 	s->job.deadline = now + r->remaining_ms;
 	s->job.head = link_stream_head;
--- a/proxy/links.c
+++ b/proxy/links.c
@@ -28,6 +28,7 @@
 static void on_event(struct bufferevent *, short, void *);
 static void on_timer(evutil_socket_t, short, void *);
 static void look(struct link *, int64_t);
+static void link_suspected(struct link *, const Link__Suspect *);
 static void on_frame(struct link *, const Link__Frame *);
 static void on_write(struct bufferevent *, void *);
 static void tell(struct link *, Link__Frame__BodyCase);
@@ -159,7 +160,7 @@
 
 /* Tells all nodes that links lead to, or come from. */
 void
-links_suspect(struct links *ls, uint64_t fingerprint, int crashes)
+links_suspect(struct links *ls, uint64_t fingerprint, const struct crashes *c)
 {
 	Link__Frame f = LINK__FRAME__INIT;
 	Link__Suspect s = LINK__SUSPECT__INIT;
@@ -171,7 +172,8 @@
 	f.body_case = LINK__FRAME__BODY_SUSPECT;
 	f.suspect = &s;
 	s.fingerprint = fingerprint;
-	s.crashes = (uint32_t)crashes;
+	s.crashes = (uint64_t *)c->ids;
+	s.n_crashes = (size_t)c->n;
 	for (i = 0; i < G_N_ELEMENTS(tables); i++) {
 		g_hash_table_iter_init(&it, tables[i]);
 		while (g_hash_table_iter_next(&it, NULL, &value))
@@ -213,6 +215,21 @@
 	link_write(l, &f);
 }
 
+/* Another node tells of crashes. */
+static void
+link_suspected(struct link *l, const Link__Suspect *s)
+{
+	struct crashes c = { 0 };
+	size_t i;
+
+	for (i = 0; i < s->n_crashes; i++)
+		crashes_add(&c, s->crashes[i]);
+	base_log(G_LOG_LEVEL_MESSAGE, "crash-told",
+	    "fingerprint=%016" G_GINT64_MODIFIER "x crashes=%d peer=%s",
+	    s->fingerprint, c.n, l->addr != NULL ? l->addr : "-");
+	gate_suspect(&l->links->proxy->gate, s->fingerprint, &c);
+}
+
 /* One frame has arrived. */
 static void
 on_frame(struct link *l, const Link__Frame *f)
@@ -243,12 +260,7 @@
 			link_stream_credit(l, f->stream, f->credit->bytes);
 		break;
 	case LINK__FRAME__BODY_SUSPECT:
-		base_log(G_LOG_LEVEL_MESSAGE, "crash-told",
-		    "fingerprint=%016" G_GINT64_MODIFIER "x crashes=%u peer=%s",
-		    f->suspect->fingerprint, f->suspect->crashes,
-		    l->addr != NULL ? l->addr : "-");
-		gate_suspect(&l->links->proxy->gate, f->suspect->fingerprint,
-		    (int)f->suspect->crashes);
+		link_suspected(l, f->suspect);
 		break;
 	case LINK__FRAME__BODY_PING:
 		tell(l, LINK__FRAME__BODY_PONG);
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -10,6 +10,7 @@
 #include "../mesh/admit.h"
 #include "../mesh/call.h"
 #include "../mesh/outlier.h"
+#include "../mesh/poison.h"
 #include "../mesh/spend.h"
 #include "link.pb-c.h"
 #include "proxy.h"
@@ -44,7 +45,6 @@
 	uint32_t kind;
 	uint64_t fingerprint;
 	int priority, repeatable;
-	int crashes; /* of targets, counted for its fingerprint */
 	int64_t goal, deadline;
 	/*
 	 * A long answer comes as its head, pieces and done, with an answer that
@@ -177,7 +177,7 @@
 /* So many bytes of a job's long answer have been passed on. */
 void gate_take(struct gate *, struct job *, size_t);
 /* Counts crashes told by another gate. */
-void gate_suspect(struct gate *, uint64_t fingerprint, int crashes);
+void gate_suspect(struct gate *, uint64_t fingerprint, const struct crashes *);
 
 /* ---- links between nodes ---- */
 
@@ -202,7 +202,8 @@
 /* So many bytes of a job's long answer have been passed on. */
 void links_take(struct links *, struct job *, size_t);
 /* Tells all nodes that links lead to of a crash. */
-void links_suspect(struct links *, uint64_t fingerprint, int crashes);
+void
+links_suspect(struct links *, uint64_t fingerprint, const struct crashes *);
 /* Asks the node at an address for news; NULL ends that. */
 void links_subscribe(struct links *, const char *addr);
 int links_subscribers(const struct links *);
--- a/replay/replay.c
+++ b/replay/replay.c
@@ -1,4 +1,5 @@
 /* Reads traces line by line and compares decisions. */
+#include <stdlib.h>
 #include <string.h>
 
 #include "replay.h"
@@ -26,6 +27,26 @@
 	return NULL;
 }
 
+/* Adds the crashes that a line tells. */
+void
+replay_crashes(const struct json *j, struct crashes *c)
+{
+	const char *ids = json_str(j, "crash_ids", "");
+	char *end;
+	uint64_t id;
+	int i, n = (int)json_int(j, "crashes", 0);
+
+	for (i = 1; i <= n; i++)
+		crashes_add(c, (uint64_t)i);
+	for (;;) {
+		id = strtoull(ids, &end, 16);
+		if (end == ids)
+			return;
+		crashes_add(c, id);
+		ids = end;
+	}
+}
+
 /* Parses one line; NULL when it is no object. */
 static struct json *
 parse_line(const char *text, size_t len)
--- a/replay/replay.h
+++ b/replay/replay.h
@@ -7,6 +7,7 @@
 #define REPLAY_H
 
 #include "../base/base.h"
+#include "../mesh/poison.h"
 
 /* Errors of this package. */
 enum replay_err {
@@ -31,6 +32,12 @@
 	void (*end)(void *state);
 };
 
+/*
+ * Adds the crashes that a line tells: "crash_ids" in hexadecimal, or a number
+ * under "crashes", for which their ids are 1, 2 and so on.
+ */
+void replay_crashes(const struct json *, struct crashes *);
+
 extern const struct replay_module replay_guard;
 extern const struct replay_module replay_call;
 extern const struct replay_module replay_version;
--- a/replay/replay_call.c
+++ b/replay/replay_call.c
@@ -52,8 +52,7 @@
 	out = outcome_index(json_str(j, "outcome", "no_target"));
 	if (out < 0)
 		return REPLAY_EFORMAT;
-	if (json_get(j, "crashes") != NULL)
-		s->call.crashes = (int)json_int(j, "crashes", 0);
+	replay_crashes(j, &s->call.crashes);
 	if (strcmp(what, "start") == 0)
 		a = call_start(&s->call, at);
 	else if (strcmp(what, "sent") == 0)
--- a/replay/replay_guard.c
+++ b/replay/replay_guard.c
@@ -7,9 +7,10 @@
 #include "../mesh/names.h"
 #include "replay.h"
 
-#define SLOTS_DEFAULT 12
-#define WALL_DEFAULT  1000000
-#define WALL_AHEAD    60000 /* events are covered by the memory by default */
+#define ORIGIN_DEFAULT "1000" /* hexadecimal; of crashes that a guard sees */
+#define SLOTS_DEFAULT  12
+#define WALL_DEFAULT   1000000
+#define WALL_AHEAD     60000 /* events are covered by the memory by default */
 
 struct state {
 	struct guard *guard;
@@ -41,7 +42,8 @@
 	s = g_new0(struct state, 1);
 	s->wall = json_int(head, "wall", WALL_DEFAULT);
 	s->guard =
-	    guard_new((int)json_int(head, "slots", SLOTS_DEFAULT), s->wall);
+	    guard_new((int)json_int(head, "slots", SLOTS_DEFAULT), s->wall,
+		strtoull(json_str(head, "origin", ORIGIN_DEFAULT), NULL, 16));
 	if (limit > 0)
 		guard_limit(s->guard)->current = limit;
 	s->cookies =
@@ -89,7 +91,7 @@
 	r->deadline = json_int(j, "deadline", at + 2000);
 	r->priority = (int)json_int(j, "priority", PRIORITY_NORMAL);
 	r->fingerprint = read_fingerprint(j);
-	r->crashes = (int)json_int(j, "crashes", 0);
+	replay_crashes(j, &r->crashes);
 }
 
 /* The pointer that stands for an id. */
@@ -155,6 +157,7 @@
 event(void *state, const struct json *j, char *decision)
 {
 	struct state *s = state;
+	struct crashes crashes;
 	const char *what = json_str(j, "do", ""), *id = json_str(j, "id", "");
 	int64_t at = json_int(j, "at", 0);
 	int64_t wall = json_int(j, "wall", s->wall + WALL_AHEAD + at);
@@ -188,8 +191,9 @@
 	} else if (strcmp(what, "forget") == 0) {
 		guard_forget(s->guard, wall);
 	} else if (strcmp(what, "suspect") == 0) {
-		guard_suspect(s->guard, read_fingerprint(j),
-		    (int)json_int(j, "crashes", 1), at);
+		crashes.n = 0;
+		replay_crashes(j, &crashes);
+		guard_suspect(s->guard, read_fingerprint(j), &crashes, at);
 	} else if (strcmp(what, "release") == 0) {
 		g_strlcpy(decision,
 		    guard_release(s->guard, read_fingerprint(j)) ? "yes" : "no",
--- a/replay/walk.c
+++ b/replay/walk.c
@@ -282,8 +282,9 @@
 	w->held = g_ptr_array_new();
 	budget_init(&w->budget);
 	for (i = 0; i < GUARDS; i++) {
-		w->guards[i].guard = guard_new(SLOTS, walk_wall(w));
 		w->guards[i].boot = w->believed[i] = ++w->boots;
+		w->guards[i].guard = guard_new(
+		    SLOTS, walk_wall(w), (uint64_t)w->boots << ORIGIN_SHIFT);
 	}
 	w->now += 2 * GUARD_SKEW_MS;
 	for (i = 0; i < n && w->broken[0] == '\0'; i++)
--- a/replay/walk_guard.c
+++ b/replay/walk_guard.c
@@ -221,7 +221,8 @@
 			i++;
 	}
 	guard_free(g->guard);
-	g->guard = guard_new(SLOTS, walk_wall(w));
-	g->boot = ++w->boots;
+	g->guard = guard_new(
+	    SLOTS, walk_wall(w), (uint64_t)++w->boots << ORIGIN_SHIFT);
+	g->boot = w->boots;
 	memset(g->answered, 0, sizeof(g->answered));
 }
--- a/replay/walk_int.h
+++ b/replay/walk_int.h
@@ -24,14 +24,15 @@
 
 /* ---- the world that a walk goes through ---- */
 
-#define GUARDS	    3
-#define SLOTS	    4
-#define CALLS_MAX   256
-#define FLIGHT_MAX  512
-#define RUNNING_MAX 64
-#define WALL_BASE   10000000
-#define DEADLINE_MS 2000
-#define BROKEN_MAX  160 /* bytes of a report */
+#define GUARDS	     3
+#define SLOTS	     4
+#define CALLS_MAX    256
+#define FLIGHT_MAX   512
+#define RUNNING_MAX  64
+#define WALL_BASE    10000000
+#define DEADLINE_MS  2000
+#define ORIGIN_SHIFT 32	 /* a guard counts its crashes below its boot */
+#define BROKEN_MAX   160 /* bytes of a report */
 
 enum message_kind {
 	MESSAGE_FORWARD,
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -158,7 +158,7 @@
 {
 	struct call c = sent(0, 1);
 
-	c.crashes = GUARD_CRASHES_MAX;
+	c.crashes.n = POISON_CRASHES_MAX;
 	CU_ASSERT_EQUAL(hear(&c, OUTCOME_BROKEN), CALL_REFUSE);
 	CU_ASSERT_EQUAL(c.last, OUTCOME_POISON);
 	CU_ASSERT_FALSE(call_not_run(&c));
--- a/test/test_guard.c
+++ b/test/test_guard.c
@@ -2,9 +2,10 @@
 #include "../mesh/mesh.h"
 #include "test.h"
 
-#define BOOT  1000000	     /* wall ms */
-#define NOW   50000	     /* monotonic ms */
-#define LATER (BOOT + 60000) /* wall ms, covered by the memory */
+#define BOOT   1000000 /* wall ms */
+#define NOW    50000   /* monotonic ms */
+#define ORIGIN 0x5eed0000ULL
+#define LATER  (BOOT + 60000) /* wall ms, covered by the memory */
 
 static struct guard *g;
 
@@ -44,7 +45,7 @@
 static void
 begin(void)
 {
-	g = guard_new(12, BOOT);
+	g = guard_new(12, BOOT, ORIGIN);
 	guard_limit(g)->current = 12;
 }
 
@@ -178,7 +179,7 @@
 	struct guard_request a = make("a"), b = make("b");
 	enum guard_verdict v;
 
-	g = guard_new(12, BOOT);
+	g = guard_new(12, BOOT, ORIGIN);
 	admit(&a);
 	admit(&b);
 	a = expect_run("a");
@@ -267,18 +268,49 @@
 	end();
 }
 
+/* BUDGET: what two guards see at the same time must add up at a third. */
+static void
+crashes_of_two_guards_add_up(void)
+{
+	struct guard_request bad = make("bad"), r;
+	struct crashes seen;
+	struct guard *third;
+	uint64_t i;
+
+	bad.once = 0;
+	third = guard_new(12, BOOT, ORIGIN);
+	for (i = 1; i <= 2; i++) {
+		g = guard_new(12, BOOT, ORIGIN + (i << 32));
+		guard_limit(g)->current = 12;
+		admit(&bad);
+		r = expect_run("bad");
+		guard_done(g, &r, EXCHANGE_BROKEN, 1000, NOW);
+		guard_crash_ids(g, bad.fingerprint, &seen, NOW);
+		CU_ASSERT_EQUAL(seen.n, 1);
+		guard_suspect(third, bad.fingerprint, &seen, NOW);
+		/* Told twice, it is the same crash. */
+		guard_suspect(third, bad.fingerprint, &seen, NOW);
+		guard_free(g);
+	}
+	g = third;
+	CU_ASSERT_EQUAL(guard_crashes(g, bad.fingerprint, NOW), 2);
+	CU_ASSERT_EQUAL(admit(&bad), GUARD_POISON);
+	end();
+}
+
 static void
 quarantine_ends_with_time(void)
 {
 	struct guard_request bad = make("bad");
+	struct crashes told = { POISON_CRASHES_MAX, { 1, 2 } };
 
 	begin();
 	bad.once = 0;
-	guard_suspect(g, bad.fingerprint, GUARD_CRASHES_MAX, NOW);
+	guard_suspect(g, bad.fingerprint, &told, NOW);
 	CU_ASSERT_EQUAL(admit(&bad), GUARD_POISON);
-	bad.deadline = NOW + GUARD_QUARANTINE_MS + 10000;
+	bad.deadline = NOW + POISON_QUARANTINE_MS + 10000;
 	CU_ASSERT_EQUAL(
-	    guard_admit(g, &bad, NOW + GUARD_QUARANTINE_MS + 1, LATER),
+	    guard_admit(g, &bad, NOW + POISON_QUARANTINE_MS + 1, LATER),
 	    GUARD_QUEUE);
 	end();
 }
@@ -301,6 +333,7 @@
 	    priority_goes_first_and_overflow_is_refused },
 	{ "poison is refused after two crashes",
 	    poison_is_refused_after_two_crashes },
+	{ "crashes of two guards add up", crashes_of_two_guards_add_up },
 	{ "quarantine ends with time", quarantine_ends_with_time },
 };
 
--- /dev/null
+++ b/test/test_poison.c
@@ -0,0 +1,138 @@
+/* Requests that crash targets: what is counted, shared and forgiven. */
+#include "../mesh/poison.h"
+#include "test.h"
+
+#define BAD 0xbadULL
+#define NOW 100000
+#define END (NOW + POISON_QUARANTINE_MS)
+
+static struct poison *p;
+
+/* Adds one crash. */
+static int
+crash(uint64_t id, int64_t now)
+{
+	struct crashes c = { 1, { id } };
+
+	return poison_add(p, BAD, &c, END, now);
+}
+
+/* BUDGET: what two nodes saw at the same time must add up, in any order. */
+static void
+crashes_of_two_nodes_add_up(void)
+{
+	struct crashes both = { 2, { 1, 2 } };
+
+	p = poison_new();
+	CU_ASSERT_EQUAL(crash(1, NOW), 1);
+	CU_ASSERT_EQUAL(crash(2, NOW), 1);
+	CU_ASSERT_EQUAL(poison_crashes(p, BAD, NOW), 2);
+	/* Told once more, by others: nothing is new. */
+	CU_ASSERT_EQUAL(poison_add(p, BAD, &both, END + 5, NOW + 5), 0);
+	CU_ASSERT_EQUAL(poison_crashes(p, BAD, NOW), 2);
+	CU_ASSERT_EQUAL(poison_crashes(p, BAD + 1, NOW), 0);
+	poison_free(p);
+}
+
+/* What is known already does not keep a fingerprint in quarantine for ever. */
+static void
+time_forgets(void)
+{
+	struct crashes c;
+
+	p = poison_new();
+	crash(1, NOW);
+	crash(2, NOW);
+	CU_ASSERT_EQUAL(poison_get(p, BAD, &c, NOW), END);
+	CU_ASSERT_EQUAL(c.n, 2);
+	poison_add(p, BAD, &c, END + 1000, NOW + 1000);
+	CU_ASSERT_EQUAL(poison_crashes(p, BAD, END - 1), 2);
+	CU_ASSERT_EQUAL(poison_crashes(p, BAD, END), 0);
+	poison_free(p);
+}
+
+/* A success refutes the crashes before it, not those after. */
+static void
+success_refutes(void)
+{
+	struct crashes c;
+	int64_t later = NOW + 60000;
+
+	p = poison_new();
+	crash(1, NOW);
+	poison_succeeded(p, BAD, NOW + 10);
+	CU_ASSERT_EQUAL(poison_crashes(p, BAD, NOW + 10), 0);
+	/* Another node tells of the same crash, which stays refuted. */
+	CU_ASSERT_EQUAL(crash(1, NOW + 20), 0);
+	CU_ASSERT_EQUAL(poison_crashes(p, BAD, NOW + 20), 0);
+	/* Many callers send it: targets that end together are no proof. */
+	crash(2, NOW + 100);
+	crash(3, NOW + 100);
+	CU_ASSERT_EQUAL(poison_crashes(p, BAD, NOW + 100), 0);
+	poison_get(p, BAD, &c, NOW + 100);
+	CU_ASSERT_EQUAL(c.n, 0);
+	/* Without a success for long, it is suspect as any other. */
+	crash(4, later);
+	crash(5, later);
+	CU_ASSERT_EQUAL(poison_crashes(p, BAD, later), 2);
+	poison_free(p);
+}
+
+/* Any number of crashes and fingerprints stays within its bounds. */
+static void
+tables_are_bounded(void)
+{
+	struct crashes c = { 1, { 7 } };
+	uint64_t i;
+
+	p = poison_new();
+	for (i = 0; i < 100; i++)
+		crash(i, NOW);
+	CU_ASSERT_EQUAL(poison_crashes(p, BAD, NOW), CRASHES_KEPT);
+	for (i = 0; i < 5000; i++)
+		poison_add(p, i << 20, &c, END + (int64_t)i, NOW);
+	/* The last is there; the quarantined one was the first due. */
+	CU_ASSERT_EQUAL(poison_crashes(p, 4999ULL << 20, NOW), 1);
+	CU_ASSERT_EQUAL(poison_crashes(p, BAD, NOW), 0);
+	poison_free(p);
+}
+
+/* Random crashes told among three nodes in any order: all agree at the end. */
+static void
+nodes_agree(void)
+{
+	struct poison *nodes[3];
+	struct crashes c;
+	GRand *rand = g_rand_new_with_seed(19);
+	int i, k, round;
+
+	for (round = 0; round < 200; round++) {
+		for (i = 0; i < 3; i++)
+			nodes[i] = poison_new();
+		for (k = 0; k < 3; k++) {
+			p = nodes[g_rand_int_range(rand, 0, 3)];
+			crash((uint64_t)(round * 3 + k), NOW);
+		}
+		for (k = 0; k < 60; k++) {
+			i = g_rand_int_range(rand, 0, 3);
+			poison_get(nodes[i], BAD, &c, NOW);
+			p = nodes[(i + 1 + g_rand_int_range(rand, 0, 2)) % 3];
+			poison_add(p, BAD, &c, END, NOW);
+		}
+		for (i = 0; i < 3; i++) {
+			CU_ASSERT_EQUAL(poison_crashes(nodes[i], BAD, NOW), 3);
+			poison_free(nodes[i]);
+		}
+	}
+	g_rand_free(rand);
+}
+
+static const struct test tests[] = {
+	{ "crashes of two nodes add up", crashes_of_two_nodes_add_up },
+	{ "time forgets", time_forgets },
+	{ "success refutes", success_refutes },
+	{ "tables are bounded", tables_are_bounded },
+	{ "nodes agree", nodes_agree },
+};
+
+TEST_MAIN("poison", tests)
