Only an answer of a request that ran refutes its crashes

Callers saw: while a target failed part of its requests with 500, a request that crashes it was run again after each 500.

Cause: any answer refuted the crashes counted so far, also an error that the target gives before it comes to the part that ends it.

Change: an answer refutes if its status is below 500. Entries take note as gates do, as both ask the same table: a request that many callers send alike is not refused by an entry when several targets end together (popular requests are served: passes before as well, where a node is entry and gate of the request).

--- a/mesh/poison.c
+++ b/mesh/poison.c
@@ -4,9 +4,8 @@
 
 #include "poison.h"
 
-#define SUSPECTS_MAX 1024 /* fingerprints; beyond, the first due is forgotten \
-			   */
-#define GOOD_MAX 1024	  /* fingerprints that succeeded lately */
+#define SUSPECTS_MAX 1024 /* fingerprints; the first due makes room */
+#define GOOD_MAX     1024 /* fingerprints that succeeded lately */
 /*
  * A request that succeeded so shortly before is not what crashed a target.  It
  * keeps requests that many callers send alike out of quarantine when several
--- a/proxy/gate.c
+++ b/proxy/gate.c
@@ -343,8 +343,8 @@
 		admit_note(&g->admit, j->kind,
 		    m->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR);
 	if (r.outcome == OUTCOME_ANSWERED) {
-		poison_succeeded(
-		    g->proxy->quarantine.poison, j->fingerprint, base_now_ms());
+		quarantine_answered(
+		    &g->proxy->quarantine, j->fingerprint, m->status);
 		crash_acquit(g, j->fingerprint);
 	} else {
 		gate_doubt(g, j, u, m);
--- a/proxy/offer.c
+++ b/proxy/offer.c
@@ -172,6 +172,8 @@
 	}
 	if (o == OUTCOME_ANSWERED) {
 		r->sends++;
+		quarantine_answered(&r->entry->proxy->quarantine,
+		    j->fingerprint, res->answer->status);
 		on_answer(r, res->answer);
 		return;
 	}
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -228,6 +228,8 @@
 void quarantine_clear(struct quarantine *);
 /* How long a request is refused for the targets it crashed, ms, or 0. */
 int64_t quarantine_left_ms(struct quarantine *, uint64_t fingerprint);
+/* A target answered a request with that status. */
+void quarantine_answered(struct quarantine *, uint64_t fingerprint, int status);
 /* The target beside the node ended under requests of these fingerprints. */
 void quarantine_crash(struct quarantine *, const GArray *fingerprints);
 /* The node at the other end of a link knows of crashes. */
--- a/proxy/quarantine.c
+++ b/proxy/quarantine.c
@@ -57,6 +57,15 @@
 	return c.n >= POISON_CRASHES_MAX ? until - now : 0;
 }
 
+/* A target answered a request. */
+void
+quarantine_answered(struct quarantine *q, uint64_t fp, int status)
+{
+	/* A failure may come before the part that ends the target. */
+	if (status < HTTP_STATUS_INTERNAL_SERVER_ERROR)
+		poison_succeeded(q->poison, fp, base_now_ms());
+}
+
 /* An id that no other crash has. */
 static uint64_t
 crash_id(GRand *rand)
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -228,6 +228,69 @@
 	rig_stop(&r);
 }
 
+/* BUDGET: an error of the target's own must not refute a crash. */
+static void
+errors_refute_no_crash(void)
+{
+	struct rig r;
+	int i;
+
+	start(&r, 1);
+	r.nodes[0].target.status = 500;
+	for (i = 0; i < 10; i++) {
+		r.nodes[0].target.crash_ms = i % 2 == 0 ? BACK_MS : 0;
+		send_one(&r, 0, "/once/crash");
+	}
+	at_most(&r, ENDED_MAX);
+	rig_stop(&r);
+}
+
+/*
+ * Load pattern: one request that many callers send is at both targets of a
+ * data centre when others crash them.  It is served on, by all nodes.
+ */
+static void
+popular_requests_are_served(void)
+{
+	struct rig_call c[4], bad[2];
+	struct rig r;
+	int i, k;
+
+	start(&r, 4);
+	for (k = 0; k < 4; k++) {
+		for (i = 0; i < 4; i++)
+			rig_call(&r, &c[i], i, "/run/same", "p", 900);
+		for (i = 0; i < 4; i++) {
+			rig_wait(&r, &c[i]);
+			rig_call_end(&c[i]);
+		}
+	}
+	for (i = 0; i < 4; i++)
+		r.nodes[i].target.work_ms = 60;
+	for (i = 0; i < 4; i++)
+		rig_call(&r, &c[i], i, "/run/same", "p", 900);
+	rig_run(&r, 20);
+	rig_call(&r, &bad[0], 0, "/once/a/crash", "a", 900);
+	rig_call(&r, &bad[1], 2, "/once/b/crash", "b", 900);
+	for (i = 0; i < 4; i++) {
+		rig_wait(&r, &c[i]);
+		rig_call_end(&c[i]);
+	}
+	for (i = 0; i < 2; i++) {
+		rig_wait(&r, &bad[i]);
+		rig_call_end(&bad[i]);
+	}
+	rig_run(&r, PAUSE_MS);
+	CU_ASSERT_EQUAL(ended(&r), 2);
+	for (i = 0; i < 4; i++) {
+		rig_call(&r, &c[0], i, "/run/same", "p", 900);
+		rig_wait(&r, &c[0]);
+		CU_ASSERT_EQUAL(rig_status(&c[0]), 200);
+		rig_call_end(&c[0]);
+	}
+	rig_stop(&r);
+}
+
 /* Requests that ran beside one that crashes targets are served afterwards. */
 static void
 companions_are_served(void)
@@ -276,6 +339,8 @@
 	{ "a restarted node learns of crashes",
 	    a_restarted_node_learns_of_crashes },
 	{ "a waiting request is not sent", a_waiting_request_is_not_sent },
+	{ "errors refute no crash", errors_refute_no_crash },
+	{ "popular requests are served", popular_requests_are_served },
 	{ "companions are served", companions_are_served },
 };
 
