teaselsoak: requests that end each target that begins to run them

A loop of real processes for the incident BUDGET: while faults strike, callers of all nodes send one and the same request now and then, for 20 s each; the target that begins to run it ends and is back after 0.8 s. Judged by the users' rule: once three targets have ended, more than three later arrivals by way of nodes that nothing disturbed for 3 s break BUDGET.

--- a/soak/back.c
+++ b/soak/back.c
@@ -14,7 +14,8 @@
 #define DRAIN_MS 2000 /* it serves on for, once it said that it drains */
 #define REUSE_MS 2500 /* before its address is of another service */
 #define HEAD_MAX 65536
-#define SHARE	 3 /* one answer in so many, of an ill target, is spoilt */
+#define CRASH_MS 800 /* down for, after a request ended it */
+#define SHARE	 3   /* one answer in so many, of an ill target, is spoilt */
 
 struct soak_back {
 	struct soak *soak;
@@ -125,6 +126,10 @@
 	} else {
 		b->runs++;
 		c->attempt = judge_run(b->soak, m, b->service);
+		if (c->attempt != NULL && c->attempt->crasher != 0) {
+			http_timer(c->timer, 1);
+			return;
+		}
 		http_timer(c->timer, (WORK_MS + soak_below(b->soak, WORK_MS)) *
 					 (is_ill(b, ILL_SLOW) ? SLOW : 1));
 		return;
@@ -147,6 +152,11 @@
 
 	(void)fd;
 	(void)what;
+	if (a != NULL && a->crasher != 0) {
+		judge_crashed(b->soak, a, b->node);
+		back_crash(b, CRASH_MS, 1);
+		return;
+	}
 	if (spoil && is_ill(b, ILL_LOSE)) {
 		conn_free(c);
 		return;
--- a/soak/front.c
+++ b/soak/front.c
@@ -4,7 +4,8 @@
 #define PER_NODE	3
 #define REMAINING_MS	1500
 #define ANSWER_HEAD_MAX 65536
-#define GIVE_UP		40  /* one request in so many is left early */
+#define GIVE_UP		40 /* one request in so many is left early */
+#define CRASHER		60 /* one in so many ends targets, while faults strike */
 #define AGAIN_MS	100 /* until a refused connection is tried again */
 
 /* One caller, one request at a time. */
@@ -64,13 +65,18 @@
 	static const char *const prefixes[] = { "read", "write", "split" };
 	int route = soak_below(c->soak, ROUTES);
 
-	c->attempt = judge_sent(c->soak, c->node, route);
+	if (c->soak->next_event != 0 && soak_below(c->soak, CRASHER) == 0) {
+		c->attempt = judge_sent_crasher(c->soak, c->node);
+		route = c->attempt->route;
+	} else {
+		c->attempt = judge_sent(c->soak, c->node, route);
+	}
 	evbuffer_add_printf(bufferevent_get_output(c->bev),
 	    "POST /%s/%s?n=1 HTTP/1.1\r\nHost: rig\r\n%s: %s\r\n%s: %d\r\n"
 	    "Content-Length: %zu\r\n\r\n%s",
-	    prefixes[route], c->attempt->id, platform_headers.id,
+	    prefixes[route], c->attempt->name, platform_headers.id,
 	    c->attempt->id, platform_headers.remaining_ms, REMAINING_MS,
-	    strlen(c->attempt->id), c->attempt->id);
+	    strlen(c->attempt->name), c->attempt->name);
 	if (soak_below(c->soak, GIVE_UP) == 0)
 		http_timer(c->timer, 1 + soak_below(c->soak, 30));
 }
--- a/soak/judge.c
+++ b/soak/judge.c
@@ -16,6 +16,11 @@
 
 static const char *const prefixes[ROUTES] = { "/read/", "/write/", "/split/" };
 
+#define CRASHER_MS 20000 /* one such request is sent for so long */
+/* The users' rule: no more than so many, so long after the third. */
+#define LATER_MAX 3
+#define LATER_MS  3000
+
 static void check_end(struct soak *, struct attempt *);
 static int is_once(const struct attempt *);
 
@@ -62,6 +67,7 @@
 
 	g_snprintf(a->id, sizeof(a->id), "%08x%08x", g_rand_int(s->rand),
 	    (unsigned int)g_hash_table_size(s->judge.attempts));
+	g_strlcpy(a->name, a->id, sizeof(a->name));
 	a->node = node;
 	a->route = route;
 	a->sent_at = base_now_ms();
@@ -70,6 +76,42 @@
 	return a;
 }
 
+/* Makes an attempt at a request that ends targets. */
+struct attempt *
+judge_sent_crasher(struct soak *s, int node)
+{
+	struct crasher *c = &s->judge.crasher;
+	int number = 1 + (int)(base_now_ms() / CRASHER_MS);
+	struct attempt *a;
+
+	if (c->number != number)
+		*c = (struct crasher){ .number = number };
+	a = judge_sent(s, node, number % 2 != 0 ? ROUTE_READ : ROUTE_WRITE);
+	a->crasher = number;
+	g_snprintf(a->name, sizeof(a->name), "crasher-%d", number);
+	return a;
+}
+
+/* It ended a target. */
+void
+judge_crashed(struct soak *s, const struct attempt *a, int node)
+{
+	struct crasher *c = &s->judge.crasher;
+	int64_t now = base_now_ms(), since = now - LATER_MS;
+
+	s->judge.crashers_ended++;
+	if (a->crasher != c->number)
+		return;
+	if (c->third_at != 0 && c->third_at < since &&
+	    !node_disturbed(&s->nodes[a->node], since) &&
+	    !node_disturbed(&s->nodes[node], since) && ++c->later > LATER_MAX)
+		judge_broken(s, "BUDGET",
+		    "crasher-%d was sent on %d times later, %d ended",
+		    c->number, c->later, c->ended + 1);
+	if (++c->ended == 3)
+		c->third_at = now;
+}
+
 /* The bytes that answer a request. */
 void
 judge_body(GString *out, const char *id, const char *path)
@@ -93,10 +135,10 @@
 		    id != NULL ? id : "a request without an id");
 		return NULL;
 	}
-	g_snprintf(path, sizeof(path), "%s%s?n=1", prefixes[a->route], a->id);
+	g_snprintf(path, sizeof(path), "%s%s?n=1", prefixes[a->route], a->name);
 	if (strcmp(path, m->path) != 0 || strcmp(m->method, "POST") != 0 ||
-	    m->body->len != strlen(a->id) ||
-	    memcmp(m->body->data, a->id, m->body->len) != 0)
+	    m->body->len != strlen(a->name) ||
+	    memcmp(m->body->data, a->name, m->body->len) != 0)
 		judge_broken(s, "UNASKED", "%s came as %s %s", a->id, m->method,
 		    m->path);
 	for (k = 0; k < SERVICES; k++)
@@ -147,8 +189,8 @@
 		    a->id, m->status);
 	if (m->status >= 200 && m->status < 300) {
 		s->judge.counts[SEEN_SERVED]++;
-		g_snprintf(
-		    path, sizeof(path), "%s%s?n=1", prefixes[a->route], a->id);
+		g_snprintf(path, sizeof(path), "%s%s?n=1", prefixes[a->route],
+		    a->name);
 		judge_body(body, a->id, path);
 		if (seal == NULL)
 			judge_broken(s, "MIXED", "%s got %d without a seal",
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -40,6 +40,8 @@
 /* One attempt of a caller. */
 struct attempt {
 	char id[SOAK_ID_MAX];
+	char name[SOAK_ID_MAX]; /* ends its path and is its body */
+	int crasher;		/* it ends each target that begins to run it */
 	int route, node, runs;
 	int answered; /* targets gave it a whole answer */
 	int refused;  /* the status that promised that it has not run */
@@ -57,8 +59,18 @@
 	SEEN_KINDS
 };
 
+/* A request that ends each target that begins to run it, sent again. */
+struct crasher {
+	int number;	  /* the one that is sent now; 0: none was sent */
+	int ended;	  /* targets that it ended */
+	int64_t third_at; /* it ended the third then, or 0 */
+	int later;	  /* targets that it reached long after that */
+};
+
 struct judge {
 	GHashTable *attempts; /* id to struct attempt, owned */
+	struct crasher crasher;
+	int crashers_ended; /* targets, by all of them */
 	int broken;
 	int counts[SEEN_KINDS];
 };
@@ -66,6 +78,10 @@
 void judge_init(struct judge *);
 void judge_destroy(struct judge *);
 struct attempt *judge_sent(struct soak *, int node, int route);
+/* The same of a request that ends targets; callers send one for a while. */
+struct attempt *judge_sent_crasher(struct soak *, int node);
+/* It ended the target beside a node. */
+void judge_crashed(struct soak *, const struct attempt *, int node);
 /* A target begins to run a request; NULL when it may not be. */
 struct attempt *
 judge_run(struct soak *, const struct http_message *, int service);
--- a/soak/teaselsoak.c
+++ b/soak/teaselsoak.c
@@ -222,12 +222,14 @@
 	plan_configure(&s, ALPHA);
 	broken = run(&s);
 	fleet_stop(&s);
-	printf(
-	    "{\"seed\": %d, \"faults\": %d, \"sent\": %d, \"served\": %d, "
-	    "\"refused\": %d, \"failed\": %d, \"cut\": %d, \"broken\": %d}\n",
+	printf("{\"seed\": %d, \"faults\": %d, \"sent\": %d, \"served\": %d, "
+	       "\"refused\": %d, \"failed\": %d, \"cut\": %d, "
+	       "\"crashers_ended\": %d, "
+	       "\"broken\": %d}\n",
 	    seed, s.events, s.judge.counts[SEEN_SENT],
 	    s.judge.counts[SEEN_SERVED], s.judge.counts[SEEN_REFUSED],
-	    s.judge.counts[SEEN_FAILED], s.judge.counts[SEEN_CUT], broken);
+	    s.judge.counts[SEEN_FAILED], s.judge.counts[SEEN_CUT],
+	    s.judge.crashers_ended, broken);
 	judge_destroy(&s.judge);
 	event_base_free(s.base);
 	g_rand_free(s.rand);
