--- a/side/teaselside.c
+++ b/side/teaselside.c
@@ -219,6 +219,9 @@
 	GError *error = NULL;
 	int ok;
 
+	signal(SIGPIPE, SIG_IGN);
+	/* Until the loop listens for it, the file's change is noticed. */
+	signal(SIGHUP, SIG_IGN);
 	ctx = g_option_context_new("- the process beside a target");
 	g_option_context_add_main_entries(ctx, options, NULL);
 	ok = g_option_context_parse(ctx, &argc, &argv, &error);
@@ -230,9 +233,6 @@
 				  : "needs -c FILE or TEASELSTEP_CONFIG");
 		return EXIT_USAGE;
 	}
-	signal(SIGPIPE, SIG_IGN);
-	/* Until the loop listens for it, the file's change is noticed. */
-	signal(SIGHUP, SIG_IGN);
 	base_log_bounded("teaselside", LOG_BYTES_PER_S);
 	file_changed(s.path, &s.seen);
 	if (read_settings(s.path, &s.settings) != SIDE_OK)
