teaselnode: guards tell crashes until all know, and ask when they start

Callers saw: a request that crashes each target ran at guards that were cut off when it was told, and at each guard that had started again.

Ruled out: counts that do not add up (the failing run has crashes with ids already).

Change: node/suspect.c, out of serve.c: a crash is told again after 1, 4 and 16 s, and a guard asks the others of its service at its start, as often.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 CALLER = caller/refusal.c caller/server.c
 NODE = node/choose.c node/config.c node/delta.c node/entry.c node/gossip.c node/intake.c node/join.c node/kept.c node/link.c \
 	node/loop.c node/mailbox.c node/node.c node/record.c node/role.c node/seal.c node/reply.c node/serve.c node/served.c \
-	node/send.c node/settings.c node/span.c node/spread.c node/status.c node/wire_set.c \
+	node/send.c node/settings.c node/span.c node/spread.c node/status.c node/suspect.c node/wire_set.c \
 	node/wire.pb-c.c
 GENERATED = node/wire.pb-c.c proxy/link.pb-c.c side/state.pb-c.c
 LIB = $(BASE) $(HTTP) $(MESH) $(VIEW) $(PLATFORM) $(PROXY) $(SIDE) $(SOURCE) $(UPSTREAM) $(CALLER) $(NODE)
--- a/mesh/guard.c
+++ b/mesh/guard.c
@@ -429,6 +429,14 @@
 	poison_get(g->poison, fp, c, now);
 }
 
+/* Goes through all under which crashes count. */
+void
+guard_each_crash(struct guard *g, int64_t now,
+    void (*f)(void *, uint64_t, const struct crashes *, int64_t), void *arg)
+{
+	poison_each(g->poison, 1, now, f, arg);
+}
+
 /* Forgets a quarantine by the operator's word. */
 int
 guard_release(struct guard *g, uint64_t fp)
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -370,6 +370,10 @@
 /* The ids of these. */
 void guard_crash_ids(
     struct guard *, uint64_t fingerprint, struct crashes *, int64_t now);
+/* Calls f for each fingerprint under which crashes count. */
+void guard_each_crash(struct guard *, int64_t now,
+    void (*f)(void *, uint64_t, const struct crashes *, int64_t until),
+    void *arg);
 /* Forgets a quarantine by the operator's word; 0 when there was none. */
 int guard_release(struct guard *, uint64_t fingerprint);
 /* Appends the quarantined fingerprints as a JSON array. */
--- a/node/gossip.c
+++ b/node/gossip.c
@@ -279,7 +279,7 @@
 	}
 	learn_rejection(n, d->rejection);
 	for (i = 0; i < d->n_suspects; i++)
-		n->gossip_events->suspected(n, d->suspects[i]);
+		n->gossip_events->suspected(n, from, d->suspects[i]);
 }
 
 /* Answers a datagram, if its kind asks for it. */
@@ -422,36 +422,40 @@
 	flush(n);
 }
 
-/* Tells the guards of this node's service of crashes under a fingerprint. */
+/* Sends one word of crashes to a member. */
+static void
+send_suspect(struct node *n, int member, Wire__Suspect *w)
+{
+	Wire__Datagram d = WIRE__DATAGRAM__INIT;
+	struct member_send s = { .kind = KIND_TELL, .to = member };
+
+	fill(n, &s, &d);
+	d.suspects = &w;
+	d.n_suspects = 1;
+	transmit(n, member_at(n->members, member)->addr, &d, 0);
+}
+
+/* Tells the guards of this node's service, or one of them. */
 void
-gossip_suspect(
-    struct node *n, uint64_t fp, const struct crashes *c, int released)
+gossip_suspect(struct node *n, int member, Wire__Suspect *w)
 {
 	const struct config *cfg = config_get(n->config);
-	Wire__Datagram d = WIRE__DATAGRAM__INIT;
-	Wire__Suspect w = WIRE__SUSPECT__INIT, *one = &w;
-	struct member_send s = { .kind = KIND_TELL };
 	const struct set_service *v;
 	int i, m;
 
+	if (member >= 0) {
+		send_suspect(n, member, w);
+		return;
+	}
 	if (cfg == NULL ||
 	    (i = set_target_of_vm(cfg->set, n->settings.name)) < 0)
 		return;
 	v = &cfg->set->services[cfg->set->targets[i].service];
-	w.fingerprint = fp;
-	w.crashes = (uint64_t *)c->ids;
-	w.n_crashes = (size_t)c->n;
-	w.released = released;
 	for (i = 0; i < v->ntargets; i++) {
 		m = member_find(
 		    n->members, cfg->set->targets[v->targets[i]].vm);
-		if (m < 0)
-			continue;
-		s.to = m;
-		fill(n, &s, &d);
-		d.suspects = &one;
-		d.n_suspects = 1;
-		transmit(n, member_at(n->members, m)->addr, &d, 0);
+		if (m >= 0)
+			send_suspect(n, m, w);
 	}
 }
 
--- a/node/gossip.h
+++ b/node/gossip.h
@@ -15,8 +15,8 @@
 	void (*heard)(struct node *, int member);
 	/* A member sends a version. */
 	void (*pushed)(struct node *, int member, const Wire__SetReply *);
-	/* A guard tells of crashes, or of a quarantine that is lifted. */
-	void (*suspected)(struct node *, const Wire__Suspect *);
+	/* A guard tells of crashes or of a lifted quarantine, or asks. */
+	void (*suspected)(struct node *, int member, const Wire__Suspect *);
 	/* A rejection that the next datagram carries: 1, and where it is. */
 	int (*rejection)(struct node *, const struct version_state *,
 	    const struct version **, const char **reason, const char **by);
@@ -46,9 +46,8 @@
 /* Sends one datagram to a member; push may be NULL. */
 void gossip_send(
     struct node *, const struct member_send *, const struct config_delta *push);
-/* Tells the guards of a service of crashes under a fingerprint. */
-void gossip_suspect(
-    struct node *, uint64_t fingerprint, const struct crashes *, int released);
+/* Tells one guard of this node's service (a member), or all (-1). */
+void gossip_suspect(struct node *, int member, Wire__Suspect *);
 /* Takes a VM list over. */
 void gossip_vms(struct node *, struct vm_list *);
 /* Greets the node at an address, which need not be known. */
--- a/node/node.c
+++ b/node/node.c
@@ -37,7 +37,7 @@
 	.load = serve_load,
 	.heard = spread_heard,
 	.pushed = spread_push,
-	.suspected = serve_suspected,
+	.suspected = suspect_told,
 	.rejection = spread_rejection,
 	.own_state = role_set_out,
 };
--- a/node/serve.c
+++ b/node/serve.c
@@ -36,6 +36,7 @@
 	n->guard->pool = target_pool_start(host, port, exchange_done, n);
 	n->guard->held = g_ptr_array_new();
 	n->guard->peers = g_ptr_array_new_with_free_func(g_free);
+	suspect_init(n);
 	kept_init(&n->guard->kept_once, GUARD_REMEMBER_MS);
 	kept_init(&n->guard->kept_short, KEPT_SHORT_MS);
 }
@@ -59,6 +60,7 @@
 	guint i;
 
 	target_pool_stop(n->guard->pool);
+	suspect_destroy(n);
 	for (i = 0; i < n->guard->held->len; i++)
 		served_free(g_ptr_array_index(n->guard->held, i));
 	g_ptr_array_free(n->guard->held, TRUE);
@@ -323,7 +325,6 @@
 {
 	struct served *s = j->cookie;
 	int64_t now = base_now_ms();
-	struct crashes crashes;
 
 	record_done(n, &s->req, j->result, j->latency_us, now);
 	if (n->settings.no_slow_start)
@@ -331,10 +332,7 @@
 		    guard_limit(n->guard->guard)->slots;
 	if (j->result == EXCHANGE_BROKEN) {
 		counter_add(CTR_TARGET_FAILURES, 1);
-		guard_crash_ids(
-		    n->guard->guard, s->req.fingerprint, &crashes, now);
-		if (crashes.n > 0)
-			gossip_suspect(n, s->req.fingerprint, &crashes, 0);
+		suspect_broken(n, s->req.fingerprint);
 	}
 	g_ptr_array_remove_fast(n->guard->held, s);
 	if (!s->answered)
@@ -425,6 +423,7 @@
 
 	if (n->guard->guard == NULL)
 		return;
+	suspect_tick(n, now);
 	for (i = 0; i < n->guard->held->len; i++) {
 		s = g_ptr_array_index(n->guard->held, i);
 		if (!s->running || s->answered || s->req.deadline > now)
@@ -464,33 +463,3 @@
 {
 	return n->guard->guard != NULL ? guard_load(n->guard->guard) : 0;
 }
-
-/* Another guard tells of crashes, or that a quarantine is lifted. */
-void
-serve_suspected(struct node *n, const Wire__Suspect *s)
-{
-	struct crashes c = { 0 };
-	size_t i;
-
-	if (n->guard->guard == NULL)
-		return;
-	for (i = 0; i < s->n_crashes; i++)
-		crashes_add(&c, s->crashes[i]);
-	if (s->released)
-		record_release(n, s->fingerprint);
-	else
-		record_suspect(n, s->fingerprint, &c);
-}
-
-/* Lifts a quarantine, here and at the other guards of the service. */
-int
-serve_release(struct node *n, uint64_t fingerprint)
-{
-	struct crashes none = { 0 };
-	int had = 0;
-
-	if (n->guard->guard != NULL)
-		had = record_release(n, fingerprint);
-	gossip_suspect(n, fingerprint, &none, 1);
-	return had;
-}
--- a/node/serve.h
+++ b/node/serve.h
@@ -34,10 +34,13 @@
 const char *serve_target(const struct node *);
 /* The guard's load in percent; 0 when there is none. */
 int serve_load(struct node *);
-/* Another guard tells of crashes, or that a quarantine is lifted. */
-void serve_suspected(struct node *, const Wire__Suspect *);
+
+/* ---- suspect.c ---- */
+
+/* Another guard tells of crashes, or that a quarantine is lifted, or asks. */
+void suspect_told(struct node *, int member, const Wire__Suspect *);
 /* Lifts a quarantine here and at the service's other guards; 1: it was. */
-int serve_release(struct node *, uint64_t fingerprint);
+int suspect_release(struct node *, uint64_t fingerprint);
 
 /* ---- role.c ---- */
 
--- a/node/serve_int.h
+++ b/node/serve_int.h
@@ -49,10 +49,22 @@
 	struct target_pool *pool;
 	GPtrArray *held;	     /* of struct served, owned */
 	GPtrArray *peers;	     /* names of the service's targets, owned */
+	GArray *told;		     /* of struct told, owned */
+	int64_t ask_at;		     /* the other guards of the service */
+	guint asks;		     /* so far */
 	struct kept_store kept_once; /* of requests that run once */
 	struct kept_store kept_short; /* of others, whose id was made here */
 };
 
+/* ---- suspect.c ---- */
+
+void suspect_init(struct node *);
+void suspect_destroy(struct node *);
+/* A request of this fingerprint broke at the target. */
+void suspect_broken(struct node *, uint64_t fingerprint);
+/* Tells and asks again what is due. */
+void suspect_tick(struct node *, int64_t now);
+
 /* ---- kept.c ---- */
 
 void kept_init(struct kept_store *, int64_t keep_ms);
--- a/node/status.c
+++ b/node/status.c
@@ -218,6 +218,6 @@
 	uint64_t fp = text != NULL ? strtoull(text, NULL, 16) : 0;
 
 	g_string_append_printf(out, "{\"released\": %s}\n",
-	    serve_release(n, fp) ? "true" : "false");
+	    suspect_release(n, fp) ? "true" : "false");
 	g_free(text);
 }
--- a/node/wire.pb-c.c
+++ b/node/wire.pb-c.c
@@ -1700,7 +1700,7 @@
   (ProtobufCMessageInit) wire__rumour__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__suspect__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wire__suspect__field_descriptors[4] =
 {
   {
     "fingerprint",
@@ -1738,8 +1738,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ask",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Suspect, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__suspect__field_indices_by_name[] = {
+  3,   /* field[3] = ask */
   2,   /* field[2] = crashes */
   0,   /* field[0] = fingerprint */
   1,   /* field[1] = released */
@@ -1748,7 +1761,7 @@
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wire__suspect__descriptor =
 {
@@ -1758,7 +1771,7 @@
   "Wire__Suspect",
   "wire",
   sizeof(Wire__Suspect),
-  3,
+  4,
   wire__suspect__field_descriptors,
   wire__suspect__field_indices_by_name,
   2,  wire__suspect__number_ranges,
--- a/node/wire.pb-c.h
+++ b/node/wire.pb-c.h
@@ -307,10 +307,14 @@
   protobuf_c_boolean released;
   size_t n_crashes;
   uint64_t *crashes;
+  /*
+   * tell me what you know of any fingerprint
+   */
+  protobuf_c_boolean ask;
 };
 #define WIRE__SUSPECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__suspect__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0 }
 
 
 /*
