A target that is newly cold right after a request broke off has crashed

Callers saw: a request that crashes each target ran again where the target was back before the gate could ask, under the id that it had.

Cause: such a target answers the status check under the same id, which acquitted the request.

Change: if the answer says that the target is cold and it was not before, what broke off is counted. A target that becomes cold without an end at that very moment makes innocent requests suspect, which a success refutes.

--- a/proxy/probe.c
+++ b/proxy/probe.c
@@ -218,6 +218,9 @@
 		if (g->state == GATE_LEAVING && !g->proxy->leaving)
 			gate_set_state(g, GATE_UNKNOWN, "another target");
 	}
+	/* One that is newly cold has started again under its id. */
+	if (cold > 0 && g->admit.cold_until <= base_now_ms())
+		crash_found(g);
 	if (cold > 0)
 		gate_set_cold(g, cold);
 	if (g->state == GATE_UNKNOWN)
--- a/test/rig.h
+++ b/test/rig.h
@@ -38,7 +38,8 @@
 	 */
 	int crash_ms;
 	int crashes;
-	int renews; /* it comes back under another id */
+	int renews;	   /* it comes back under another id */
+	int cold_again_ms; /* it comes back cold */
 	struct event *back;
 	int cold_ms;	       /* by its status check */
 	const char *cold_text; /* what it says of that instead, or NULL */
--- a/test/rig_target.c
+++ b/test/rig_target.c
@@ -85,6 +85,7 @@
 
 	(void)fd;
 	(void)what;
+	t->cold_ms = t->cold_again_ms;
 	if (t->renews)
 		g_snprintf(t->id, sizeof(t->id), "%.2s.%d", t->id, t->crashes);
 	rig_target_open(t);
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -176,6 +176,23 @@
 	}
 }
 
+/* BUDGET: the same of one that is back under its old id, and cold. */
+static void
+crashes_of_targets_that_return_cold_count(void)
+{
+	struct rig r;
+
+	start(&r, 1);
+	r.nodes[0].target.crash_ms = RIG_AT_ONCE;
+	r.nodes[0].target.cold_again_ms = 300;
+	send_many(&r, "/once/crash", 2);
+	/* It is no longer cold by the next. */
+	r.nodes[0].target.cold_ms = 0;
+	send_many(&r, "/once/crash", 6);
+	at_most(&r, ENDED_MAX);
+	rig_stop(&r);
+}
+
 /* BUDGET: a process that starts again must learn what its peers know. */
 static void
 a_restarted_node_learns_of_crashes(void)
@@ -351,6 +368,8 @@
 	    crashes_beside_kept_connections_count },
 	{ "crashes of targets that return at once count",
 	    crashes_of_targets_that_return_at_once_count },
+	{ "crashes of targets that return cold count",
+	    crashes_of_targets_that_return_cold_count },
 	{ "a restarted node learns of crashes",
 	    a_restarted_node_learns_of_crashes },
 	{ "a waiting request is not sent", a_waiting_request_is_not_sent },
