test_quarantine: a target that is back before a second check

Taking 'the check uses a new connection' away was not noticed, as the second check finds the target gone as well; now it is (6 targets ended without it).

--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -10,6 +10,7 @@
 /* The users' rule looks at what is sent once three targets have ended. */
 #define ENDED_MAX 3
 #define BACK_MS	  150 /* a target is down for */
+#define SHORT_MS  60  /* too short for a second status check */
 #define PAUSE_MS  400 /* between two requests that crash targets */
 
 /* Targets that requests have ended so far. */
@@ -148,6 +149,8 @@
 
 	for (nodes = 1; nodes <= 2; nodes++) {
 		start(&r, nodes);
+		for (i = 0; i < nodes; i++)
+			r.nodes[i].target.crash_ms = SHORT_MS;
 		for (i = 0; i < 6; i++) {
 			warm(&r, 20);
 			send_one(&r, i % nodes, "/run/crash");
