--- a/proxy/offer.c
+++ b/proxy/offer.c
@@ -18,6 +18,7 @@
 static void finish_pieces(struct request *r, const struct result *res);
 static void on_answer(struct request *r, struct http_message *m);
 static void pass(struct request *r, struct http_message *m);
+static int note_quarantined(const struct request *r);
 static void refuse(struct request *r, enum call_outcome why);
 static void give_up(struct request *r);
 static void request_free(struct request *r);
@@ -222,6 +223,21 @@
 	request_free(r);
 }
 
+/* It has crashed targets: how long it is refused, ms. */
+static int
+note_quarantined(const struct request *r)
+{
+	uint64_t fp = r->job.fingerprint;
+	int left;
+
+	left = (int)quarantine_left_ms(&r->entry->proxy->quarantine, fp);
+	counter_add(CTR_QUARANTINED, 1);
+	base_log(G_LOG_LEVEL_MESSAGE, "quarantined",
+	    "id=%s fingerprint=%016" G_GINT64_MODIFIER "x left_ms=%d", r->id,
+	    fp, left);
+	return left;
+}
+
 /* Refuses for good, and tells the caller when to come back if it may. */
 static void
 refuse(struct request *r, enum call_outcome why)
@@ -238,12 +254,10 @@
 	else
 		status = 503;
 	if (why == OUTCOME_POISON)
-		back = (int)quarantine_left_ms(
-		    &r->entry->proxy->quarantine, r->job.fingerprint);
+		back = note_quarantined(r);
 	else if (status == 503)
 		back = BACK_MIN_MS + g_rand_int_range(r->entry->proxy->rand, 0,
 					 r->route->goal_ms / BACK_SHARE + 1);
-	counter_add(CTR_QUARANTINED, why == OUTCOME_POISON);
 	counter_add(r->ran ? CTR_REFUSED_UNKNOWN : CTR_REFUSED_NOT_RUN, 1);
 	base_log(G_LOG_LEVEL_INFO, "refused",
 	    "id=%s route=%s outcome=%s status=%d gates=%d sends=%d took_ms=%d "
