What is known of a quarantined request is not told without an end

Ruled out: relaying itself, which stops where nothing is new.

Change: a fingerprint that is quarantined takes no further crashes. The cases ask for quarantine at all nodes, as before for the full count, which no decision needs.

--- a/mesh/poison.c
+++ b/mesh/poison.c
@@ -157,7 +157,8 @@
 		return 0;
 	if ((s = find(p, fp, now)) == NULL)
 		s = suspect_new(p, fp);
-	for (i = 0; i < c->n; i++) {
+	/* More would push out what others tell again, without an end. */
+	for (i = 0; i < c->n && counted(s) < POISON_CRASHES_MAX; i++) {
 		full = s->crashes.n == CRASHES_KEPT;
 		if (!crashes_add(&s->crashes, c->ids[i]))
 			continue;
--- a/mesh/poison.h
+++ b/mesh/poison.h
@@ -29,8 +29,8 @@
 int64_t poison_get(
     struct poison *, uint64_t fingerprint, struct crashes *, int64_t now);
 /*
- * Adds crashes that are remembered until a time; returns how many were not
- * known.
+ * Adds crashes that are remembered until a time; returns how many were new.  Of
+ * a fingerprint that is quarantined nothing is.
  */
 int poison_add(struct poison *, uint64_t fingerprint, const struct crashes *,
     int64_t until, int64_t now);
