One crash counts once for many copies of a request

What came after the crash had been found was counted under a second id, so that one crash could quarantine a request of which several copies were running.

Change: a crash keeps its id until the target answers again.

--- a/proxy/crash.c
+++ b/proxy/crash.c
@@ -64,6 +64,7 @@
 {
 	guint n = 0;
 
+	g->crash_id = 0;
 	while (n < g->broken->len &&
 	       g_array_index(g->broken, struct broken, n).at_us <= sent_us)
 		n++;
@@ -74,6 +75,7 @@
 void
 crash_found(struct gate *g)
 {
+	struct quarantine *q = &g->proxy->quarantine;
 	GArray *fingerprints;
 	guint i;
 
@@ -84,7 +86,10 @@
 		g_array_append_val(fingerprints,
 		    g_array_index(g->broken, struct broken, i).fingerprint);
 	g_array_set_size(g->broken, 0);
-	counter_add(CTR_TARGET_CRASHES, 1);
-	quarantine_crash(&g->proxy->quarantine, fingerprints);
+	counter_add(CTR_TARGET_CRASHES, g->crash_id == 0);
+	/* Some may come back after the crash was found; it is the same one. */
+	if (g->crash_id == 0)
+		g->crash_id = quarantine_crash_id(q);
+	quarantine_crash(q, g->crash_id, fingerprints);
 	g_array_free(fingerprints, TRUE);
 }
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -155,6 +155,7 @@
 	int mistrust;	     /* status checks replace reports */
 	struct event *wake;
 	GPtrArray *running; /* of struct job */
+	uint64_t crash_id;  /* of the target, until it answers again, or 0 */
 	GArray *broken; /* of struct broken, until the target's fate is known */
 };
 
@@ -230,8 +231,11 @@
 int64_t quarantine_left_ms(struct quarantine *, uint64_t fingerprint);
 /* A target answered a request with that status. */
 void quarantine_answered(struct quarantine *, uint64_t fingerprint, int status);
+/* An id that no other crash has. */
+uint64_t quarantine_crash_id(struct quarantine *);
 /* The target beside the node ended under requests of these fingerprints. */
-void quarantine_crash(struct quarantine *, const GArray *fingerprints);
+void
+quarantine_crash(struct quarantine *, uint64_t id, const GArray *fingerprints);
 /* The node at the other end of a link knows of crashes. */
 void quarantine_learn(struct quarantine *, uint64_t fingerprint,
     const struct crashes *, int64_t left_ms, struct link *);
--- a/proxy/quarantine.c
+++ b/proxy/quarantine.c
@@ -22,7 +22,6 @@
 	size_t tells; /* beside the first */
 };
 
-static uint64_t crash_id(GRand *);
 static void tell_free(gpointer);
 static void tell_once(struct tell *);
 static void tell_node(struct tell *, const char *);
@@ -67,17 +66,19 @@
 }
 
 /* An id that no other crash has. */
-static uint64_t
-crash_id(GRand *rand)
+uint64_t
+quarantine_crash_id(struct quarantine *q)
 {
+	GRand *rand = q->proxy->rand;
+
 	return (uint64_t)g_rand_int(rand) << 32 | g_rand_int(rand);
 }
 
 /* The target ended under these requests. */
 void
-quarantine_crash(struct quarantine *q, const GArray *fingerprints)
+quarantine_crash(struct quarantine *q, uint64_t id, const GArray *fingerprints)
 {
-	struct crashes c = { 1, { crash_id(q->proxy->rand) } };
+	struct crashes c = { 1, { id } };
 	struct tell *t = g_new0(struct tell, 1);
 	int64_t now = base_now_ms();
 	uint64_t fp;
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -4,6 +4,7 @@
  */
 #include <stdio.h>
 
+#include "../proxy/gate_int.h"
 #include "rig.h"
 #include "test.h"
 
@@ -24,6 +25,20 @@
 	return n;
 }
 
+/* Of a request as rig_call sends it. */
+static uint64_t
+fingerprint(const char *path)
+{
+	struct http_message *m = http_message_new();
+	uint64_t fp;
+
+	m->method = g_strdup("GET");
+	m->path = g_strdup(path);
+	fp = job_fingerprint(m);
+	http_message_free(m);
+	return fp;
+}
+
 /* No more than so many targets may have ended. */
 static void
 at_most(const struct rig *r, int n)
@@ -326,6 +341,38 @@
 	rig_stop(&r);
 }
 
+/*
+ * Load pattern: many copies of one request are at a target when it ends.  It is
+ * one crash, however late their connections show it.
+ */
+static void
+copies_count_once(void)
+{
+	struct rig_call c[3], bad;
+	struct rig r;
+	int i;
+
+	start(&r, 1);
+	r.nodes[0].target.work_ms = 200;
+	for (i = 0; i < 3; i++)
+		rig_call(&r, &c[i], 0, "/run/copy", "c", 900);
+	rig_run(&r, 20);
+	rig_call(&r, &bad, 0, "/once/crash", "q", 900);
+	rig_wait(&r, &bad);
+	/* It is found to be down once more before it is back. */
+	rig_run(&r, PAUSE_MS / 8);
+	crash_suspect(&r.nodes[0].proxy->gate, fingerprint("/run/copy"));
+	rig_run(&r, PAUSE_MS);
+	for (i = 0; i < 3; i++)
+		rig_call_end(&c[i]);
+	rig_call_end(&bad);
+	rig_call(&r, &c[0], 0, "/run/copy", "c", 900);
+	rig_wait(&r, &c[0]);
+	CU_ASSERT_EQUAL(rig_status(&c[0]), 200);
+	rig_call_end(&c[0]);
+	rig_stop(&r);
+}
+
 /* Requests that ran beside one that crashes targets are served afterwards. */
 static void
 companions_are_served(void)
@@ -379,6 +426,7 @@
 	{ "errors refute no crash", errors_refute_no_crash },
 	{ "crashes count for all callers", crashes_count_for_all_callers },
 	{ "popular requests are served", popular_requests_are_served },
+	{ "copies count once", copies_count_once },
 	{ "companions are served", companions_are_served },
 };
 
