--- a/node/record.h
+++ b/node/record.h
@@ -8,8 +8,7 @@
 #include "serve_int.h"
 
 /* Begins a trace when the settings ask for one; after guard_new. */
-void record_open(
-    struct node *, int slots, int64_t wall_ms, uint64_t origin);
+void record_open(struct node *, int slots, int64_t wall_ms, uint64_t origin);
 enum guard_verdict record_admit(struct node *, const struct guard_request *);
 int record_next(
     struct node *, struct guard_request *, enum guard_verdict *, int64_t now);
--- a/node/suspect.c
+++ b/node/suspect.c
@@ -8,6 +8,8 @@
 #include "gossip.h"
 #include "record.h"
 
+#define TOLD_MAX 64 /* fingerprints told again; others are told once */
+
 /* Before a crash is told, or the others are asked, once more, ms. */
 static const int pauses_ms[] = { 1000, 3000, 12000 };
 
@@ -75,7 +77,8 @@
 	if (guard_crashes(n->guard->guard, fp, base_now_ms()) == 0)
 		return;
 	tell_known(n, fp);
-	g_array_append_val(n->guard->told, t);
+	if (n->guard->told->len < TOLD_MAX)
+		g_array_append_val(n->guard->told, t);
 }
 
 /* The others are asked. */
