--- a/proxy/gate.c
+++ b/proxy/gate.c
@@ -298,17 +298,11 @@
 outcome_of(struct gate *g, const struct job *j, enum upstream_result u,
     const struct http_message *m)
 {
-	switch (u) {
-	case UPSTREAM_ANSWER:
+	if (m != NULL)
 		return judge(g, j, m);
-	case UPSTREAM_REFUSED:
-	case UPSTREAM_NOT_SENT:
-		/* The first sending may have run it. */
-		return j->resent ? OUTCOME_BROKEN : OUTCOME_REFUSED;
-	case UPSTREAM_STALE:
-	case UPSTREAM_BROKEN:
-		break;
-	}
+	/* The first sending may have run it. */
+	if ((u == UPSTREAM_REFUSED || u == UPSTREAM_NOT_SENT) && !j->resent)
+		return OUTCOME_REFUSED;
 	return OUTCOME_BROKEN;
 }
 
@@ -339,10 +333,9 @@
 	r.answer = j->in_pieces ? NULL : m;
 	admit_done(
 	    &g->admit, j->kind, r.outcome == OUTCOME_ANSWERED ? (int)us : -1);
-	if (r.outcome == OUTCOME_ANSWERED)
+	if (m != NULL && r.outcome == OUTCOME_ANSWERED) {
 		admit_note(&g->admit, j->kind,
 		    m->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR);
-	if (r.outcome == OUTCOME_ANSWERED) {
 		quarantine_answered(
 		    &g->proxy->quarantine, j->fingerprint, m->status);
 		crash_acquit(g, j->fingerprint);
--- a/test/test_poison.c
+++ b/test/test_poison.c
@@ -115,7 +115,7 @@
 		news = 0;
 		for (k = 0; k < 9; k++) {
 			p = nodes[g_rand_int_range(rand, 0, 3)];
-			crash((uint64_t)(round * 9 + k), NOW);
+			crash((uint64_t)round * 9 + (uint64_t)k, NOW);
 		}
 		for (k = 0; k < 60; k++) {
 			i = g_rand_int_range(rand, 0, 3);
