--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -257,8 +257,10 @@
 	rig_wait(&r, &c);
 	CU_ASSERT_EQUAL(rig_status(&c), 503);
 	CU_ASSERT_EQUAL(ended(&r), before + 1);
-	for (i = 0; i < 4; i++)
+	for (i = 0; i < 4; i++) {
+		rig_wait(&r, &busy[i]);
 		rig_call_end(&busy[i]);
+	}
 	rig_call_end(&c);
 	rig_stop(&r);
 }
