--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -10,9 +10,10 @@
 
 /* The users' rule looks at what is sent once three targets have ended. */
 #define ENDED_MAX 3
-#define BACK_MS	  150 /* a target is down for */
-#define SHORT_MS  60  /* too short for a second status check */
-#define PAUSE_MS  400 /* between two requests that crash targets */
+#define BACK_MS	  150  /* a target is down for */
+#define SHORT_MS  60   /* too short for a second status check */
+#define TOLD_MS	  5000 /* a crash is told again after 1, 4 and 16 s */
+#define PAUSE_MS  400  /* between two requests that crash targets */
 
 /* Targets that requests have ended so far. */
 static int
@@ -231,6 +232,27 @@
 	rig_stop(&r);
 }
 
+/* BUDGET: a link that opens must tell what the other end has forgotten. */
+static void
+a_link_that_opens_tells_what_is_quarantined(void)
+{
+	struct rig r;
+	int before;
+
+	start(&r, 2);
+	send_many(&r, "/once/crash", 4);
+	before = ended(&r);
+	/* Between the second time that its crash is told again and the third.
+	 */
+	rig_run(&r, TOLD_MS);
+	rig_restart(&r, 1);
+	rig_list(&r, 0, "other", VIEW_READY);
+	send_one(&r, 0, "/run/x");
+	send_one(&r, 1, "/once/crash");
+	CU_ASSERT_EQUAL(ended(&r), before);
+	rig_stop(&r);
+}
+
 /* BUDGET: what waits when its crashes become known must not be sent. */
 static void
 a_waiting_request_is_not_sent(void)
@@ -424,6 +446,8 @@
 	    crashes_of_targets_that_return_cold_count },
 	{ "a restarted node learns of crashes",
 	    a_restarted_node_learns_of_crashes },
+	{ "a link that opens tells what is quarantined",
+	    a_link_that_opens_tells_what_is_quarantined },
 	{ "a waiting request is not sent", a_waiting_request_is_not_sent },
 	{ "errors refute no crash", errors_refute_no_crash },
 	{ "crashes count for all callers", crashes_count_for_all_callers },
