teaselnode: calls behind one silent guard ask it together

What callers saw: calls that waited for the same guard over a connection that was lost got their answers one after the other, 100 to 250 ms apart.

Cause: the first call that noticed the silence replaced the connection and woke the others so that they ask as well (call_link_lost), but each of them then replaced the connection again, and with it dropped what the ones before had just asked.

Ruled out: the other end; the questions never left, as zmq_disconnect drops what an unfinished handshake holds back.

Change: a call knows that its connection was replaced since it was sent or asked over, and asks over the one that there is. A call that runs once and has asked already asks again, as its question was lost too; one that may be repeated goes elsewhere when it would have.

--- a/mesh/call.c
+++ b/mesh/call.c
@@ -103,6 +103,7 @@
 	c->state = CALL_SENT;
 	c->tries++;
 	c->asks = 0;
+	c->relinked = 0;
 	c->wake = wake_at(c, now, CALL_ACK_MS);
 }
 
@@ -202,11 +203,15 @@
 enum call_action
 call_timer(struct call *c, struct budget *b, int64_t now)
 {
+	int relinked;
+
 	if (now >= c->deadline) {
 		if (c->state == CALL_PAUSED || c->state == CALL_NEW)
 			return refuse(c, OUTCOME_LATE);
 		return refuse(c, c->once ? OUTCOME_UNKNOWN : OUTCOME_EXPIRED);
 	}
+	relinked = c->relinked;
+	c->relinked = 0;
 	switch (c->state) {
 	case CALL_PAUSED:
 		return again(c, b, now) == CALL_SEND ? CALL_SEND_SAME
@@ -227,19 +232,26 @@
 		c->wake =
 		    wake_at(c, now, c->asks == 1 ? CALL_ACK_MS : CALL_ASK_MS);
 		counter_add(CTR_FENCES, 1);
-		return CALL_ASK;
+		return relinked ? CALL_ASK_SAME : CALL_ASK;
 	default:
 		c->wake = c->deadline;
 		return CALL_WAIT;
 	}
 }
 
-/* Whoever waits asks at once. */
+/*
+ * Whoever waits asks at once, over the connection that there is now: another
+ * one would lose what was asked over this one.  One that may be repeated and
+ * has asked already goes elsewhere in time.
+ */
 void
 call_link_lost(struct call *c, int64_t now)
 {
-	if (c->state == CALL_ACKED || c->state == CALL_SENT)
+	if (c->state == CALL_ACKED || c->state == CALL_SENT ||
+	    (c->state == CALL_ASKING && c->once)) {
+		c->relinked = 1;
 		c->wake = now;
+	}
 }
 
 /* The guard will not answer any more. */
--- a/mesh/call.h
+++ b/mesh/call.h
@@ -77,10 +77,12 @@
 	int64_t born_wall_ms;
 	int64_t deadline;
 	enum call_state state;
-	int tries;		/* sendings so far */
-	int asks;		/* questions since the last sign of life */
-	int walked;		/* homes passed by, each with the id recorded */
-	int64_t wake;		/* when call_timer is due */
+	int tries;    /* sendings so far */
+	int asks;     /* questions since the last sign of life */
+	int relinked; /* 1: its connection was replaced since it was sent over
+		       */
+	int walked;   /* homes passed by, each with the id recorded */
+	int64_t wake; /* when call_timer is due */
 	enum call_outcome last; /* why it was not answered yet */
 	int retry_after_ms;
 	struct crashes crashes; /* of targets, under its fingerprint */
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -143,6 +143,30 @@
 	CU_ASSERT_EQUAL(c.wake, NOW + 5);
 }
 
+/*
+ * Guards against: the calls that wait for one guard replace its connection in
+ * turn.  One of them does; the others ask over what it opened.
+ */
+static void
+a_replaced_link_is_not_replaced_again(void)
+{
+	struct call c = sent(1, 1);
+
+	call_link_lost(&c, NOW + 5);
+	CU_ASSERT_EQUAL(call_timer(&c, &budget, c.wake), CALL_ASK_SAME);
+	/* What it asked was lost with another connection. */
+	call_link_lost(&c, NOW + 10);
+	CU_ASSERT_EQUAL(c.wake, NOW + 10);
+	CU_ASSERT_EQUAL(call_timer(&c, &budget, c.wake), CALL_ASK_SAME);
+	/* Silence on the new one is a reason to replace that. */
+	CU_ASSERT_EQUAL(call_timer(&c, &budget, c.wake), CALL_ASK);
+	/* One that may be repeated goes elsewhere no sooner than without. */
+	c = sent(0, 1);
+	CU_ASSERT_EQUAL(call_timer(&c, &budget, c.wake), CALL_ASK);
+	call_link_lost(&c, c.wake - 50);
+	CU_ASSERT_EQUAL(c.wake, NOW + 2 * CALL_ACK_MS);
+}
+
 static void
 dead_guard_ends_the_wait_at_once(void)
 {
@@ -179,6 +203,8 @@
 	{ "stale view pauses and goes to the same",
 	    stale_view_pauses_and_goes_to_the_same },
 	{ "lost answer is asked for", lost_answer_is_asked_for },
+	{ "a replaced link is not replaced again",
+	    a_replaced_link_is_not_replaced_again },
 	{ "dead guard ends the wait at once",
 	    dead_guard_ends_the_wait_at_once },
 	{ "poison is not retried after two crashes",
