teaselnode: calls ask as soon as a node's key is learnt

Cause: the entry had not heard the guard since it began (boot 0 in the trace), so it did not know which of the fleet's two keys the guard uses, and opened the connection with its own. Such a connection cannot come about. The question after 100 ms went the same way; it made the entry probe the guard, whose answer tells the key, upon which the link was opened anew and the question dropped. Only the second question, after 200 ms, arrived.

Ruled out: a slow target or guard (its first sight of the call is the second question), a lost answer (nothing was held under the id).

Change: who waits for a node asks at once when its connection is replaced for another key.

Test: test_send fails before (no question within 3 s), passes after.

--- a/node/entry.h
+++ b/node/entry.h
@@ -16,6 +16,8 @@
 void entry_ack(struct node *, uint64_t number, int load);
 void entry_answer(struct node *, uint64_t number, const Wire__Answer *);
 void entry_tick(struct node *, int64_t now);
+/* The connection to a node was replaced: calls that wait for it ask again. */
+void entry_relinked(struct node *, const char *vm);
 /* Calls that the loop knows of. */
 int entry_calls(const struct node *);
 /* Calls taken and not replied to, those on their way to the loop too. */
--- a/node/gossip.c
+++ b/node/gossip.c
@@ -230,8 +230,8 @@
 	uint32_t key = at >= 0 ? member_at(n->members, at)->key : 0;
 
 	for (i = 0; key != 0 && i < n->keys.count; i++)
-		if (n->prints[i] == key)
-			link_key(n->link, name, i);
+		if (n->prints[i] == key && link_key(n->link, name, i))
+			n->gossip_events->relinked(n, name);
 }
 
 /* Takes in that some node's check refused a version. */
--- a/node/gossip.h
+++ b/node/gossip.h
@@ -20,6 +20,8 @@
 	/* A rejection that the next datagram carries: 1, and where it is. */
 	int (*rejection)(struct node *, const struct version_state *,
 	    const struct version **, const char **reason, const char **by);
+	/* The connection to a node was dropped, and what it held back. */
+	void (*relinked)(struct node *, const char *name);
 	/* This node's own state may have changed. */
 	void (*own_state)(struct node *);
 };
--- a/node/link.c
+++ b/node/link.c
@@ -204,18 +204,20 @@
 }
 
 /* Takes the key in use; a connection opened with another cannot come about. */
-void
+int
 link_key(struct link *l, const char *peer, int key)
 {
 	struct out *o = g_hash_table_lookup(l->outs, peer);
+	int dropped = o != NULL && o->key != key;
 
-	if (o != NULL && o->key != key)
+	if (dropped)
 		link_reset(l, peer);
 	if (key != 0)
 		g_hash_table_insert(
 		    l->keys, g_strdup(peer), GINT_TO_POINTER(key));
 	else
 		g_hash_table_remove(l->keys, peer);
+	return dropped;
 }
 
 /* Drops a connection. */
--- a/node/link.h
+++ b/node/link.h
@@ -35,9 +35,10 @@
 link_reply(struct link *, const struct link_route *, const Wire__Envelope *);
 /*
  * Which of the fleet's keys a node uses, as its datagrams show: a connection
- * to it is opened with that one.
+ * to it is opened with that one.  Returns 1 when one that was opened with
+ * another key was dropped, and what waited to be sent over it.
  */
-void link_key(struct link *, const char *peer, int key);
+int link_key(struct link *, const char *peer, int key);
 /* Drops the connection to a node, so that the next sending opens a new one. */
 void link_reset(struct link *, const char *peer);
 /*
--- a/node/node.c
+++ b/node/node.c
@@ -39,6 +39,7 @@
 	.pushed = spread_push,
 	.suspected = suspect_told,
 	.rejection = spread_rejection,
+	.relinked = entry_relinked,
 	.own_state = role_set_out,
 };
 
--- a/node/send.c
+++ b/node/send.c
@@ -10,7 +10,7 @@
 static void pack_forward(struct node *, struct entry_call *,
     const struct config *, Wire__Forward *, Wire__Header *);
 static uint64_t boot_of(struct node *, const char *);
-static void give_up_link(struct node *, const struct entry_call *);
+static void wake_others(struct node *, const char *, const struct entry_call *);
 
 /*
  * Number of a call's current sending on the wire.  What is said of an earlier
@@ -164,26 +164,32 @@
 }
 
 /*
- * Gives up the connection to a node.  Answers to other calls may be lost with
- * it, so those ask too.
+ * The connection to a node is gone, and what was under way over it may be:
+ * all calls that wait for the node ask, but for the one that is about to.
  */
 static void
-give_up_link(struct node *n, const struct entry_call *asking)
+wake_others(struct node *n, const char *vm, const struct entry_call *asking)
 {
 	struct entry_call *ec;
 	GHashTableIter it;
 	gpointer value;
 	int64_t now = base_now_ms();
 
-	link_reset(n->link, asking->vm);
 	g_hash_table_iter_init(&it, n->entry->calls);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		ec = value;
-		if (ec != asking && strcmp(ec->vm, asking->vm) == 0)
+		if (ec != asking && strcmp(ec->vm, vm) == 0)
 			call_link_lost(&ec->call, now);
 	}
 }
 
+/* Another connection is there, or will be with the next question. */
+void
+entry_relinked(struct node *n, const char *vm)
+{
+	wake_others(n, vm, NULL);
+}
+
 /* Asks the guard about a call, on a fresh connection if it was silent. */
 void
 send_ask(struct node *n, struct entry_call *ec, int fresh)
@@ -208,7 +214,8 @@
 	if (fresh) {
 		entry_view(n, ec->target)->avoid_until =
 		    base_now_ms() + SILENT_AVOID_MS;
-		give_up_link(n, ec);
+		link_reset(n->link, ec->vm);
+		wake_others(n, ec->vm, ec);
 		members_doubt(n->members, m);
 	}
 	link_send(n->link, p->name, p->addr, &env);
--- a/test/test_send.c
+++ b/test/test_send.c
@@ -18,14 +18,16 @@
 /* An entry, and the other end of its link in place of a guard. */
 struct world {
 	struct node entry;
+	struct fleet_keys guard_keys;
 	struct link *guard;
 	char addr[ADDRESS_MAX]; /* of the guard */
 	struct entry_call calls[CALLS];
 	int asked[CALLS]; /* questions that came, by call */
 };
 
-/* Fleet keys: the entry uses the first and accepts both. */
+/* Fleet keys: a node uses the first and accepts both. */
 static const struct fleet_keys entry_keys = { { { 1 }, { 2 } }, 2 };
+static const struct fleet_keys next_keys = { { { 2 }, { 1 } }, 2 };
 
 static void
 on_guard(void *arg, const char *peer, const struct link_route *from,
@@ -54,6 +56,25 @@
 	(void)bytes;
 }
 
+static void
+on_member(struct node *n, int member)
+{
+	(void)n;
+	(void)member;
+}
+
+static void
+on_own_state(struct node *n)
+{
+	(void)n;
+}
+
+static const struct gossip_events events = {
+	.heard = on_member,
+	.own_state = on_own_state,
+	.relinked = entry_relinked,
+};
+
 /* Calls of which some were sent to the guard and are silent since. */
 static void
 world_start(struct world *w, const struct fleet_keys *guard_keys, int sent)
@@ -64,9 +85,18 @@
 	int port = PORT_BASE + (int)(getpid() % PORT_SPAN), i;
 
 	memset(w, 0, sizeof(*w));
+	w->guard_keys = *guard_keys;
 	g_snprintf(self, sizeof(self), "127.0.0.81:%d", port);
 	g_snprintf(w->addr, sizeof(w->addr), "127.0.0.82:%d", port);
 	n->settings.name = (char *)"vm-a";
+	n->settings.listen = n->settings.advertise = g_strdup(self);
+	n->gossip_events = &events;
+	n->keys = entry_keys;
+	n->replays =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	for (i = 0; i < n->keys.count; i++)
+		n->prints[i] = key_print(n->keys.key[i]);
+	CU_ASSERT_EQUAL_FATAL(gossip_open(n), NODE_OK);
 	n->members = members_new("vm-a", self, "dc", 1, 1);
 	members_list(n->members, GUARD, w->addr, "dc", 0, 1);
 	entry_init(n);
@@ -92,6 +122,9 @@
 world_stop(struct world *w)
 {
 	g_hash_table_steal_all(w->entry.entry->calls);
+	gossip_close(&w->entry);
+	g_hash_table_destroy(w->entry.replays);
+	g_free(w->entry.settings.listen);
 	link_close(w->entry.link);
 	link_close(w->guard);
 	entry_destroy(&w->entry);
@@ -134,7 +167,56 @@
 	world_stop(&w);
 }
 
+/* A datagram of the guard, sealed with the key that it uses. */
+static void
+guard_tells(struct world *w)
+{
+	Wire__Datagram d = WIRE__DATAGRAM__INIT;
+	unsigned char plain[SEAL_MAX], sealed[SEAL_MAX];
+	struct sockaddr_in to;
+	size_t len;
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+	d.kind = KIND_TELL;
+	d.from = (char *)GUARD;
+	d.boot = d.count = 1;
+	len = wire__datagram__pack(&d, plain);
+	len = (size_t)seal(w->guard_keys.key[0], w->entry.settings.advertise,
+	    plain, len, sealed);
+	address_resolve(w->entry.settings.advertise, &to);
+	CU_ASSERT_EQUAL(
+	    sendto(fd, sealed, len, 0, (struct sockaddr *)&to, sizeof(to)),
+	    (ssize_t)len);
+	close(fd);
+}
+
+/*
+ * Guards against: a call to a node that uses another key of the fleet, and was
+ * not heard yet, waits for two silences, as its connection cannot come about
+ * and what was sent over it is dropped when the key is learnt.
+ */
+static void
+a_key_that_is_learnt_lets_calls_ask(void)
+{
+	struct world w;
+	Wire__Envelope env = WIRE__ENVELOPE__INIT;
+	Wire__Cancel c = WIRE__CANCEL__INIT;
+
+	world_start(&w, &next_keys, 1);
+	env.body_case = WIRE__ENVELOPE__BODY_CANCEL;
+	env.cancel = &c;
+	CU_ASSERT(link_send(w.entry.link, GUARD, w.addr, &env) > 0);
+	entry_tick(&w.entry, base_now_ms());
+	guard_tells(&w);
+	gossip_receive(&w.entry);
+	entry_tick(&w.entry, base_now_ms());
+	CU_ASSERT_EQUAL(asked(&w, 1), 1);
+	world_stop(&w);
+}
+
 static const struct test tests[] = {
+	{ "a key that is learnt lets calls ask",
+	    a_key_that_is_learnt_lets_calls_ask },
 	{ "all calls ask after one silence", all_calls_ask_after_one_silence },
 };
 
