teaselnode: a node that begins probes everybody once

Cause: a guard's incarnation and key come with its own datagrams only, and nodes hear each other by one probe in 2 s: 20 s until all of 11 are heard, ten minutes of 300.

Change: a node that begins probes each member that it has not heard, once, 16 at a time, five times a second. The answers tell both sides.

Ruled out: asking on the first sending to an unheard guard; it leaves the refusal, and one datagram lost leaves the silence as well.

Test: test_member "who begins hears everybody soon" fails without. It bounds the datagrams too.

--- a/mesh/member_int.h
+++ b/mesh/member_int.h
@@ -32,7 +32,8 @@
 	int indirect; /* helpers were asked */
 	int64_t probe_until;
 	int64_t next_probe;
-	int64_t next_tell; /* of a node that leaves */
+	int64_t next_tell;  /* of a node that leaves */
+	int64_t next_greet; /* of members that were not heard yet */
 	int64_t heard_at;
 	int doubted; /* handle to probe next, or -1 */
 	int cursor;  /* of the round through all members */
--- a/mesh/member_probe.c
+++ b/mesh/member_probe.c
@@ -3,12 +3,16 @@
 
 #include "member_int.h"
 
+#define GREET_MAX      16  /* members probed at a time by one that begins */
+#define GREET_EVERY_MS 200 /* and how often, until none is left */
+
 static int next_alive(struct members *m);
 static int random_dead(struct members *m);
 static int choose_probe(struct members *m);
 static void begin_probe(struct members *m, int64_t now);
 static void ask_helpers(struct members *m);
 static void expire_suspects(struct members *m, int64_t now);
+static void greet(struct members *, int64_t);
 
 /* The next member in turn that is not held dead. */
 static int
@@ -104,6 +108,29 @@
 	}
 }
 
+/*
+ * Probes members that were not heard yet: what they answer tells both sides
+ * the other's incarnation and key before a call needs them.
+ */
+static void
+greet(struct members *m, int64_t now)
+{
+	struct member *p;
+	int i, greeted = 0;
+
+	if (now < m->next_greet)
+		return;
+	m->next_greet = now + GREET_EVERY_MS;
+	for (i = 0; i < members_count(m) && greeted < GREET_MAX; i++) {
+		p = member_at(m, i);
+		if (p->heard || p->greeted || p->state > MEMBER_SUSPECT)
+			continue;
+		p->greeted = 1;
+		member_push(m, KIND_PROBE, i, -1, 0);
+		greeted++;
+	}
+}
+
 /* Time passes. */
 void
 members_tick(struct members *m, int64_t now)
@@ -111,6 +138,7 @@
 	struct member *p;
 
 	member_tell_leaving(m, now);
+	greet(m, now);
 	if (m->heard_at == 0)
 		m->heard_at = now;
 	if (m->probed >= 0 && now >= m->probe_until) {
--- a/test/test_member.c
+++ b/test/test_member.c
@@ -250,6 +250,24 @@
 	end();
 }
 
+/*
+ * Guards against: a guard's incarnation and key are known to an entry only
+ * after a whole round of probes, and the first call to it waits for them.
+ */
+static void
+who_begins_hears_everybody_soon(void)
+{
+	int i, sent;
+
+	begin(40);
+	sent = run(1000, 7);
+	for (i = 0; i < members_count(m); i++)
+		CU_ASSERT_EQUAL(member_at(m, i)->heard, i != 7);
+	/* One probe each, and those of the round. */
+	CU_ASSERT(sent <= 40 + 1000 / MEMBER_PERIOD_MS + 1 + MEMBER_HELPERS);
+	end();
+}
+
 static const struct test tests[] = {
 	{ "silent member is suspected, then held dead",
 	    silent_member_is_suspected_then_held_dead },
@@ -264,6 +282,7 @@
 	{ "datagrams do not grow with members",
 	    datagrams_do_not_grow_with_members },
 	{ "after a pause nobody is blamed", after_a_pause_nobody_is_blamed },
+	{ "who begins hears everybody soon", who_begins_hears_everybody_soon },
 };
 
 TEST_MAIN("member", tests)
