A wait that ends at once is a failed read of the source

Cause: two faults that meet. In this mode the service shows the version before the newest. A reader that reads between the fault and the next publication sees a version below the one it holds, and counts it. One that happens to pause for an earlier failure meanwhile reads after the publication, and is shown exactly what it holds; its waiting read is answered at once with the index that it waits with. That counted as a wait that ended without a change, so the reader asked again at once, for as long as the fault lasted, and nobody was told.

Ruled out: readers that do not read (the service's own count), an older version taken for the newest (all nodes held theirs).

Change: a wait that ends without a change within a second is a failed read with an error of its own: counted, logged, with the pauses of other failures. A service may cap waits, at a second or more.

Test: test_reader "wait that ends at once is a failure" fails before.

--- a/source/http.c
+++ b/source/http.c
@@ -55,6 +55,7 @@
 		"this node's budget of reads is spent",
 		"the service refused the read for its rate",
 		"the reader is stopping",
+		"a wait ended at once without a change",
 	};
 	int i = err == 0 ? 0 : -300 - err;
 
--- a/source/reader.c
+++ b/source/reader.c
@@ -11,6 +11,7 @@
 #include "source_int.h"
 
 #define WAIT_MS	       20000 /* of a waiting read */
+#define EARLY_MS       1000  /* a service may cap the wait, but not below */
 #define BACKOFF_MS     250   /* base of the pause after failures */
 #define BACKOFF_MAX_MS 15000
 #define FIRST_TRIES    2 /* reads of a key before the first counts as over */
@@ -26,7 +27,8 @@
 	GRand *rand;
 	uint64_t index;	 /* to wait with */
 	uint64_t newest; /* greatest index seen */
-	int failures;	 /* in a row */
+	int64_t asked_at;
+	int failures; /* in a row */
 	int first_over;
 	int logged; /* last error that was logged */
 };
@@ -119,6 +121,7 @@
 	if (spend(w->reader) != SOURCE_OK)
 		return SOURCE_ESTOPPED;
 	counter_add(CTR_SOURCE_READS, 1);
+	w->asked_at = base_now_ms();
 	return w->reader->ops->read(
 	    w->platform, key, index, wait_ms, value, new_index);
 }
@@ -233,7 +236,8 @@
 /*
  * One read of the watched key.  An index below one seen means the service
  * went back.  A head is judged by the version in it all the same; a VM list
- * has no version of its own, so an older one is not used.
+ * has no version of its own, so an older one is not used.  A service whose
+ * waits end at once is asked as seldom as one that fails.
  */
 static int
 read_once(struct watch *w)
@@ -253,7 +257,9 @@
 		return SOURCE_ESTOPPED;
 	}
 	if (w->index > 0 && index == w->index) {
-		err = SOURCE_OK; /* the wait ended without a change */
+		/* The wait ended without a change. */
+		err = base_now_ms() - w->asked_at < EARLY_MS ? SOURCE_EEARLY
+							     : SOURCE_OK;
 	} else if (index < w->newest && w->handle == handle_vms) {
 		err = SOURCE_EOLDER;
 	} else {
@@ -261,7 +267,7 @@
 		w->index = index;
 		err = w->handle(w, value);
 	}
-	if (err != SOURCE_OK)
+	if (err != SOURCE_OK && err != SOURCE_EEARLY)
 		w->index = 0;
 	g_bytes_unref(value);
 	return err;
--- a/source/source.h
+++ b/source/source.h
@@ -21,6 +21,7 @@
 	SOURCE_EBUDGET = -307,	/* this node's own budget of reads is spent */
 	SOURCE_ELIMIT = -308,	/* the service refused for its rate */
 	SOURCE_ESTOPPED = -309, /* the reader is being stopped */
+	SOURCE_EEARLY = -310, /* a wait that ended at once, without a change */
 };
 
 #define SOURCE_VALUE_MAX (1024 * 1024) /* bytes in one value */
--- a/test/test_reader.c
+++ b/test/test_reader.c
@@ -250,6 +250,31 @@
 	finish(r);
 }
 
+/*
+ * Guards against: a service whose waits end at once is asked again at once,
+ * with the whole budget of reads, and nobody sees that it is faulty.
+ */
+static void
+wait_that_ends_at_once_is_a_failure(void)
+{
+	struct reader *r;
+
+	begin();
+	g_hash_table_insert(
+	    values, g_strdup(SOURCE_HEAD), publish("some text", 1, 0));
+	atomic_store(&over, 1);
+	r = reader_start(&fake, "127.0.0.1", 1, 6000, 0, &events);
+	reader_duty(r, 1);
+	wait_for(&texts, 1);
+	usleep(1000 * WAIT_US);
+	CU_ASSERT_EQUAL(reader_error(r), SOURCE_EEARLY);
+	/* The budget is 6 and 100 a second. */
+	pthread_mutex_lock(&lock);
+	CU_ASSERT(reads < 50);
+	pthread_mutex_unlock(&lock);
+	finish(r);
+}
+
 static void
 head_that_makes_no_sense_is_refused(void)
 {
@@ -292,6 +317,8 @@
 	{ "garbled text is not handed on", garbled_text_is_not_handed_on },
 	{ "off duty reads no more after the first",
 	    off_duty_reads_no_more_after_the_first },
+	{ "wait that ends at once is a failure",
+	    wait_that_ends_at_once_is_a_failure },
 	{ "head that makes no sense is refused",
 	    head_that_makes_no_sense_is_refused },
 	{ "budget and jitter are bounded", budget_and_jitter_are_bounded },
