--- a/Makefile
+++ b/Makefile
@@ -109,7 +109,8 @@
 	@echo "  LD $@"
 	@$(CC) $(ALL_CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS)
 
-$(BIN)/test_%: $(OBJ)/test/test_%.o $(OBJ)/test/rig.o $(OBJ)/test/rig_target.o $(STANDIN_OBJ) $(OBJ)/libteaselstep.a
+RIG_OBJ = $(patsubst %.c,$(OBJ)/%.o,$(wildcard test/rig*.c))
+$(BIN)/test_%: $(OBJ)/test/test_%.o $(RIG_OBJ) $(STANDIN_OBJ) $(OBJ)/libteaselstep.a
 	@mkdir -p $(@D)
 	@echo "  LD $@"
 	@$(CC) $(ALL_CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS) \
--- /dev/null
+++ b/test/rig_source.c
@@ -0,0 +1,233 @@
+/* A target that goes on sending, and a caller that takes an answer in pieces.
+ */
+#include <string.h>
+
+#include <event2/listener.h>
+
+#include "rig_source.h"
+
+#define HEAD_MAX   65536 /* bytes */
+#define BODY_MAX   (1024 * 1024)
+#define PUMP_BYTES 16384
+
+struct source_conn {
+	struct rig_source *source;
+	struct bufferevent *bev;
+	struct http_parse parse;
+	struct event *drip;
+	int64_t sent;
+	int asked, done;
+	int counted; /* among the open ones */
+};
+
+static void
+source_free(struct source_conn *c)
+{
+	c->source->conns -= c->counted;
+	event_free(c->drip);
+	http_parse_free(&c->parse);
+	http_reset(c->bev);
+	g_free(c);
+}
+
+/* Sends on while the other side takes it. */
+static void
+source_send(struct bufferevent *bev, void *arg)
+{
+	struct source_conn *c = arg;
+	struct rig_source *s = c->source;
+	struct evbuffer *out = bufferevent_get_output(bev);
+	size_t n = strlen(s->again);
+
+	if (!c->asked || c->done || n == 0 || s->drip_ms > 0)
+		return;
+	while (evbuffer_get_length(out) < PUMP_BYTES &&
+	       (s->most == 0 || c->sent < s->most)) {
+		if (s->most > 0)
+			n = MIN(n, (size_t)(s->most - c->sent));
+		evbuffer_add(out, s->again, n);
+		c->sent += (int64_t)n;
+	}
+	if (s->most > 0 && c->sent >= s->most &&
+	    evbuffer_get_length(out) == 0) {
+		c->done = 1;
+		s->conns -= c->counted;
+		c->counted = 0;
+		if (s->ends && shutdown(bufferevent_getfd(bev), SHUT_WR) != 0)
+			g_error("a source cannot end its answer");
+		if (s->cut)
+			source_free(c);
+	}
+}
+
+static void
+source_drip(evutil_socket_t fd, short what, void *arg)
+{
+	struct source_conn *c = arg;
+
+	(void)fd;
+	(void)what;
+	evbuffer_add(bufferevent_get_output(c->bev),
+	    c->source->again + c->sent++ % (int64_t)strlen(c->source->again),
+	    1);
+	http_timer(c->drip, c->source->drip_ms);
+}
+
+static void
+source_read(struct bufferevent *bev, void *arg)
+{
+	struct source_conn *c = arg;
+	struct http_message *m;
+	char **parts, *text;
+	const char *id;
+
+	while (!c->asked && http_parse_feed(&c->parse,
+				bufferevent_get_input(bev)) == HTTP_OK) {
+		m = http_parse_take(&c->parse);
+		http_parse_next(&c->parse, HTTP_REQUEST);
+		if (strcmp(m->path, "/health") == 0) {
+			evbuffer_add_printf(bufferevent_get_output(bev),
+			    "HTTP/1.1 200 OK\r\n%s: t0\r\n"
+			    "Content-Length: 0\r\n\r\n",
+			    platform_headers.target);
+			http_message_free(m);
+			continue;
+		}
+		id = http_find(m, platform_headers.id);
+		parts = g_strsplit(c->source->begin, "ID", -1);
+		text = g_strjoinv(id, parts);
+		evbuffer_add(bufferevent_get_output(bev), text, strlen(text));
+		g_free(text);
+		g_strfreev(parts);
+		http_message_free(m);
+		c->asked = 1;
+		c->source->conns++;
+		c->counted = 1;
+		if (c->source->drip_ms > 0)
+			http_timer(c->drip, c->source->drip_ms);
+		source_send(bev, c);
+		return;
+	}
+}
+
+static void
+source_event(struct bufferevent *bev, short what, void *arg)
+{
+	(void)bev;
+	(void)what;
+	source_free(arg);
+}
+
+static void
+source_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa,
+    int len, void *arg)
+{
+	struct source_conn *c = g_new0(struct source_conn, 1);
+
+	(void)l;
+	(void)sa;
+	(void)len;
+	c->source = arg;
+	c->bev = bufferevent_socket_new(
+	    c->source->rig->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	c->drip = evtimer_new(c->source->rig->base, source_drip, c);
+	http_parse_init(&c->parse, HTTP_REQUEST, HEAD_MAX, BODY_MAX);
+	bufferevent_setcb(c->bev, source_read, source_send, source_event, c);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+}
+
+void
+rig_source_start(struct rig *r, struct rig_source *s)
+{
+	struct sockaddr_in sin;
+	struct rig_target *t;
+
+	rig_start(r, 2);
+	t = &r->nodes[0].target;
+	http_server_free(t->server);
+	t->server = NULL;
+	s->rig = r;
+	address_resolve(t->addr, &sin);
+	s->listener = evconnlistener_new_bind(r->base, source_accept, s,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 256,
+	    (struct sockaddr *)&sin, sizeof(sin));
+	if (s->listener == NULL)
+		g_error("a source cannot listen");
+	/* All requests go to it. */
+	rig_list(r, 1, "other", VIEW_READY);
+	rig_run(r, 50);
+}
+
+int
+rig_source_stop(struct rig *r, struct rig_source *s)
+{
+	int64_t until = base_now_ms() + 3000;
+	int open;
+
+	while (s->conns > 0 && base_now_ms() < until)
+		rig_run(r, 10);
+	open = s->conns;
+	evconnlistener_free(s->listener);
+	rig_stop(r);
+	return open;
+}
+
+static void
+taker_read(struct bufferevent *bev, void *arg)
+{
+	struct rig_taker *t = arg;
+	GByteArray *bytes = g_byte_array_new();
+
+	if (http_parse_feed(&t->parse, bufferevent_get_input(bev)) == HTTP_OK)
+		t->whole = 1;
+	http_parse_take_body(&t->parse, bytes);
+	t->got += bytes->len;
+	g_byte_array_free(bytes, TRUE);
+}
+
+static void
+taker_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct rig_taker *t = arg;
+
+	(void)bev;
+	if (what & BEV_EVENT_CONNECTED)
+		return;
+	t->ended = 1;
+	if (!t->whole && (what & BEV_EVENT_EOF) &&
+	    http_parse_end(&t->parse) == HTTP_OK)
+		t->whole = 1;
+}
+
+void
+rig_taker_start(
+    struct rig *r, struct rig_taker *t, int node, const char *version)
+{
+	memset(t, 0, sizeof(*t));
+	http_parse_init(&t->parse, HTTP_RESPONSE, HEAD_MAX, BODY_MAX);
+	t->parse.in_pieces = 1;
+	t->bev = http_connect(r->base, r->nodes[node].settings.callers);
+	bufferevent_setcb(t->bev, taker_read, NULL, taker_event, t);
+	bufferevent_setwatermark(t->bev, EV_READ, 0, 65536);
+	bufferevent_enable(t->bev, EV_READ | EV_WRITE);
+	evbuffer_add_printf(bufferevent_get_output(t->bev),
+	    "GET /run/x HTTP/%s\r\nHost: rig\r\nX-Attempt-Id: long\r\n"
+	    "X-Deadline-Remaining: 900\r\n\r\n",
+	    version);
+}
+
+void
+rig_taker_wait(struct rig *r, struct rig_taker *t)
+{
+	int64_t until = base_now_ms() + 5000;
+
+	while (!t->whole && !t->ended && base_now_ms() < until)
+		rig_run(r, 2);
+}
+
+void
+rig_taker_end(struct rig_taker *t)
+{
+	http_parse_free(&t->parse);
+	bufferevent_free(t->bev);
+}
