test_follow is parted: test_feeder has the choice of the node that reads

Its seven cases about which node reads for others, and what happens when it cannot, are a program of their own; the mesh that both follow a store with is rig_follow.

--- /dev/null
+++ b/test/rig_follow.c
@@ -0,0 +1,76 @@
+/* A mesh whose nodes follow a stand-in for the platform's store. */
+#include <string.h>
+
+#include "rig_follow.h"
+
+#define PAGE 2 /* items of a list's page */
+
+/* Empties what the rig put into a node's view. */
+void
+follow_rig_forget(struct rig_node *n)
+{
+	view_config_unref(n->view->config);
+	n->view->config = NULL;
+	g_hash_table_remove_all(n->view->targets);
+	n->view->listed_at = 0;
+}
+
+void
+follow_rig_one(struct follow_rig *w, int i)
+{
+	w->settings[i].proxy = w->rig.nodes[i].settings;
+	w->settings[i].store = w->store_addr;
+	w->follows[i] = follow_start(w->rig.base, &w->settings[i],
+	    w->rig.nodes[i].view, w->rig.nodes[i].proxy);
+}
+
+void
+follow_rig_target(struct follow_rig *w, int i, const char *state)
+{
+	struct rig_node *n = &w->rig.nodes[i];
+
+	store_put_target(w->store, &(struct store_target){ n->target.id, "svc",
+				       n->target.addr, "north", state, 0, 1 });
+}
+
+/* All nodes in one data centre; all targets listed. */
+void
+follow_rig_start(struct follow_rig *w)
+{
+	int i;
+
+	memset(w, 0, sizeof(*w));
+	rig_start(&w->rig, FOLLOW_RIG_NODES);
+	g_snprintf(
+	    w->store_addr, ADDRESS_MAX, "127.0.0.1:%d", w->rig.ports + 4);
+	w->store = store_new(w->rig.base, w->store_addr, PAGE);
+	store_put_config(w->store, 1, "svc", "/run/");
+	for (i = 0; i < FOLLOW_RIG_NODES; i++) {
+		g_free(w->rig.nodes[i].settings.data_centre);
+		w->rig.nodes[i].settings.data_centre = g_strdup("north");
+		follow_rig_target(w, i, "ready");
+		follow_rig_forget(&w->rig.nodes[i]);
+	}
+	for (i = 0; i < FOLLOW_RIG_NODES; i++)
+		follow_rig_one(w, i);
+	rig_run(&w->rig, 900);
+}
+
+void
+follow_rig_stop(struct follow_rig *w)
+{
+	int i;
+
+	for (i = 0; i < FOLLOW_RIG_NODES; i++)
+		follow_stop(w->follows[i]);
+	store_free(w->store);
+	rig_stop(&w->rig);
+}
+
+uint64_t
+follow_rig_version(struct follow_rig *w, int i)
+{
+	const struct view_config *c = w->rig.nodes[i].view->config;
+
+	return c != NULL ? c->version : 0;
+}
--- /dev/null
+++ b/test/rig_follow.h
@@ -0,0 +1,31 @@
+/* A mesh whose nodes follow a stand-in for the platform's store. */
+#ifndef RIG_FOLLOW_H
+#define RIG_FOLLOW_H
+
+#include "../side/side.h"
+#include "../standin/store.h"
+#include "rig.h"
+
+#define FOLLOW_RIG_NODES 3
+
+struct follow_rig {
+	struct rig rig;
+	struct store *store;
+	char store_addr[ADDRESS_MAX];
+	struct side_settings settings[FOLLOW_RIG_NODES];
+	struct follow *follows[FOLLOW_RIG_NODES];
+};
+
+/* All nodes in one data centre; all targets listed; time to read them. */
+void follow_rig_start(struct follow_rig *);
+void follow_rig_stop(struct follow_rig *);
+/* A node begins to follow the store. */
+void follow_rig_one(struct follow_rig *, int node);
+/* Lists a node's target in a state. */
+void follow_rig_target(struct follow_rig *, int node, const char *state);
+/* Version of the configuration that a node has, or 0. */
+uint64_t follow_rig_version(struct follow_rig *, int node);
+/* Empties a node's view. */
+void follow_rig_forget(struct rig_node *);
+
+#endif
