--- a/side/reader.c
+++ b/side/reader.c
@@ -248,11 +248,7 @@
 		    "question=%s error=%d", part_names[a->part], err);
 	r->trouble_at = base_now_ms();
 	r->relist = 1;
-	/*
-	 * A watch gives each version since it was lost, and in a storm of them
-	 * more with every try; a list gives the newest.
-	 */
-	if (err == PLATFORM_EFORGOTTEN || err == PLATFORM_EDOWN)
+	if (err == PLATFORM_EFORGOTTEN)
 		a->listed = 0;
 	g_clear_pointer(&a->page, g_free);
 	pause = MIN((int64_t)RETRY_MS << MIN(a->failures, 8), most);
