teaselnode: a goodbye ends no call

Cause: a node that begins to leave says goodbye to all, finishes what it holds and answers questions for 2.5 s more. The entry took the goodbye for death and gave up, as unknown, the calls that run once and were under way there. The same came from another's rumour of a goodbye that an earlier process had said.

Change: such a call goes on asking. A leaving guard answers; a new process answers as well; after four questions without an answer, about a second, the call is given up as before. A node held dead ends its calls at once, as before.

Tests: test_send "a goodbye ends no call" fails before (it ends with the refusal of a call that has no caller); test_call "goodbye of a guard is not its death".

--- a/mesh/call.c
+++ b/mesh/call.c
@@ -254,6 +254,14 @@
 	}
 }
 
+/* Whether a call waits in vain. */
+int
+call_is_lost(const struct call *c, int dead, int left)
+{
+	return c->state != CALL_PAUSED &&
+	       (dead || (left && c->asks > CALL_LEFT_ASKS));
+}
+
 /* The guard will not answer any more. */
 enum call_action
 call_guard_dead(struct call *c, struct budget *b, int64_t now)
--- a/mesh/call.h
+++ b/mesh/call.h
@@ -56,11 +56,12 @@
 extern const enum call_outcome outcome_by_verdict[];
 extern const enum call_outcome outcome_by_exchange[];
 
-#define CALL_ACK_MS   100  /* silence after which an entry asks */
-#define CALL_ASK_MS   250  /* between two questions */
-#define CALL_LOOK_MS  1000 /* an acknowledged call is asked about so often */
-#define CALL_TRIES    6	   /* sendings of one call */
-#define CALL_PAUSE_MS 20   /* before the same guard is tried again, doubling */
+#define CALL_ACK_MS    100  /* silence after which an entry asks */
+#define CALL_ASK_MS    250  /* between two questions */
+#define CALL_LOOK_MS   1000 /* an acknowledged call is asked about so often */
+#define CALL_TRIES     6    /* sendings of one call */
+#define CALL_LEFT_ASKS 4    /* questions that one who said goodbye may miss */
+#define CALL_PAUSE_MS  20   /* before the same guard is tried again, doubling */
 
 enum call_state {
 	CALL_NEW,
@@ -117,6 +118,11 @@
 enum call_action call_timer(struct call *, struct budget *, int64_t now);
 /* The connection to the guard was given up: an answer may be lost with it. */
 void call_link_lost(struct call *, int64_t now);
+/*
+ * Whether a call waits for a guard in vain: one held dead, or one that said
+ * goodbye and, though it finishes what it holds, has not answered questions.
+ */
+int call_is_lost(const struct call *, int dead, int left);
 /* The guard is held dead: no answer will come from it. */
 enum call_action call_guard_dead(struct call *, struct budget *, int64_t now);
 
--- a/node/entry.c
+++ b/node/entry.c
@@ -229,15 +229,18 @@
 	       ec->look_at <= *(const int64_t *)now;
 }
 
-/* Whether a call that was sent waits for a node that is held dead. */
+/* Whether a call that was sent waits for a node that does not answer. */
 static int
 is_lost(const struct entry_call *ec, const void *arg)
 {
 	const struct node *n = arg;
 	int m = member_find(n->members, ec->vm);
+	enum member_state s;
 
-	return ec->call.state != CALL_PAUSED && m >= 0 &&
-	       member_at(n->members, m)->state >= MEMBER_DEAD;
+	if (m < 0)
+		return 0;
+	s = member_at(n->members, m)->state;
+	return call_is_lost(&ec->call, s == MEMBER_DEAD, s == MEMBER_LEFT);
 }
 
 /* Handles one call whose time has come, or whose caller may have gone. */
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -167,6 +167,33 @@
 	CU_ASSERT_EQUAL(c.wake, NOW + 2 * CALL_ACK_MS);
 }
 
+/*
+ * Guards against: a call at a node that begins to leave is given up as unknown,
+ * though the node finishes what it holds and answers questions meanwhile.
+ */
+static void
+goodbye_of_a_guard_is_not_its_death(void)
+{
+	struct call c = sent(1, 1);
+	int64_t now = NOW + 1;
+
+	c.deadline = NOW + 60000;
+	CU_ASSERT(call_is_lost(&c, 1, 0));
+	CU_ASSERT_FALSE(call_is_lost(&c, 0, 1));
+	call_acked(&c, NOW + 1);
+	CU_ASSERT_FALSE(call_is_lost(&c, 0, 1));
+	/* Unless it is silent; a sign of life begins anew. */
+	while (!call_is_lost(&c, 0, 1) && now < c.deadline) {
+		now = c.wake;
+		call_timer(&c, &budget, now);
+	}
+	CU_ASSERT(now <= NOW + 1 + CALL_LOOK_MS + 2 * CALL_ACK_MS +
+			     CALL_LEFT_ASKS * CALL_ASK_MS);
+	CU_ASSERT_FALSE(call_is_lost(&c, 0, 0));
+	call_acked(&c, now);
+	CU_ASSERT_FALSE(call_is_lost(&c, 0, 1));
+}
+
 static void
 dead_guard_ends_the_wait_at_once(void)
 {
@@ -203,6 +230,8 @@
 	{ "stale view pauses and goes to the same",
 	    stale_view_pauses_and_goes_to_the_same },
 	{ "lost answer is asked for", lost_answer_is_asked_for },
+	{ "goodbye of a guard is not its death",
+	    goodbye_of_a_guard_is_not_its_death },
 	{ "a replaced link is not replaced again",
 	    a_replaced_link_is_not_replaced_again },
 	{ "dead guard ends the wait at once",
--- a/test/test_send.c
+++ b/test/test_send.c
@@ -214,7 +214,33 @@
 	world_stop(&w);
 }
 
+/*
+ * Guards against: the goodbye of a guard's node, its own or one that another
+ * node still tells of an earlier process, ends the calls that wait for it.
+ */
+static void
+a_goodbye_ends_no_call(void)
+{
+	struct world w;
+	struct rumour r = { .name = GUARD,
+		.dc = "dc",
+		.state = MEMBER_LEFT,
+		.incarnation = 7 };
+
+	world_start(&w, &entry_keys, CALLS);
+	r.addr = w.addr;
+	members_rumour(w.entry.members, &r, base_now_ms());
+	CU_ASSERT_EQUAL(member_at(w.entry.members, 0)->state, MEMBER_LEFT);
+	entry_tick(&w.entry, base_now_ms());
+	CU_ASSERT_EQUAL(entry_calls(&w.entry), CALLS);
+	entry_tick(&w.entry, w.calls[CALLS - 1].call.wake);
+	entry_tick(&w.entry, w.calls[CALLS - 1].call.wake);
+	CU_ASSERT_EQUAL(asked(&w, CALLS), CALLS);
+	world_stop(&w);
+}
+
 static const struct test tests[] = {
+	{ "a goodbye ends no call", a_goodbye_ends_no_call },
 	{ "a key that is learnt lets calls ask",
 	    a_key_that_is_learnt_lets_calls_ask },
 	{ "all calls ask after one silence", all_calls_ask_after_one_silence },
