--- a/side/reader.c
+++ b/side/reader.c
@@ -15,16 +15,10 @@
  */
 #define WAIT_MS		 1200 /* of a watch */
 #define TARGETS_PAUSE_MS 800  /* of 2000 until a leaving target gets nothing */
-/*
- * A watch gives every version, a list the newest.  While operators write more
- * often than this, lists with a pause keep up over a narrow link as well.
- */
-#define STORM_MS       1000 /* between two answers with news */
-#define STORM_PAUSE_MS 400  /* between two lists, of 2000 until in force */
-#define OVERDUE_MS     2600 /* without an answer about targets: blind */
-#define UNANSWERED_MS  500  /* the same for who has begun to watch */
-#define RETRY_MS       150  /* after a failure, doubling */
-#define RETRY_MAX_MS   1000
+#define OVERDUE_MS	 2600 /* without an answer about targets: blind */
+#define UNANSWERED_MS	 500  /* the same for who has begun to watch */
+#define RETRY_MS	 150  /* after a failure, doubling */
+#define RETRY_MAX_MS	 1000
 /* The same for who waits with others, and has word of those who read for all.
  */
 #define PATIENT_MIN_MS	2000
@@ -48,10 +42,7 @@
 	int asked;	     /* an answer is due */
 	int resting;	     /* it failed, and no answer is needed now */
 	int listed;	     /* a whole list was read, so changes are watched */
-	int storm;	     /* lists are read instead of changes */
-	int64_t news_at;     /* the last answer of a watch with changes */
 	uint64_t after, first; /* revisions: to watch from, of the first page */
-	uint64_t newest;       /* revision of an item in the list */
 	char *page;	       /* last key of the page before, or NULL */
 	GHashTable *names;     /* in the list that is being read */
 };
@@ -79,7 +70,6 @@
 static void on_failure(struct asker *, int, const struct platform_page *);
 static void on_list(struct asker *, const struct platform_page *);
 static void on_news(struct asker *, const struct platform_page *);
-static void begin_watch(struct asker *);
 static int is_calm(const struct store_reader *);
 static int64_t pause_max(const struct store_reader *);
 
@@ -136,7 +126,7 @@
 		a = &r->askers[i];
 		platform_close(a->store);
 		a->store = platform_open(r->base, store);
-		a->listed = a->storm = 0;
+		a->listed = 0;
 		g_clear_pointer(&a->page, g_free);
 		http_timer(a->timer, 0);
 	}
@@ -168,7 +158,7 @@
 	r->alive_at = r->began_at = base_now_ms();
 	r->answered = 0;
 	for (i = 0; i < G_N_ELEMENTS(r->askers); i++) {
-		r->askers[i].listed = r->askers[i].storm = 0;
+		r->askers[i].listed = 0;
 		g_clear_pointer(&r->askers[i].page, g_free);
 		if (on)
 			http_timer(r->askers[i].timer, begin);
@@ -292,12 +282,10 @@
 
 	if (a->page == NULL) {
 		a->first = p->as_of;
-		a->newest = 0;
 		g_hash_table_remove_all(a->names);
 	}
 	for (i = 0; i < p->items->len; i++) {
 		it = &g_array_index(p->items, struct platform_item, i);
-		a->newest = MAX(a->newest, it->revision);
 		if (it->name != NULL)
 			g_hash_table_add(a->names, g_strdup(it->name));
 	}
@@ -309,36 +297,18 @@
 	}
 	r->calls.listed(r->calls.arg, a->part, a->names, a->first,
 	    r->watches && (a->part == PLATFORM_OPERATORS || is_calm(r)));
-	if (r->watches)
-		begin_watch(a);
-}
-
-/* A list was read: changes are watched from it on, unless they are many. */
-static void
-begin_watch(struct asker *a)
-{
-	a->storm = a->storm && a->newest > a->after;
-	a->listed = !a->storm;
+	if (!r->watches)
+		return;
+	a->listed = 1;
 	a->after = a->first;
-	http_timer(a->timer, a->storm ? STORM_PAUSE_MS : 0);
+	http_timer(a->timer, 0);
 }
 
 /* News of a watch. */
 static void
 on_news(struct asker *a, const struct platform_page *p)
 {
-	int64_t now = base_now_ms();
-
 	a->after = MAX(a->after, p->as_of);
-	if (a->part == PLATFORM_OPERATORS && p->items->len > 0) {
-		a->storm = now - a->news_at < STORM_MS;
-		a->news_at = now;
-		if (a->storm) {
-			a->listed = 0;
-			http_timer(a->timer, STORM_PAUSE_MS);
-			return;
-		}
-	}
 	http_timer(a->timer, a->part == PLATFORM_TARGETS && p->items->len > 0
 				 ? TARGETS_PAUSE_MS
 				 : 0);
