--- a/proxy/link_state.c
+++ b/proxy/link_state.c
@@ -10,8 +10,6 @@
 };
 
 static void write_feed(struct link *, const struct told *);
-static void set_base(struct links *, const char *, size_t);
-static void write_base(struct link *);
 
 /* Asks a node for its state. */
 void
@@ -159,41 +157,11 @@
 	link_write(l, &f);
 }
 
-/* Later news are compressed against a text that all who are fed hold. */
-static void
-set_base(struct links *ls, const char *text, size_t len)
-{
-	if (ls->base != NULL)
-		g_bytes_unref(ls->base);
-	if (ls->base_small != NULL)
-		g_bytes_unref(ls->base_small);
-	ls->base = g_bytes_new(text, len);
-	ls->base_small = NULL;
-	ls->base_number++;
-}
-
-/* Gives one who is fed from now on that text. */
-static void
-write_base(struct link *l)
-{
-	struct links *ls = l->links;
-	struct told t = { .full = g_bytes_get_size(ls->base),
-		.number = ls->base_number };
-
-	if (ls->base_small == NULL)
-		ls->base_small =
-		    feed_shrink(g_bytes_get_data(ls->base, NULL), t.full, NULL);
-	t.small = ls->base_small;
-	if (t.small != NULL)
-		write_feed(l, &t);
-}
-
 /* The other end asks for news, which begin with the whole state. */
 void
 link_subscribed(struct link *l, int on)
 {
 	const struct proxy_state *s = &l->links->proxy->state;
-	struct links *ls = l->links;
 	GString *text = g_string_new(NULL);
 	struct told t = { 0 };
 
@@ -202,14 +170,8 @@
 	if (on && s->give != NULL)
 		s->give(s->arg, text);
 	if (text->len > 0) {
-		if (ls->base == NULL && feed_is_base(text->len))
-			set_base(ls, text->str, text->len);
-		if (ls->base != NULL)
-			write_base(l);
-		t.base = l->base_number;
 		t.full = text->len;
-		t.small = feed_shrink(
-		    text->str, text->len, t.base != 0 ? ls->base : NULL);
+		t.small = feed_shrink(text->str, text->len, NULL);
 		write_feed(l, &t);
 		g_bytes_unref(t.small);
 	}
@@ -268,6 +230,10 @@
 		g_bytes_unref(whole.small);
 	if (change.small != NULL)
 		g_bytes_unref(change.small);
-	if (next != 0)
-		set_base(ls, state, len);
+	if (next == 0)
+		return;
+	if (ls->base != NULL)
+		g_bytes_unref(ls->base);
+	ls->base = g_bytes_new(state, len);
+	ls->base_number = next;
 }
--- a/proxy/links.c
+++ b/proxy/links.c
@@ -77,8 +77,6 @@
 	event_free(ls->timer);
 	if (ls->base != NULL)
 		g_bytes_unref(ls->base);
-	if (ls->base_small != NULL)
-		g_bytes_unref(ls->base_small);
 	if (ls->listener != NULL)
 		evconnlistener_free(ls->listener);
 }
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -192,7 +192,6 @@
 	struct link *feeder;  /* the node that tells of news, or NULL */
 	uint64_t base_number; /* of the last news told that are a base */
 	GBytes *base;
-	GBytes *base_small; /* that one compressed, or NULL */
 };
 
 int links_open(struct links *, struct proxy *);
