Tests listen below the ports that connections are given

Cause: the rig took ports from 20000 to 40000 by its process id, and the store listens on 127.0.0.1, the address that the machine's own connections come from; those are given ports from 32768 on, and 2535 of them were open or closing.

Evidence: of 96 short runs of test_follow, 12 at a time, 12 ended so; those whose ports lie above 32768 only.

Change: ports from 10000 to 30000, in the three other tests with such numbers as well.

--- a/test/rig.c
+++ b/test/rig.c
@@ -7,8 +7,9 @@
 
 #include "rig.h"
 
-#define PORTS	  6 /* of a node */
-#define PORT_BASE 20000
+#define PORTS 6 /* of a node */
+/* Below the ports that connections of the machine are given. */
+#define PORT_BASE 10000
 #define PORT_SPAN 20000
 #define WAIT_MS	  5000
 #define STEP_US	  2000
--- a/test/test_pipeline.c
+++ b/test/test_pipeline.c
@@ -9,7 +9,7 @@
 
 #define ASKED_MAX 64
 #define ADDR	  "127.0.0.77:%d"
-#define PORT_BASE 30000
+#define PORT_BASE 10000
 #define PORT_SPAN 20000
 
 /* A server whose layer above keeps what it is asked; paths say what may be. */
--- a/test/test_send.c
+++ b/test/test_send.c
@@ -8,7 +8,7 @@
 #include "../node/gossip.h"
 #include "test.h"
 
-#define PORT_BASE 30000
+#define PORT_BASE 10000
 #define PORT_SPAN 20000
 #define CALLS	  8
 #define REACH_MS  3000 /* for a handshake and what waits behind it */
--- a/test/test_store_reader.c
+++ b/test/test_store_reader.c
@@ -6,7 +6,7 @@
 #include "rig.h"
 #include "test.h"
 
-#define PORT_BASE 31000
+#define PORT_BASE 10000
 #define PORT_SPAN 20000
 
 /* A call that the store left unanswered may be under way when it is back. */
