A gate tells how old what it knows is

The reader keeps when all changes were read last; news between nodes carry their age (link.proto, Feed.age_ms), so each node knows it of itself; gate-sent has known_ms, and the histogram knowledge_age_seconds counts it. No decision depends on it yet.

--- a/base/base.h
+++ b/base/base.h
@@ -128,8 +128,9 @@
 
 enum histogram {
 	HIST_ANSWER, /* from a request to its target's answer, at its entry */
-	HIST_FIRST_BYTE, /* from a request to the head of a long answer */
-	HIST_GATE_WAIT,	 /* from an offer until the target got it */
+	HIST_FIRST_BYTE,    /* from a request to the head of a long answer */
+	HIST_GATE_WAIT,	    /* from an offer until the target got it */
+	HIST_KNOWLEDGE_AGE, /* of what a gate knew when it sent */
 	HIST_COUNT
 };
 
--- a/base/histogram.c
+++ b/base/histogram.c
@@ -14,6 +14,7 @@
 	[HIST_ANSWER] = "answer_seconds",
 	[HIST_FIRST_BYTE] = "first_byte_seconds",
 	[HIST_GATE_WAIT] = "gate_wait_seconds",
+	[HIST_KNOWLEDGE_AGE] = "knowledge_age_seconds",
 };
 
 static struct {
--- a/proxy/gate.c
+++ b/proxy/gate.c
@@ -200,16 +200,18 @@
 send_job(struct gate *g, struct job *j, enum upstream_reuse reuse)
 {
 	struct evbuffer *written = evbuffer_new();
-	int64_t now = base_now_ms();
+	int64_t now = base_now_ms(), known_ms;
 
 	prepare(g, j, now);
 	http_write_request(written, j->msg);
 	j->sending = upstream_send(g->upstream, written, j->id, reuse,
 	    strcmp(j->msg->method, "HEAD") == 0, &calls, j);
 	evbuffer_free(written);
+	known_ms = now - g->proxy->view->known_at;
+	histogram_add(HIST_KNOWLEDGE_AGE, known_ms);
 	base_log(G_LOG_LEVEL_INFO, "gate-sent",
-	    "id=%s target=%s running=%d left_ms=%d", j->id, g->id,
-	    g->admit.running, (int)(j->deadline - now));
+	    "id=%s target=%s running=%d left_ms=%d known_ms=%" G_GINT64_FORMAT,
+	    j->id, g->id, g->admit.running, (int)(j->deadline - now), known_ms);
 	if (j->sending == NULL)
 		on_done(j, UPSTREAM_NOT_SENT, NULL);
 }
--- a/proxy/link.pb-c.c
+++ b/proxy/link.pb-c.c
@@ -1449,7 +1449,7 @@
   (ProtobufCMessageInit) link__subscribe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__feed__field_descriptors[5] =
+static const ProtobufCFieldDescriptor link__feed__field_descriptors[6] =
 {
   {
     "state",
@@ -1511,9 +1511,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Link__Feed, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__feed__field_indices_by_name[] = {
   3,   /* field[3] = against */
+  5,   /* field[5] = age_ms */
   1,   /* field[1] = blind */
   2,   /* field[2] = length */
   4,   /* field[4] = number */
@@ -1522,7 +1535,7 @@
 static const ProtobufCIntRange link__feed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor link__feed__descriptor =
 {
@@ -1532,7 +1545,7 @@
   "Link__Feed",
   "link",
   sizeof(Link__Feed),
-  5,
+  6,
   link__feed__field_descriptors,
   link__feed__field_indices_by_name,
   1,  link__feed__number_ranges,
--- a/proxy/link.pb-c.h
+++ b/proxy/link.pb-c.h
@@ -305,10 +305,14 @@
    * it becomes the base of later ones; 0: it does not
    */
   uint64_t number;
+  /*
+   * since the sender's knowledge was complete
+   */
+  uint64_t age_ms;
 };
 #define LINK__FEED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__feed__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0 }
+    , {0,NULL}, 0, 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/proxy/link_state.c
+++ b/proxy/link_state.c
@@ -107,6 +107,8 @@
 link_fed(struct link *l, const Link__Feed *feed)
 {
 	const struct proxy_state *s = &l->links->proxy->state;
+	struct proxy_news news = { .age_ms = (int64_t)feed->age_ms,
+		.blind = feed->blind };
 	GBytes *full = NULL;
 
 	if (feed->length > 0) {
@@ -127,10 +129,12 @@
 		l->base = g_bytes_ref(full);
 		l->base_number = feed->number;
 	}
+	if (full != NULL) {
+		news.state = g_bytes_get_data(full, NULL);
+		news.len = g_bytes_get_size(full);
+	}
 	if (s->fed != NULL)
-		s->fed(s->arg,
-		    full != NULL ? g_bytes_get_data(full, NULL) : NULL,
-		    full != NULL ? g_bytes_get_size(full) : 0, feed->blind);
+		s->fed(s->arg, &news);
 	if (full != NULL)
 		g_bytes_unref(full);
 }
@@ -145,6 +149,8 @@
 	f.body_case = LINK__FRAME__BODY_FEED;
 	f.feed = &feed;
 	feed.blind = t->blind;
+	feed.age_ms =
+	    (uint64_t)(base_now_ms() - l->links->proxy->view->known_at);
 	feed.length = (uint32_t)t->full;
 	feed.against = t->base;
 	feed.number = t->number;
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -68,6 +68,14 @@
 void proxy_store_lost(struct proxy *);
 /* Begins to leave: not ready; callers and the target are served a while. */
 void proxy_leave(struct proxy *);
+/* What one node tells those that subscribed to it. */
+struct proxy_news {
+	const char *state; /* NULL: there is nothing new */
+	size_t len;
+	int64_t age_ms; /* since all that the sender knew was complete */
+	int blind;	/* it cannot read now */
+};
+
 /*
  * What nodes tell each other of the platform: give appends what is held here,
  * take reads what another node held.
@@ -77,7 +85,7 @@
 	void (*give)(void *arg, GString *out);
 	void (*take)(void *arg, const char *state, size_t len);
 	/* A node was told of news, or that its feeder cannot read. */
-	void (*fed)(void *arg, const char *state, size_t len, int blind);
+	void (*fed)(void *arg, const struct proxy_news *);
 	/* The link to the feeder was lost. */
 	void (*unfed)(void *arg);
 };
--- a/side/follow.c
+++ b/side/follow.c
@@ -13,7 +13,7 @@
 static void on_items(void *, const struct platform_page *);
 static void on_listed(void *, enum platform_part, GHashTable *, uint64_t, int);
 static void on_lost(void *);
-static void on_alive(void *);
+static void on_alive(void *, enum platform_part);
 static int is_needed(void *);
 static int take(struct follow *, const struct platform_item *);
 static const char *first_problem(const struct report *, int);
@@ -26,7 +26,7 @@
 drop_missing(struct follow *, enum platform_part, GHashTable *, uint64_t);
 static void give_state(void *, GString *);
 static void take_state(void *, const char *, size_t);
-static void on_fed(void *, const char *, size_t, int);
+static void on_fed(void *, const struct proxy_news *);
 static void on_unfed(void *);
 static int is_dark(const struct follow *);
 static void on_dark(evutil_socket_t, short, void *);
@@ -321,11 +321,13 @@
 }
 
 static void
-on_alive(void *arg)
+on_alive(void *arg, enum platform_part part)
 {
 	struct follow *f = arg;
 
-	if (store_reader_watches(f->reader))
+	f->view->known_at =
+	    MAX(f->view->known_at, store_reader_known_at(f->reader));
+	if (part == PLATFORM_TARGETS && store_reader_watches(f->reader))
 		proxy_target_reported(f->proxy);
 }
 
@@ -379,11 +381,14 @@
 
 /* The feeder told of news, or that it cannot read. */
 static void
-on_fed(void *arg, const char *text, size_t len, int blind)
+on_fed(void *arg, const struct proxy_news *n)
 {
-	if (len > 0)
-		take_state(arg, text, len);
-	feed_heard(arg, blind, len == 0);
+	struct follow *f = arg;
+
+	if (n->len > 0)
+		take_state(f, n->state, n->len);
+	f->view->known_at = MAX(f->view->known_at, base_now_ms() - n->age_ms);
+	feed_heard(f, n->blind, n->len == 0);
 }
 
 static void
--- a/side/reader.c
+++ b/side/reader.c
@@ -42,6 +42,7 @@
 	int asked;	     /* an answer is due */
 	int resting;	     /* it failed, and no answer is needed now */
 	int listed;	     /* a whole list was read, so changes are watched */
+	int64_t known_at;    /* all changes until then were read, or 0 */
 	uint64_t after, first; /* revisions: to watch from, of the first page */
 	char *page;	       /* last key of the page before, or NULL */
 	GHashTable *names;     /* in the list that is being read */
@@ -182,6 +183,14 @@
 	return r->watches;
 }
 
+/* Until when all changes were read. */
+int64_t
+store_reader_known_at(const struct store_reader *r)
+{
+	return MIN(r->askers[PLATFORM_OPERATORS].known_at,
+	    r->askers[PLATFORM_TARGETS].known_at);
+}
+
 /* Whether what is read may be old. */
 int
 store_reader_blind(const struct store_reader *r)
@@ -300,6 +309,7 @@
 	if (!r->watches)
 		return;
 	a->listed = 1;
+	a->known_at = base_now_ms();
 	a->after = a->first;
 	http_timer(a->timer, 0);
 }
@@ -309,6 +319,7 @@
 on_news(struct asker *a, const struct platform_page *p)
 {
 	a->after = MAX(a->after, p->as_of);
+	a->known_at = base_now_ms();
 	http_timer(a->timer, a->part == PLATFORM_TARGETS && p->items->len > 0
 				 ? TARGETS_PAUSE_MS
 				 : 0);
@@ -338,8 +349,7 @@
 		on_list(a, p);
 	else if (r->watches)
 		on_news(a, p);
-	if (a->part == PLATFORM_TARGETS) {
+	if (a->part == PLATFORM_TARGETS)
 		r->alive_at = base_now_ms();
-		r->calls.alive(r->calls.arg);
-	}
+	r->calls.alive(r->calls.arg, a->part);
 }
--- a/side/side.h
+++ b/side/side.h
@@ -40,8 +40,8 @@
 	    uint64_t as_of, int exact);
 	/* A call failed. */
 	void (*lost)(void *arg);
-	/* Targets were read; there may be no news of them. */
-	void (*alive)(void *arg);
+	/* A part was read; there may be no news of it. */
+	void (*alive)(void *arg, enum platform_part);
 	/* Whether a reader that does not watch still has to read a list. */
 	int (*is_needed)(void *arg);
 };
@@ -58,6 +58,8 @@
  */
 void store_reader_watch(struct store_reader *, int on, int others);
 int store_reader_watches(const struct store_reader *);
+/* Until when all changes were read, in ms, or 0. */
+int64_t store_reader_known_at(const struct store_reader *);
 /* Reads the list of targets once more, as it may be old; without watching. */
 void store_reader_glance(struct store_reader *);
 /* Whether the last calls failed, or answers are overdue. */
--- a/test/test_store_reader.c
+++ b/test/test_store_reader.c
@@ -59,6 +59,13 @@
 	(void)arg;
 }
 
+static void
+on_alive(void *arg, enum platform_part part)
+{
+	(void)arg;
+	(void)part;
+}
+
 static int
 is_needed(void *arg)
 {
@@ -68,7 +75,7 @@
 static void
 world_start(struct world *w, enum store_fault fault)
 {
-	struct reader_calls calls = { w, on_items, on_listed, on_word, on_word,
+	struct reader_calls calls = { w, on_items, on_listed, on_word, on_alive,
 		is_needed };
 	char addr[ADDRESS_MAX];
 
--- a/view/view.h
+++ b/view/view.h
@@ -115,6 +115,7 @@
 	GHashTable *targets;	    /* id to struct view_target, owned */
 	GHashTable *out;	    /* data centres that are out, owned */
 	uint64_t listed_at;	    /* revision of the newest whole list */
+	int64_t known_at;	    /* all changes until then are held, or 0 */
 };
 
 struct view *view_new(void);
