--- a/standin/store.c
+++ b/standin/store.c
@@ -16,6 +16,7 @@
 /* A watch that waits for a change. */
 struct watch {
 	struct store *store;
+	const struct door *door; /* that it came by */
 	struct http_exchange *exchange;
 	char *prefix;
 	uint64_t after;
@@ -48,7 +49,8 @@
 static void on_request(void *, struct http_exchange *, struct http_message *);
 static void on_gone(void *, struct http_exchange *);
 static void list(struct store *, struct http_exchange *, const char *);
-static void watch(struct store *, struct http_exchange *, const char *);
+static void watch(const struct door *, struct http_exchange *, const char *);
+static void silence(struct store *, const struct door *);
 static int answer_watch(struct watch *, int);
 static void print_entry(GString *, const struct entry *, const char *);
 static char *parameter(const char *, const char *);
@@ -200,13 +202,33 @@
 	int i;
 
 	for (i = 0; i < s->ndoors; i++)
-		s->doors[i].fault = fault;
+		store_set_door_fault(s, i, fault);
 }
 
 void
 store_set_door_fault(struct store *s, int door, enum store_fault fault)
 {
 	s->doors[door].fault = fault;
+	if (fault == STORE_SILENT)
+		silence(s, &s->doors[door]);
+}
+
+/* Watches that wait at a door are never answered. */
+static void
+silence(struct store *s, const struct door *d)
+{
+	const struct watch *w;
+	guint i = 0;
+
+	while (i < s->watches->len) {
+		w = g_ptr_array_index(s->watches, i);
+		if (w->door != d) {
+			i++;
+			continue;
+		}
+		http_exchange_set(w->exchange, NULL);
+		g_ptr_array_remove_index(s->watches, i);
+	}
 }
 
 static gboolean
@@ -374,8 +396,9 @@
 
 /* Waits for changes. */
 static void
-watch(struct store *s, struct http_exchange *c, const char *path)
+watch(const struct door *d, struct http_exchange *c, const char *path)
 {
+	struct store *s = d->store;
 	char *prefix = parameter(path, "Prefix");
 	char *after = parameter(path, "after");
 	char *wait = parameter(path, "WaitMs");
@@ -384,6 +407,7 @@
 	struct timeval tv = { ms / 1000, ms % 1000 * 1000L };
 
 	w->store = s;
+	w->door = d;
 	w->exchange = c;
 	w->prefix = prefix != NULL ? prefix : g_strdup("");
 	w->after = after != NULL ? g_ascii_strtoull(after, NULL, 10) : 0;
@@ -422,7 +446,7 @@
 		if (g_str_has_prefix(m->path, "/kv-range"))
 			list(s, c, m->path);
 		else if (g_str_has_prefix(m->path, "/kv-watch"))
-			watch(s, c, m->path);
+			watch(d, c, m->path);
 		else
 			http_reply_text(c, 404, "application/json", "{}");
 		break;
--- a/test/rig.h
+++ b/test/rig.h
@@ -7,7 +7,7 @@
 
 #include "../platform/platform.h"
 
-#define RIG_NODES   4
+#define RIG_NODES   12
 #define RIG_AT_ONCE -1 /* a crashed target is back before anybody can tell */
 
 /* What a scripted target does after its bytes. */
--- a/test/rig_follow.c
+++ b/test/rig_follow.c
@@ -1,6 +1,8 @@
 /* A mesh whose nodes follow a stand-in for the platform's store. */
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "rig_follow.h"
 
 #define PAGE 2 /* items of a list's page */
@@ -29,29 +31,44 @@
 {
 	struct rig_node *n = &w->rig.nodes[i];
 
-	store_put_target(w->store, &(struct store_target){ n->target.id, "svc",
-				       n->target.addr, "north", state, 0, 1 });
+	store_put_target(w->store,
+	    &(struct store_target){ n->target.id, "svc", n->target.addr,
+		n->settings.data_centre, state, 0, 1 });
 }
 
 /* All nodes in one data centre; all targets listed. */
 void
 follow_rig_start(struct follow_rig *w)
+{
+	static const char *const north = "north";
+
+	follow_rig_start_in(w, FOLLOW_RIG_NODES, &north, 1);
+}
+
+/* Nodes in data centres; all targets listed. */
+void
+follow_rig_start_in(
+    struct follow_rig *w, int nodes, const char *const *dcs, int ndcs)
 {
 	int i;
 
 	memset(w, 0, sizeof(*w));
-	rig_start(&w->rig, FOLLOW_RIG_NODES);
+	rig_start(&w->rig, nodes);
 	g_snprintf(
 	    w->store_addr, ADDRESS_MAX, "127.0.0.1:%d", w->rig.ports + 4);
 	w->store = store_new(w->rig.base, w->store_addr, PAGE);
 	store_put_config(w->store, 1, "svc", "/run/");
-	for (i = 0; i < FOLLOW_RIG_NODES; i++) {
+	g_snprintf(
+	    w->door_addr, ADDRESS_MAX, "127.0.0.200:%d", w->rig.ports + 4);
+	if ((w->door = store_door(w->store, w->door_addr)) < 0)
+		g_error("cannot listen on %s", w->door_addr);
+	for (i = 0; i < nodes; i++) {
 		g_free(w->rig.nodes[i].settings.data_centre);
-		w->rig.nodes[i].settings.data_centre = g_strdup("north");
+		w->rig.nodes[i].settings.data_centre = g_strdup(dcs[i % ndcs]);
 		follow_rig_target(w, i, "ready");
 		follow_rig_forget(&w->rig.nodes[i]);
 	}
-	for (i = 0; i < FOLLOW_RIG_NODES; i++)
+	for (i = 0; i < nodes; i++)
 		follow_rig_one(w, i);
 	rig_run(&w->rig, 900);
 }
@@ -61,12 +78,38 @@
 {
 	int i;
 
-	for (i = 0; i < FOLLOW_RIG_NODES; i++)
+	for (i = 0; i < w->rig.nnodes; i++)
 		follow_stop(w->follows[i]);
 	store_free(w->store);
 	rig_stop(&w->rig);
 }
 
+int
+follow_rig_order(struct follow_rig *w, const char *dc, int *nodes)
+{
+	const struct rig_node *all = w->rig.nodes;
+	uint64_t hash[RIG_NODES];
+	int i, k, n = 0;
+
+	for (i = 0; i < w->rig.nnodes; i++) {
+		if (strcmp(all[i].settings.data_centre, dc) != 0)
+			continue;
+		hash[i] =
+		    XXH64(all[i].target.addr, strlen(all[i].target.addr), 0);
+		for (k = n++; k > 0 && hash[nodes[k - 1]] > hash[i]; k--)
+			nodes[k] = nodes[k - 1];
+		nodes[k] = i;
+	}
+	return n;
+}
+
+void
+follow_rig_by_door(struct follow_rig *w, int i)
+{
+	w->settings[i].store = w->door_addr;
+	follow_settings_changed(w->follows[i]);
+}
+
 uint64_t
 follow_rig_version(struct follow_rig *w, int i)
 {
--- a/test/rig_follow.h
+++ b/test/rig_follow.h
@@ -6,18 +6,28 @@
 #include "../standin/store.h"
 #include "rig.h"
 
-#define FOLLOW_RIG_NODES 3
+#define FOLLOW_RIG_NODES 3 /* unless a test says how many */
 
 struct follow_rig {
 	struct rig rig;
 	struct store *store;
 	char store_addr[ADDRESS_MAX];
-	struct side_settings settings[FOLLOW_RIG_NODES];
-	struct follow *follows[FOLLOW_RIG_NODES];
+	int door; /* of the store, for nodes that it may stop answering */
+	char door_addr[ADDRESS_MAX];
+	struct side_settings settings[RIG_NODES];
+	struct follow *follows[RIG_NODES];
 };
 
 /* All nodes in one data centre; all targets listed; time to read them. */
 void follow_rig_start(struct follow_rig *);
+/* The same with so many nodes, dealt to the data centres in turn. */
+void follow_rig_start_in(
+    struct follow_rig *, int nodes, const char *const *dcs, int ndcs);
+/* The nodes of a data centre in the order in which they read; returns how many.
+ */
+int follow_rig_order(struct follow_rig *, const char *dc, int *nodes);
+/* A node reaches the store by its door from now on. */
+void follow_rig_by_door(struct follow_rig *, int node);
 void follow_rig_stop(struct follow_rig *);
 /* A node begins to follow the store. */
 void follow_rig_one(struct follow_rig *, int node);
--- a/test/test_feeder.c
+++ b/test/test_feeder.c
@@ -64,18 +64,10 @@
 static int
 first_in_order(struct follow_rig *w)
 {
-	const char *addr;
-	uint64_t h, least = UINT64_MAX;
-	int i, first = 0;
+	int order[RIG_NODES];
 
-	for (i = 0; i < FOLLOW_RIG_NODES; i++) {
-		addr = w->rig.nodes[i].target.addr;
-		if ((h = XXH64(addr, strlen(addr), 0)) >= least)
-			continue;
-		least = h;
-		first = i;
-	}
-	return first;
+	follow_rig_order(w, "north", order);
+	return order[0];
 }
 
 /* Stops to follow on all nodes and forgets what they know. */
@@ -207,21 +199,12 @@
 {
 	char first[ADDRESS_MAX], second[ADDRESS_MAX];
 	struct follow_rig w;
-	int i, f, s, k;
-	uint64_t h, least = UINT64_MAX;
+	int k, order[RIG_NODES];
 
 	follow_rig_start(&w);
-	f = first_in_order(&w);
-	for (i = s = 0; i < FOLLOW_RIG_NODES; i++) {
-		const char *addr = w.rig.nodes[i].target.addr;
-
-		if (i == f || (h = XXH64(addr, strlen(addr), 0)) >= least)
-			continue;
-		least = h;
-		s = i;
-	}
-	cut_off(&w, s, second, 98);
-	cut_off(&w, f, first, 99);
+	follow_rig_order(&w, "north", order);
+	cut_off(&w, order[1], second, 98);
+	cut_off(&w, order[0], first, 99);
 	/*
 	 * A storm of changes.  Three seconds after the cut a node counts as in
 	 * touch; from then on what was written two seconds ago is in force.
@@ -230,9 +213,8 @@
 		store_put_config(w.store, 70 + k, "svc", "/run/");
 		rig_run(&w.rig, 200);
 		if (k >= 15)
-			CU_ASSERT(
-			    follow_rig_version(&w, FOLLOW_RIG_NODES - f - s) >=
-			    70 + (uint64_t)k - 10);
+			CU_ASSERT(follow_rig_version(&w, order[2]) >=
+				  70 + (uint64_t)k - 10);
 	}
 	follow_rig_stop(&w);
 }
