A reader that gets no answer has other sources, and its subscribers stay

Cause: failover was serial. A node that reads for its data centre was found out to get no answer after 1.7 s, the next in the order after 0.8 s, the third after 0.6 s, each by all others at the same time; then each read for itself after a pause drawn from 0 to 2.5 s. Each step kept its limit, nothing limited the sum. Class: a time limit that each step meets and the sum does not.

Change: those that are subscribed stay with the node that reads for them. It is subscribed to the reader of the next data centre at all times, and asks four nodes of its own at once when what it knows is stale. How old knowledge is travels with it as the time of the store's answer, which no hop renews, so circles are harmless. A node that gets news asks no store at all.

--- a/proxy/link.pb-c.c
+++ b/proxy/link.pb-c.c
@@ -1411,7 +1411,7 @@
   (ProtobufCMessageInit) link__pong__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__subscribe__field_descriptors[1] =
+static const ProtobufCFieldDescriptor link__subscribe__field_descriptors[2] =
 {
   {
     "on",
@@ -1425,14 +1425,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Link__Subscribe, relay),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__subscribe__field_indices_by_name[] = {
   0,   /* field[0] = on */
+  1,   /* field[1] = relay */
 };
 static const ProtobufCIntRange link__subscribe__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor link__subscribe__descriptor =
 {
@@ -1442,7 +1455,7 @@
   "Link__Subscribe",
   "link",
   sizeof(Link__Subscribe),
-  1,
+  2,
   link__subscribe__field_descriptors,
   link__subscribe__field_indices_by_name,
   1,  link__subscribe__number_ranges,
@@ -1463,18 +1476,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "blind",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Link__Feed, blind),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "length",
     3,
@@ -1523,18 +1524,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unsubscribe",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Link__Feed, unsubscribe),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__feed__field_indices_by_name[] = {
-  3,   /* field[3] = against */
-  5,   /* field[5] = age_ms */
-  1,   /* field[1] = blind */
-  2,   /* field[2] = length */
-  4,   /* field[4] = number */
+  2,   /* field[2] = against */
+  4,   /* field[4] = age_ms */
+  1,   /* field[1] = length */
+  3,   /* field[3] = number */
   0,   /* field[0] = state */
+  5,   /* field[5] = unsubscribe */
 };
-static const ProtobufCIntRange link__feed__number_ranges[1 + 1] =
+static const ProtobufCIntRange link__feed__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 3, 1 },
   { 0, 6 }
 };
 const ProtobufCMessageDescriptor link__feed__descriptor =
@@ -1548,7 +1562,7 @@
   6,
   link__feed__field_descriptors,
   link__feed__field_indices_by_name,
-  1,  link__feed__number_ranges,
+  2,  link__feed__number_ranges,
   (ProtobufCMessageInit) link__feed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proxy/link.pb-c.h
+++ b/proxy/link.pb-c.h
@@ -267,20 +267,24 @@
 
 
 /*
- * Tell me what you read of the platform, from now on or no more.
+ * Tell me what you know of the platform, from now on or no more.
  */
 struct  Link__Subscribe
 {
   ProtobufCMessage base;
   protobuf_c_boolean on;
+  /*
+   * what others tell you is enough: do not read for me
+   */
+  protobuf_c_boolean relay;
 };
 #define LINK__SUBSCRIBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__subscribe__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 /*
- * What the sender has read since; nothing at all says that it still reads.
+ * What is new to the sender since; without a state, how old its knowledge is.
  */
 struct  Link__Feed
 {
@@ -289,10 +293,6 @@
    * compressed
    */
   ProtobufCBinaryData state;
-  /*
-   * it cannot read now
-   */
-  protobuf_c_boolean blind;
   /*
    * of the state when it is expanded
    */
@@ -309,6 +309,10 @@
    * since the sender's knowledge was complete
    */
   uint64_t age_ms;
+  /*
+   * ask another node: it leaves, or hears of nobody
+   */
+  protobuf_c_boolean unsubscribe;
 };
 #define LINK__FEED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__feed__descriptor) \
--- a/proxy/link_int.h
+++ b/proxy/link_int.h
@@ -11,8 +11,8 @@
 	char *addr; /* of the node it leads to; NULL: made by the other */
 	int connected;
 	int64_t opened_at, heard_at;
-	int64_t pinged_at;    /* 0: no question is open */
-	int subscriber;	      /* the other end asked to be told of news */
+	int64_t pinged_at;		    /* 0: no question is open */
+	enum proxy_subscription subscriber; /* of the other end */
 	uint64_t base_number; /* of the news that both ends hold, or 0 */
 	GBytes *base;	      /* those, at the end that was told */
 	uint32_t next_stream;
@@ -55,9 +55,11 @@
 
 /* link_state.c: what nodes tell each other of the platform */
 void link_give_state(struct link *);
-void link_subscribed(struct link *, int on);
-/* A link ends: if it was the feeder's, whoever follows is told. */
-void link_unfed(struct link *);
+void link_subscribed(struct link *, enum proxy_subscription);
+/* Whether this node is subscribed to the one at the other end. */
+int link_is_publisher(const struct link *);
+/* A link ends: if it was a publisher's, whoever follows is told. */
+void link_unsubscribed(struct link *);
 
 /* feed_codec.c: compression of news */
 GBytes *feed_shrink(const char *, size_t, GBytes *base);
--- a/proxy/link_state.c
+++ b/proxy/link_state.c
@@ -6,7 +6,7 @@
 	GBytes *small; /* compressed, or NULL when there are none */
 	size_t full;   /* bytes when expanded */
 	uint64_t base, number;
-	int blind;
+	int unsubscribe;
 };
 
 static void write_feed(struct link *, const struct told *);
@@ -52,36 +52,55 @@
 	g_string_free(text, TRUE);
 }
 
-/* Asks a node for news instead of the one that was asked before. */
+/* Whether this node is subscribed to the one at the other end. */
+int
+link_is_publisher(const struct link *l)
+{
+	int i;
+
+	for (i = 0; i < PROXY_SLOTS; i++)
+		if (l->links->slots[i] == l)
+			return 1;
+	return 0;
+}
+
+/* Subscribes to a node instead of the one of the slot. */
 void
-links_subscribe(struct links *ls, const char *addr)
+links_subscribe(struct links *ls, enum proxy_slot slot, const char *addr,
+    enum proxy_subscription how)
 {
 	Link__Frame f = LINK__FRAME__INIT;
 	Link__Subscribe q = LINK__SUBSCRIBE__INIT;
+	struct link *old = ls->slots[slot];
 
 	f.body_case = LINK__FRAME__BODY_SUBSCRIBE;
 	f.subscribe = &q;
-	if (ls->feeder != NULL)
-		link_write(ls->feeder, &f);
-	ls->feeder = addr != NULL ? link_to(ls, addr) : NULL;
+	ls->slots[slot] = NULL;
+	if (old != NULL && !link_is_publisher(old))
+		link_write(old, &f);
+	if (addr == NULL || (old = link_to(ls, addr)) == NULL)
+		return;
+	ls->slots[slot] = old;
 	q.on = 1;
-	if (ls->feeder != NULL) {
-		link_write(ls->feeder, &f);
-		link_tell_all(ls->feeder, 1);
-	}
+	q.relay = how == PROXY_RELAY;
+	link_write(old, &f);
+	link_tell_all(old, 1);
 }
 
 /* A link ends. */
 void
-link_unfed(struct link *l)
+link_unsubscribed(struct link *l)
 {
 	const struct proxy_state *s = &l->links->proxy->state;
+	int i;
 
-	if (l->links->feeder != l)
-		return;
-	l->links->feeder = NULL;
-	if (s->unfed != NULL)
-		s->unfed(s->arg);
+	for (i = 0; i < PROXY_SLOTS; i++) {
+		if (l->links->slots[i] != l)
+			continue;
+		l->links->slots[i] = NULL;
+		if (s->lost != NULL)
+			s->lost(s->arg, (enum proxy_slot)i);
+	}
 }
 
 /* Another node told what it holds. */
@@ -102,14 +121,15 @@
 	g_bytes_unref(full);
 }
 
-/* The feeder told news; those that cannot be read are asked for anew. */
+/* A publisher told news; what cannot be read is as good as a lost link. */
 void
 link_fed(struct link *l, const Link__Feed *feed)
 {
 	const struct proxy_state *s = &l->links->proxy->state;
 	struct proxy_news news = { .age_ms = (int64_t)feed->age_ms,
-		.blind = feed->blind };
+		.unsubscribe = feed->unsubscribe };
 	GBytes *full = NULL;
+	int i;
 
 	if (feed->length > 0) {
 		if (feed->against == 0 || feed->against == l->base_number)
@@ -119,7 +139,7 @@
 			base_log(G_LOG_LEVEL_WARNING, "feed",
 			    "unreadable base=%" G_GUINT64_FORMAT,
 			    feed->against);
-			link_unfed(l);
+			link_unsubscribed(l);
 			return;
 		}
 	}
@@ -133,8 +153,10 @@
 		news.state = g_bytes_get_data(full, NULL);
 		news.len = g_bytes_get_size(full);
 	}
-	if (s->fed != NULL)
-		s->fed(s->arg, &news);
+	for (i = 0; i < PROXY_SLOTS && l->links->slots[i] != l; i++)
+		;
+	if (s->news != NULL && i < PROXY_SLOTS)
+		s->news(s->arg, (enum proxy_slot)i, &news);
 	if (full != NULL)
 		g_bytes_unref(full);
 }
@@ -148,7 +170,7 @@
 
 	f.body_case = LINK__FRAME__BODY_FEED;
 	f.feed = &feed;
-	feed.blind = t->blind;
+	feed.unsubscribe = t->unsubscribe;
 	feed.age_ms =
 	    (uint64_t)(base_now_ms() - l->links->proxy->view->known_at);
 	feed.length = (uint32_t)t->full;
@@ -165,15 +187,15 @@
 
 /* The other end asks for news, which begin with the whole state. */
 void
-link_subscribed(struct link *l, int on)
+link_subscribed(struct link *l, enum proxy_subscription how)
 {
 	const struct proxy_state *s = &l->links->proxy->state;
 	GString *text = g_string_new(NULL);
 	struct told t = { 0 };
 
-	l->subscriber = on;
+	l->subscriber = how;
 	l->base_number = 0;
-	if (on && s->give != NULL)
+	if (how != PROXY_UNSUBSCRIBED && s->give != NULL)
 		s->give(s->arg, text);
 	if (text->len > 0) {
 		t.full = text->len;
@@ -182,11 +204,14 @@
 		g_bytes_unref(t.small);
 	}
 	g_string_free(text, TRUE);
-	if (on)
-		link_tell_all(l, 1);
+	if (how == PROXY_UNSUBSCRIBED)
+		return;
+	link_tell_all(l, 1);
+	if (s->subscribed != NULL)
+		s->subscribed(s->arg);
 }
 
-/* Nodes that asked for news. */
+/* Nodes that this one has to read for. */
 int
 links_subscribers(const struct links *ls)
 {
@@ -196,15 +221,16 @@
 
 	g_hash_table_iter_init(&it, ls->in);
 	while (g_hash_table_iter_next(&it, NULL, &value))
-		n += ((struct link *)value)->subscriber;
+		n += ((struct link *)value)->subscriber == PROXY_READ;
 	return n;
 }
 
 /* Tells them: in few bytes those who hold the base, whole the others. */
 void
-links_feed(struct links *ls, const char *state, size_t len, int blind)
+links_publish(struct links *ls, const char *state, size_t len, int unsubscribe)
 {
-	struct told whole = { .blind = blind }, change = { .blind = blind };
+	struct told whole = { .unsubscribe = unsubscribe };
+	struct told change = whole;
 	uint64_t next = 0;
 	struct link *l;
 	GHashTableIter it;
@@ -218,7 +244,7 @@
 	g_hash_table_iter_init(&it, ls->in);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		l = value;
-		if (!l->subscriber)
+		if (l->subscriber == PROXY_UNSUBSCRIBED)
 			continue;
 		if (len > 0 && ls->base != NULL &&
 		    l->base_number == ls->base_number) {
--- a/proxy/link_suspect.c
+++ b/proxy/link_suspect.c
@@ -101,8 +101,12 @@
 	GHashTableIter it;
 	gpointer value;
 
-	if (ls->feeder != NULL && ls->feeder != from)
-		write_known(ls->feeder, fp);
+	g_hash_table_iter_init(&it, ls->out);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		l = value;
+		if (link_is_publisher(l) && l != from)
+			write_known(l, fp);
+	}
 	g_hash_table_iter_init(&it, ls->in);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		l = value;
--- a/proxy/links.c
+++ b/proxy/links.c
@@ -115,7 +115,7 @@
 	/* Out of the tables first: whoever is told may open a link at once. */
 	if (l->addr != NULL) {
 		g_hash_table_remove(l->links->out, l->addr);
-		link_unfed(l);
+		link_unsubscribed(l);
 		http_reset(l->bev);
 		l->bev = NULL;
 		link_fail_jobs(l);
@@ -234,10 +234,12 @@
 		link_give_state(l);
 		break;
 	case LINK__FRAME__BODY_SUBSCRIBE:
-		link_subscribed(l, f->subscribe->on);
+		link_subscribed(l, !f->subscribe->on	 ? PROXY_UNSUBSCRIBED
+				   : f->subscribe->relay ? PROXY_RELAY
+							 : PROXY_READ);
 		break;
 	case LINK__FRAME__BODY_FEED:
-		if (l == l->links->feeder)
+		if (link_is_publisher(l))
 			link_fed(l, f->feed);
 		break;
 	case LINK__FRAME__BODY_STATE:
@@ -307,7 +309,7 @@
 	} else if (due && l->pinged_at == 0 && now - l->heard_at > SILENT_MS) {
 		l->pinged_at = now;
 		tell(l, LINK__FRAME__BODY_PING);
-	} else if (!due && l != l->links->feeder &&
+	} else if (!due && !link_is_publisher(l) &&
 		   now - l->heard_at > IDLE_MS) {
 		link_close(l, "idle");
 	}
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -185,18 +185,19 @@
 	p->state = *s;
 }
 
-/* Asks another node for news. */
+/* Subscribes to another node, or to none. */
 void
-proxy_subscribe(struct proxy *p, const char *addr)
+proxy_subscribe(struct proxy *p, enum proxy_slot slot, const char *addr,
+    enum proxy_subscription how)
 {
 	char link[ADDRESS_MAX];
 
 	if (addr != NULL)
 		choose_link(p, addr, link);
-	links_subscribe(&p->links, addr != NULL ? link : NULL);
+	links_subscribe(&p->links, slot, addr != NULL ? link : NULL, how);
 }
 
-/* Nodes that asked for news here. */
+/* Nodes that this one reads for. */
 int
 proxy_subscribers(const struct proxy *p)
 {
@@ -205,9 +206,9 @@
 
 /* Tells them. */
 void
-proxy_feed(struct proxy *p, const char *state, size_t len, int blind)
+proxy_publish(struct proxy *p, const char *state, size_t len, int unsubscribe)
 {
-	links_feed(&p->links, state, len, blind);
+	links_publish(&p->links, state, len, unsubscribe);
 }
 
 /* Asks another node; the address may be of any port of its host. */
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -72,8 +72,23 @@
 struct proxy_news {
 	const char *state; /* NULL: there is nothing new */
 	size_t len;
-	int64_t age_ms; /* since all that the sender knew was complete */
-	int blind;	/* it cannot read now */
+	int64_t age_ms;	 /* since all that the sender knew was complete */
+	int unsubscribe; /* another node has to be asked */
+};
+
+/* What a node is subscribed to another for; one node for each. */
+enum proxy_slot {
+	PROXY_PUBLISHER, /* it tells of the platform */
+	PROXY_BACKUP,	 /* it does the same in another data centre */
+	PROXY_HELPERS,	 /* they read as the store does not answer here */
+	PROXY_SLOTS = PROXY_HELPERS + 4
+};
+
+/* How a node is subscribed to another. */
+enum proxy_subscription {
+	PROXY_UNSUBSCRIBED,
+	PROXY_READ,  /* the other has to read the store */
+	PROXY_RELAY, /* it may pass on what it is told */
 };
 
 /*
@@ -84,18 +99,23 @@
 	void *arg;
 	void (*give)(void *arg, GString *out);
 	void (*take)(void *arg, const char *state, size_t len);
-	/* A node was told of news, or that its feeder cannot read. */
-	void (*fed)(void *arg, const struct proxy_news *);
-	/* The link to the feeder was lost. */
-	void (*unfed)(void *arg);
+	/* News, or only how old they are, came from the node of a slot. */
+	void (*news)(void *arg, enum proxy_slot, const struct proxy_news *);
+	/* The link to that node was lost. */
+	void (*lost)(void *arg, enum proxy_slot);
+	/* Another node has subscribed to this one. */
+	void (*subscribed)(void *arg);
 };
 void proxy_set_state(struct proxy *, const struct proxy_state *);
-/* Asks the node on a host to be told of news; NULL ends that. */
-void proxy_subscribe(struct proxy *, const char *addr);
-/* Nodes that asked to be told. */
+/* Subscribes to the node on a host instead of that of the slot, or to none. */
+void proxy_subscribe(
+    struct proxy *, enum proxy_slot, const char *addr, enum proxy_subscription);
+/* Nodes that are subscribed to this one, and for which it has to read. */
 int proxy_subscribers(const struct proxy *);
-/* Tells them. */
-void proxy_feed(struct proxy *, const char *state, size_t len, int blind);
+/* Tells all that are subscribed what is new, or how old all that is known is.
+ */
+void
+proxy_publish(struct proxy *, const char *state, size_t len, int unsubscribe);
 /* Asks the node on a host for what it holds; take is called if it answers. */
 void proxy_ask_state(struct proxy *, const char *addr);
 /* Whether nothing is under way. */
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -186,10 +186,10 @@
 struct links {
 	struct proxy *proxy;
 	struct evconnlistener *listener;
-	GHashTable *out;      /* address to struct link, made from here */
-	GHashTable *in;	      /* of struct link, made by others */
-	struct event *timer;  /* silence is looked for */
-	struct link *feeder;  /* the node that tells of news, or NULL */
+	GHashTable *out;     /* address to struct link, made from here */
+	GHashTable *in;	     /* of struct link, made by others */
+	struct event *timer; /* silence is looked for */
+	struct link *slots[PROXY_SLOTS]; /* subscribed to, or NULL */
 	uint64_t base_number; /* of the last news told that are a base */
 	GBytes *base;
 };
@@ -208,10 +208,13 @@
 links_tell_feed(struct links *, uint64_t fingerprint, const struct link *from);
 /* Address of the node at the other end, or "-". */
 const char *link_peer(const struct link *);
-/* Asks the node at an address for news; NULL ends that. */
-void links_subscribe(struct links *, const char *addr);
+/* Subscribes to the node at an address instead of that of the slot. */
+void links_subscribe(
+    struct links *, enum proxy_slot, const char *addr, enum proxy_subscription);
+/* Nodes that are subscribed and that this one has to read for. */
 int links_subscribers(const struct links *);
-void links_feed(struct links *, const char *state, size_t len, int blind);
+void
+links_publish(struct links *, const char *state, size_t len, int unsubscribe);
 /* Asks the node at an address for its state. */
 void links_ask_state(struct links *, const char *addr);
 /* Jobs under way for other nodes. */
--- a/side/follow.c
+++ b/side/follow.c
@@ -26,8 +26,9 @@
 drop_missing(struct follow *, enum platform_part, GHashTable *, uint64_t);
 static void give_state(void *, GString *);
 static void take_state(void *, const char *, size_t);
-static void on_fed(void *, const struct proxy_news *);
-static void on_unfed(void *);
+static void on_published(void *, enum proxy_slot, const struct proxy_news *);
+static void on_publisher_lost(void *, enum proxy_slot);
+static void on_subscribed(void *);
 static int is_dark(const struct follow *);
 static void on_dark(evutil_socket_t, short, void *);
 
@@ -40,8 +41,8 @@
 	struct timeval tv = { 0, DARK_MS * 1000L };
 	struct reader_calls calls = { f, on_items, on_listed, on_lost, on_alive,
 		is_needed };
-	struct proxy_state state = { f, give_state, take_state, on_fed,
-		on_unfed };
+	struct proxy_state state = { f, give_state, take_state, on_published,
+		on_publisher_lost, on_subscribed };
 
 	f->base = base;
 	f->settings = s;
@@ -90,7 +91,7 @@
 follow_leave(struct follow *f)
 {
 	f->leaving = 1;
-	proxy_feed(f->proxy, NULL, 0, 1);
+	feed_tell(f, base_now_ms());
 }
 
 /* ---- taking what was read ---- */
@@ -245,7 +246,7 @@
 	if (news->len > 0) {
 		text = g_string_new(NULL);
 		state_pack(news, p->as_of, text);
-		proxy_feed(f->proxy, text->str, text->len, 0);
+		proxy_publish(f->proxy, text->str, text->len, 0);
 		g_string_free(text, TRUE);
 	}
 	g_ptr_array_free(news, TRUE);
@@ -313,11 +314,8 @@
 {
 	struct follow *f = arg;
 
-	if (!store_reader_watches(f->reader))
-		return;
-	proxy_store_lost(f->proxy);
-	/* Those who are fed hear of it with the next look. */
-	f->feed.told_at = 0;
+	if (store_reader_watches(f->reader) && follow_is_stale(f))
+		proxy_store_lost(f->proxy);
 }
 
 static void
@@ -325,8 +323,7 @@
 {
 	struct follow *f = arg;
 
-	f->view->known_at =
-	    MAX(f->view->known_at, store_reader_known_at(f->reader));
+	follow_known(f, store_reader_known_at(f->reader));
 	if (part == PLATFORM_TARGETS && store_reader_watches(f->reader))
 		proxy_target_reported(f->proxy);
 }
@@ -379,22 +376,54 @@
 	proxy_view_changed(f->proxy);
 }
 
-/* The feeder told of news, or that it cannot read. */
+/* A node that this one is subscribed to told of news, or how old they are. */
 static void
-on_fed(void *arg, const struct proxy_news *n)
+on_published(void *arg, enum proxy_slot slot, const struct proxy_news *n)
 {
 	struct follow *f = arg;
 
 	if (n->len > 0)
 		take_state(f, n->state, n->len);
-	f->view->known_at = MAX(f->view->known_at, base_now_ms() - n->age_ms);
-	feed_heard(f, n->blind, n->len == 0);
+	if (slot == PROXY_PUBLISHER)
+		feed_heard(f, n);
+	else
+		relay_heard(f, slot, n);
+	follow_known(f, base_now_ms() - n->age_ms);
 }
 
 static void
-on_unfed(void *arg)
+on_publisher_lost(void *arg, enum proxy_slot slot)
+{
+	if (slot == PROXY_PUBLISHER)
+		feed_lost(arg);
+	else
+		relay_lost(arg, slot);
+}
+
+/* Another node subscribed: it may be that this one has to read now. */
+static void
+on_subscribed(void *arg)
+{
+	feed_look_now(arg);
+}
+
+/*
+ * All changes until then are held, ms.  Times of answers of the store are
+ * passed on as they are, so that nodes which tell each other in a circle do
+ * not take each other's word for news.
+ */
+void
+follow_known(struct follow *f, int64_t at)
+{
+	f->view->known_at = MAX(f->view->known_at, at);
+	feed_known(f);
+}
+
+/* Whether changes may have been missed for longer than is usual. */
+int
+follow_is_stale(const struct follow *f)
 {
-	feed_lost(arg);
+	return base_now_ms() - f->view->known_at > FOLLOW_STALE_MS;
 }
 
 /* Whether too little is known to serve. */
--- a/side/reader.c
+++ b/side/reader.c
@@ -15,8 +15,6 @@
  */
 #define WAIT_MS		 1200 /* of a watch */
 #define TARGETS_PAUSE_MS 800  /* of 2000 until a leaving target gets nothing */
-#define OVERDUE_MS	 2600 /* without an answer about targets: blind */
-#define UNANSWERED_MS	 500  /* the same for who has begun to watch */
 #define RETRY_MS	 150  /* after a failure, doubling */
 #define RETRY_MAX_MS	 1000
 /* The same for who waits with others, and has word of those who read for all.
@@ -42,6 +40,7 @@
 	int asked;	     /* an answer is due */
 	int resting;	     /* it failed, and no answer is needed now */
 	int listed;	     /* a whole list was read, so changes are watched */
+	int paused;	     /* before the call under way */
 	int64_t known_at;    /* all changes until then were read, or 0 */
 	uint64_t after, first; /* revisions: to watch from, of the first page */
 	char *page;	       /* last key of the page before, or NULL */
@@ -55,9 +54,6 @@
 	int watches;
 	int others;	    /* that watch for the same reason, or 0 */
 	int64_t trouble_at; /* a call failed last */
-	int64_t alive_at;   /* targets were read last */
-	int64_t began_at;   /* to watch */
-	int answered;	    /* the store has answered since */
 	int relist;	    /* what is missing is believed after a new list */
 };
 
@@ -156,8 +152,6 @@
 		return;
 	base_log(G_LOG_LEVEL_MESSAGE, "reader", "watches=%d", on);
 	r->watches = on;
-	r->alive_at = r->began_at = base_now_ms();
-	r->answered = 0;
 	for (i = 0; i < G_N_ELEMENTS(r->askers); i++) {
 		r->askers[i].listed = 0;
 		g_clear_pointer(&r->askers[i].page, g_free);
@@ -191,24 +185,6 @@
 	    r->askers[PLATFORM_TARGETS].known_at);
 }
 
-/* Whether what is read may be old. */
-int
-store_reader_blind(const struct store_reader *r)
-{
-	if (!r->answered && store_reader_settled(r))
-		return 1;
-	return r->askers[PLATFORM_OPERATORS].failures > 0 ||
-	       r->askers[PLATFORM_TARGETS].failures > 0 ||
-	       base_now_ms() - r->alive_at > OVERDUE_MS;
-}
-
-/* Whether the store has answered since the reader began, or had the time. */
-int
-store_reader_settled(const struct store_reader *r)
-{
-	return r->answered || base_now_ms() - r->began_at > UNANSWERED_MS;
-}
-
 /* Whether nothing has failed for long enough to believe what is missing. */
 static int
 is_calm(const struct store_reader *r)
@@ -238,8 +214,9 @@
 	a->asked = 1;
 	a->resting = 0;
 	if (a->listed)
-		platform_watch(
-		    a->store, a->part, a->after, WAIT_MS, on_page, a);
+		platform_watch(a->store, a->part, a->after,
+		    a->paused ? WAIT_MS - TARGETS_PAUSE_MS : WAIT_MS, on_page,
+		    a);
 	else
 		platform_list(
 		    a->store, a->part, a->page, !r->watches, on_page, a);
@@ -320,9 +297,8 @@
 {
 	a->after = MAX(a->after, p->as_of);
 	a->known_at = base_now_ms();
-	http_timer(a->timer, a->part == PLATFORM_TARGETS && p->items->len > 0
-				 ? TARGETS_PAUSE_MS
-				 : 0);
+	a->paused = a->part == PLATFORM_TARGETS && p->items->len > 0;
+	http_timer(a->timer, a->paused ? TARGETS_PAUSE_MS : 0);
 }
 
 /* A call ended. */
@@ -337,7 +313,6 @@
 		on_failure(a, err, p);
 		return;
 	}
-	r->answered = 1;
 	if (a->failures > 0) {
 		base_log(G_LOG_LEVEL_MESSAGE, "store-regained",
 		    "question=%s failures=%d", part_names[a->part],
@@ -349,7 +324,5 @@
 		on_list(a, p);
 	else if (r->watches)
 		on_news(a, p);
-	if (a->part == PLATFORM_TARGETS)
-		r->alive_at = base_now_ms();
 	r->calls.alive(r->calls.arg, a->part);
 }
--- a/side/side.h
+++ b/side/side.h
@@ -62,10 +62,6 @@
 int64_t store_reader_known_at(const struct store_reader *);
 /* Reads the list of targets once more, as it may be old; without watching. */
 void store_reader_glance(struct store_reader *);
-/* Whether the last calls failed, or answers are overdue. */
-int store_reader_blind(const struct store_reader *);
-/* Whether that is known: who has just begun to watch has to wait a little. */
-int store_reader_settled(const struct store_reader *);
 /* Another store from now on. */
 void store_reader_move(struct store_reader *, const char *store);
 
--- a/test/rig_follow.c
+++ b/test/rig_follow.c
@@ -15,6 +15,7 @@
 	n->view->config = NULL;
 	g_hash_table_remove_all(n->view->targets);
 	n->view->listed_at = 0;
+	n->view->known_at = 0;
 }
 
 void
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -220,11 +220,13 @@
 	int i;
 
 	start(&r, 2);
-	proxy_subscribe(r.nodes[1].proxy, r.nodes[0].target.addr);
+	proxy_subscribe(r.nodes[1].proxy, PROXY_PUBLISHER,
+	    r.nodes[0].target.addr, PROXY_READ);
 	send_many(&r, "/once/crash", 6);
 	for (i = 0; i < 4; i++) {
 		rig_restart(&r, i % 2);
-		proxy_subscribe(r.nodes[1].proxy, r.nodes[0].target.addr);
+		proxy_subscribe(r.nodes[1].proxy, PROXY_PUBLISHER,
+		    r.nodes[0].target.addr, PROXY_READ);
 		rig_run(&r, 100);
 		send_many(&r, "/once/crash", 2);
 	}
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -1,4 +1,5 @@
 /* How news reach the nodes of a data centre whose readers get no answer. */
+#include "../side/follow_int.h"
 #include "rig_follow.h"
 #include "test.h"
 
@@ -55,7 +56,83 @@
 	follow_rig_stop(&w);
 }
 
+/* No node of a data centre is answered: another data centre passes news on. */
+static void
+a_whole_data_centre_cannot_read(void)
+{
+	struct follow_rig w;
+	int i, n, south[RIG_NODES], north[RIG_NODES];
+
+	follow_rig_start_in(&w, 6, dcs, 2);
+	n = follow_rig_order(&w, "south", south);
+	CU_ASSERT_EQUAL(follow_rig_order(&w, "north", north), 3);
+	silence_first(&w, south, n);
+	follow_rig_target(&w, north[1], "draining");
+	store_put_config(w.store, 31, "svc", "/run/");
+	rig_run(&w.rig, BOUND_MS);
+	for (i = 0; i < n; i++) {
+		CU_ASSERT(!is_ready(&w, south[i], north[1]));
+		CU_ASSERT_EQUAL(follow_rig_version(&w, south[i]), 31);
+	}
+	/* It goes on for as long as the silence does. */
+	store_put_config(w.store, 32, "svc", "/run/");
+	rig_run(&w.rig, BOUND_MS);
+	for (i = 0; i < n; i++)
+		CU_ASSERT_EQUAL(follow_rig_version(&w, south[i]), 32);
+	follow_rig_stop(&w);
+}
+
+/*
+ * The store is silent for all: nodes that tell each other in a circle know how
+ * old it is what they hold, and hold what is new soon after its return.
+ */
+static void
+a_silent_store_makes_knowledge_old(void)
+{
+	struct follow_rig w;
+	int64_t silent_at;
+	int i;
+
+	follow_rig_start_in(&w, 6, dcs, 2);
+	rig_run(&w.rig, 2500);
+	store_set_fault(w.store, STORE_SILENT);
+	silent_at = base_now_ms();
+	rig_run(&w.rig, 6000);
+	for (i = 0; i < 6; i++)
+		CU_ASSERT(w.rig.nodes[i].view->known_at <= silent_at);
+	store_set_fault(w.store, STORE_WELL);
+	store_put_config(w.store, 33, "svc", "/run/");
+	rig_run(&w.rig, 3000);
+	for (i = 0; i < 6; i++)
+		CU_ASSERT_EQUAL(follow_rig_version(&w, i), 33);
+	follow_rig_stop(&w);
+}
+
+/* The store is silent for all nodes of a data centre: a few of them ask it. */
+static void
+a_silent_store_is_asked_by_few(void)
+{
+	struct follow_rig w;
+	int i, k, n;
+
+	follow_rig_start_in(&w, MANY, dcs, 1);
+	store_set_fault(w.store, STORE_SILENT);
+	rig_run(&w.rig, 2500);
+	for (k = 0; k < 20; k++) {
+		rig_run(&w.rig, 300);
+		for (i = n = 0; i < MANY; i++)
+			n += store_reader_watches(w.follows[i]->reader);
+		/* Two rounds of helpers while one follows the other. */
+		CU_ASSERT(n <= 1 + 2 * HELPERS);
+	}
+	follow_rig_stop(&w);
+}
+
 static const struct test tests[] = {
+	{ "a whole data centre cannot read", a_whole_data_centre_cannot_read },
+	{ "a silent store makes knowledge old",
+	    a_silent_store_makes_knowledge_old },
+	{ "a silent store is asked by few", a_silent_store_is_asked_by_few },
 	{ "the first three of many cannot read",
 	    the_first_three_of_many_cannot_read },
 };
