--- a/proxy/link.pb-c.c
+++ b/proxy/link.pb-c.c
@@ -1411,7 +1411,7 @@
   (ProtobufCMessageInit) link__pong__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__subscribe__field_descriptors[2] =
+static const ProtobufCFieldDescriptor link__subscribe__field_descriptors[3] =
 {
   {
     "on",
@@ -1437,15 +1437,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "help",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Link__Subscribe, help),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__subscribe__field_indices_by_name[] = {
+  2,   /* field[2] = help */
   0,   /* field[0] = on */
   1,   /* field[1] = relay */
 };
 static const ProtobufCIntRange link__subscribe__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor link__subscribe__descriptor =
 {
@@ -1455,7 +1468,7 @@
   "Link__Subscribe",
   "link",
   sizeof(Link__Subscribe),
-  2,
+  3,
   link__subscribe__field_descriptors,
   link__subscribe__field_indices_by_name,
   1,  link__subscribe__number_ranges,
--- a/proxy/link.pb-c.h
+++ b/proxy/link.pb-c.h
@@ -277,10 +277,14 @@
    * what others tell you is enough: do not read for me
    */
   protobuf_c_boolean relay;
+  /*
+   * read, as the store does not answer me
+   */
+  protobuf_c_boolean help;
 };
 #define LINK__SUBSCRIBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__subscribe__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
--- a/proxy/link_state.c
+++ b/proxy/link_state.c
@@ -83,6 +83,7 @@
 	ls->slots[slot] = old;
 	q.on = 1;
 	q.relay = how == PROXY_RELAY;
+	q.help = how == PROXY_HELP;
 	link_write(old, &f);
 	link_tell_all(old, 1);
 }
@@ -211,9 +212,9 @@
 		s->subscribed(s->arg);
 }
 
-/* Nodes that this one has to read for. */
+/* Nodes that are subscribed in that way. */
 int
-links_subscribers(const struct links *ls)
+links_subscribers(const struct links *ls, enum proxy_subscription how)
 {
 	GHashTableIter it;
 	gpointer value;
@@ -221,7 +222,7 @@
 
 	g_hash_table_iter_init(&it, ls->in);
 	while (g_hash_table_iter_next(&it, NULL, &value))
-		n += ((struct link *)value)->subscriber == PROXY_READ;
+		n += ((struct link *)value)->subscriber == how;
 	return n;
 }
 
--- a/proxy/links.c
+++ b/proxy/links.c
@@ -31,6 +31,7 @@
 static void on_frame(struct link *, const Link__Frame *);
 static void on_write(struct bufferevent *, void *);
 static void tell(struct link *, Link__Frame__BodyCase);
+static enum proxy_subscription subscription(const Link__Subscribe *);
 
 /* Listens for links of other nodes. */
 int
@@ -193,6 +194,17 @@
 	link_write(l, &f);
 }
 
+/* How the other end is subscribed from now on. */
+static enum proxy_subscription
+subscription(const Link__Subscribe *q)
+{
+	if (!q->on)
+		return PROXY_UNSUBSCRIBED;
+	if (q->relay)
+		return PROXY_RELAY;
+	return q->help ? PROXY_HELP : PROXY_READ;
+}
+
 /* One frame has arrived. */
 static void
 on_frame(struct link *l, const Link__Frame *f)
@@ -234,9 +246,7 @@
 		link_give_state(l);
 		break;
 	case LINK__FRAME__BODY_SUBSCRIBE:
-		link_subscribed(l, !f->subscribe->on	 ? PROXY_UNSUBSCRIBED
-				   : f->subscribe->relay ? PROXY_RELAY
-							 : PROXY_READ);
+		link_subscribed(l, subscription(f->subscribe));
 		break;
 	case LINK__FRAME__BODY_FEED:
 		if (link_is_publisher(l))
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -197,11 +197,11 @@
 	links_subscribe(&p->links, slot, addr != NULL ? link : NULL, how);
 }
 
-/* Nodes that this one reads for. */
+/* Nodes that are subscribed here in that way. */
 int
-proxy_subscribers(const struct proxy *p)
+proxy_subscribers(const struct proxy *p, enum proxy_subscription how)
 {
-	return links_subscribers(&p->links);
+	return links_subscribers(&p->links, how);
 }
 
 /* Tells them. */
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -88,6 +88,7 @@
 enum proxy_subscription {
 	PROXY_UNSUBSCRIBED,
 	PROXY_READ,  /* the other has to read the store */
+	PROXY_HELP,  /* the same, as the store does not answer this one */
 	PROXY_RELAY, /* it may pass on what it is told */
 };
 
@@ -110,8 +111,8 @@
 /* Subscribes to the node on a host instead of that of the slot, or to none. */
 void proxy_subscribe(
     struct proxy *, enum proxy_slot, const char *addr, enum proxy_subscription);
-/* Nodes that are subscribed to this one, and for which it has to read. */
-int proxy_subscribers(const struct proxy *);
+/* Nodes that are subscribed to this one in that way. */
+int proxy_subscribers(const struct proxy *, enum proxy_subscription);
 /* Tells all that are subscribed what is new, or how old all that is known is.
  */
 void
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -211,8 +211,8 @@
 /* Subscribes to the node at an address instead of that of the slot. */
 void links_subscribe(
     struct links *, enum proxy_slot, const char *addr, enum proxy_subscription);
-/* Nodes that are subscribed and that this one has to read for. */
-int links_subscribers(const struct links *);
+/* Nodes that are subscribed in that way. */
+int links_subscribers(const struct links *, enum proxy_subscription);
 void
 links_publish(struct links *, const char *state, size_t len, int unsubscribe);
 /* Asks the node at an address for its state. */
--- a/side/feed.c
+++ b/side/feed.c
@@ -298,7 +298,7 @@
 {
 	struct follow *f = arg;
 	int64_t now = base_now_ms();
-	int subscribers, self;
+	int subscribers, helps, self;
 
 	(void)fd;
 	(void)what;
@@ -318,12 +318,14 @@
 	 * who has lost one reads in the meantime.
 	 */
 	self = reads_itself(f) || now < f->verify_until || f->feed.orphan;
-	subscribers = proxy_subscribers(f->proxy);
+	helps = proxy_subscribers(f->proxy, PROXY_HELP) > 0;
+	subscribers = helps + proxy_subscribers(f->proxy, PROXY_READ);
 	/* Who reads as others cannot is one of many, and none of those. */
 	store_reader_watch(f->reader, self || subscribers > 0,
 	    f->feed.rank >= FOLLOW_RANKS_MAX && subscribers == 0
 		? f->feed.others
-		: 0);
+		: 0,
+	    helps);
 	relay_look(f, now);
 	if (now - f->feed.told_at >= TELL_MS)
 		feed_tell(f, now);
--- a/side/reader.c
+++ b/side/reader.c
@@ -16,7 +16,10 @@
 #define WAIT_MS		 1200 /* of a watch */
 #define TARGETS_PAUSE_MS 800  /* of 2000 until a leaving target gets nothing */
 #define RETRY_MS	 150  /* after a failure, doubling */
-#define RETRY_MAX_MS	 1000
+#define RETRY_STALE_MS                                        \
+	600 /* the same for who reads as others get no answer \
+	     */
+#define RETRY_MAX_MS 1000
 /* The same for who waits with others, and has word of those who read for all.
  */
 #define PATIENT_MIN_MS	2000
@@ -53,6 +56,7 @@
 	struct asker askers[2]; /* by enum platform_part */
 	int watches;
 	int others;	    /* that watch for the same reason, or 0 */
+	int helps;	    /* others get no answer, nor has this one yet */
 	int64_t trouble_at; /* a call failed last */
 	int relist;	    /* what is missing is believed after a new list */
 };
@@ -141,7 +145,7 @@
 
 /* Begins to watch, from new and exact lists, or ends it. */
 void
-store_reader_watch(struct store_reader *r, int on, int others)
+store_reader_watch(struct store_reader *r, int on, int others, int helps)
 {
 	int64_t begin;
 	size_t i;
@@ -152,10 +156,17 @@
 		return;
 	base_log(G_LOG_LEVEL_MESSAGE, "reader", "watches=%d", on);
 	r->watches = on;
+	r->helps = helps;
+	if (on && helps) {
+		/* The store may have been away, and entries have lapsed. */
+		r->trouble_at = base_now_ms();
+		r->relist = 1;
+	}
 	for (i = 0; i < G_N_ELEMENTS(r->askers); i++) {
 		r->askers[i].listed = 0;
 		g_clear_pointer(&r->askers[i].page, g_free);
-		if (on)
+		/* One question is enough to find out whether it answers. */
+		if (on && (!helps || i == PLATFORM_OPERATORS))
 			http_timer(r->askers[i].timer, begin);
 	}
 }
@@ -238,6 +249,8 @@
 		a->listed = 0;
 	g_clear_pointer(&a->page, g_free);
 	pause = MIN((int64_t)RETRY_MS << MIN(a->failures, 8), most);
+	if (r->helps)
+		pause = most;
 	/*
 	 * A store that is silent for many is so for a while; a watch that is
 	 * cut, and then has no history, is two failures of another kind.
@@ -319,6 +332,10 @@
 		    a->failures);
 		a->failures = 0;
 	}
+	if (r->helps) {
+		r->helps = 0;
+		http_timer(r->askers[PLATFORM_TARGETS].timer, 0);
+	}
 	r->calls.items(r->calls.arg, p);
 	if (!a->listed)
 		on_list(a, p);
--- a/side/relay.c
+++ b/side/relay.c
@@ -174,7 +174,7 @@
 		if (strcmp(addr, self) == 0)
 			continue;
 		set_publisher(f, PROXY_HELPERS + asked, &r->helpers[asked],
-		    addr, PROXY_READ);
+		    addr, PROXY_HELP);
 		asked++;
 	}
 	g_array_free(list, TRUE);
@@ -262,8 +262,9 @@
 relay_look(struct follow *f, int64_t now)
 {
 	struct relay *r = &f->relay;
-	int reads = f->feed.publisher.addr[0] == '\0' &&
-		    (f->feed.rank == 0 || proxy_subscribers(f->proxy) > 0);
+	int reads =
+	    f->feed.publisher.addr[0] == '\0' &&
+	    (f->feed.rank == 0 || proxy_subscribers(f->proxy, PROXY_READ) > 0);
 
 	if (reads && r->since == 0) {
 		r->since = f->view->known_at > 0 ? f->view->known_at : now;
--- a/side/side.h
+++ b/side/side.h
@@ -54,9 +54,11 @@
 /*
  * Watches the store from now on, or only when it is asked to.  One of many that
  * do so for the same reason (others: how many, 0: it does so for itself) begins
- * a while later and asks a failing store less often.
+ * a while later and asks a failing store less often.  So does one that
+ * helps a node which the store does not answer; what its first list lacks is
+ * not believed to be gone.
  */
-void store_reader_watch(struct store_reader *, int on, int others);
+void store_reader_watch(struct store_reader *, int on, int others, int helps);
 int store_reader_watches(const struct store_reader *);
 /* Until when all changes were read, in ms, or 0. */
 int64_t store_reader_known_at(const struct store_reader *);
--- a/test/test_store_reader.c
+++ b/test/test_store_reader.c
@@ -141,7 +141,7 @@
 	rig_loop(w.base, 300);
 	store_set_fault(w.store, STORE_SILENT);
 	calls = all_calls(&w);
-	store_reader_watch(w.reader, 1, 59);
+	store_reader_watch(w.reader, 1, 59, 0);
 	rig_loop(w.base, 5000);
 	/* Three of each part, and then a pause of up to 5 s. */
 	CU_ASSERT(all_calls(&w) - calls <= 6);
