test_relay: a node that hears of nobody sends its subscribers away

The path had no test. Sixteen silent nodes come next in the order; without the change of the flag (taken out by hand) the checks of both subscribers fail. The silent nodes' listing moves from test_feeder to the rig; two of its checks end the program there instead.

--- a/test/rig_follow.c
+++ b/test/rig_follow.c
@@ -1,6 +1,7 @@
 /* A mesh whose nodes follow a stand-in for the platform's store. */
 #include <string.h>
 
+#include <sys/socket.h>
 #include <xxhash.h>
 
 #include "rig_follow.h"
@@ -85,25 +86,65 @@
 	rig_stop(&w->rig);
 }
 
+/* Place of a node's target in the order. */
+static uint64_t
+weight(const struct follow_rig *w, int node)
+{
+	const char *addr = w->rig.nodes[node].target.addr;
+
+	return XXH64(addr, strlen(addr), 0);
+}
+
 int
 follow_rig_order(struct follow_rig *w, const char *dc, int *nodes)
 {
 	const struct rig_node *all = w->rig.nodes;
-	uint64_t hash[RIG_NODES];
 	int i, k, n = 0;
 
 	for (i = 0; i < w->rig.nnodes; i++) {
 		if (strcmp(all[i].settings.data_centre, dc) != 0)
 			continue;
-		hash[i] =
-		    XXH64(all[i].target.addr, strlen(all[i].target.addr), 0);
-		for (k = n++; k > 0 && hash[nodes[k - 1]] > hash[i]; k--)
+		for (k = n++; k > 0 && weight(w, nodes[k - 1]) > weight(w, i);
+		     k--)
 			nodes[k] = nodes[k - 1];
 		nodes[k] = i;
 	}
 	return n;
 }
 
+void
+follow_rig_list_silent(
+    struct follow_rig *w, int before, int after, int *fds, int n)
+{
+	uint64_t h, least = before < 0 ? 0 : weight(w, before);
+	char addr[ADDRESS_MAX], id[16];
+	struct sockaddr_in sin;
+	int i, k = 0, one = 1;
+
+	/* Many to choose from, as few stand between two given nodes. */
+	for (i = 0; i < 40000 && k < n; i++) {
+		g_snprintf(addr, sizeof(addr), "127.0.%d.%d:%d", 20 + i / 200,
+		    20 + i % 200, w->rig.ports);
+		h = XXH64(addr, strlen(addr), 0);
+		if (h <= least || h >= weight(w, after))
+			continue;
+		g_snprintf(id, sizeof(id), "silent%d", k);
+		store_put_target(w->store, &(struct store_target){ id, "other",
+					       addr, "north", "ready", 0, 1 });
+		g_snprintf(addr, sizeof(addr), "127.0.%d.%d:%d", 20 + i / 200,
+		    20 + i % 200, w->rig.ports + 2);
+		address_resolve(addr, &sin);
+		fds[k] = socket(AF_INET, SOCK_STREAM, 0);
+		setsockopt(fds[k], SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+		if (bind(fds[k], (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
+		    listen(fds[k], 64) != 0)
+			g_error("cannot listen on %s", addr);
+		k++;
+	}
+	if (k < n)
+		g_error("no place between two nodes");
+}
+
 void
 follow_rig_by_door(struct follow_rig *w, int i)
 {
--- a/test/rig_follow.h
+++ b/test/rig_follow.h
@@ -26,6 +26,13 @@
 /* The nodes of a data centre in the order in which they read; returns how many.
  */
 int follow_rig_order(struct follow_rig *, const char *dc, int *nodes);
+/*
+ * Lists targets between two nodes in the order (before -1: none goes before);
+ * whoever stands beside them takes connections and says nothing.  The caller
+ * closes fds.
+ */
+void follow_rig_list_silent(
+    struct follow_rig *, int before, int after, int *fds, int n);
 /* A node reaches the store by its door from now on. */
 void follow_rig_by_door(struct follow_rig *, int node);
 void follow_rig_stop(struct follow_rig *);
--- a/test/test_feeder.c
+++ b/test/test_feeder.c
@@ -1,6 +1,5 @@
 /* Which node reads the store for the others, and what happens when it cannot.
  */
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <xxhash.h>
@@ -221,45 +220,14 @@
 
 #define SILENT 3
 
-/*
- * Lists targets that come first of all in the order of feeders; whoever stands
- * beside them takes connections and says nothing.
- */
+/* Silent nodes that come first of all in the order. */
 static void
 list_silent_feeders(struct follow_rig *w, int fds[SILENT])
 {
-	char addr[ADDRESS_MAX], id[16];
-	struct sockaddr_in sin;
-	uint64_t h, found[SILENT] = { 0 };
-	int i, k = 0, one = 1;
-	uint64_t least = UINT64_MAX;
-
-	for (i = 0; i < FOLLOW_RIG_NODES; i++) {
-		const char *real = w->rig.nodes[i].target.addr;
+	int order[RIG_NODES];
 
-		least = MIN(least, XXH64(real, strlen(real), 0));
-	}
-	/* Many to choose from, as few come first when a node does so itself. */
-	for (i = 0; i < 10000 && k < SILENT; i++) {
-		g_snprintf(addr, sizeof(addr), "127.0.%d.%d:%d", 20 + i / 200,
-		    20 + i % 200, w->rig.ports);
-		if ((h = XXH64(addr, strlen(addr), 0)) >= least)
-			continue;
-		found[k] = h;
-		g_snprintf(id, sizeof(id), "silent%d", k);
-		store_put_target(w->store, &(struct store_target){ id, "other",
-					       addr, "north", "ready", 0, 1 });
-		g_snprintf(addr, sizeof(addr), "127.0.%d.%d:%d", 20 + i / 200,
-		    20 + i % 200, w->rig.ports + 2);
-		address_resolve(addr, &sin);
-		fds[k] = socket(AF_INET, SOCK_STREAM, 0);
-		setsockopt(fds[k], SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-		if (bind(fds[k], (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
-		    listen(fds[k], 64) != 0)
-			g_error("cannot listen on %s", addr);
-		k++;
-	}
-	CU_ASSERT_FATAL(k == SILENT && found[SILENT - 1] != 0);
+	follow_rig_order(w, "north", order);
+	follow_rig_list_silent(w, -1, order[0], fds, SILENT);
 }
 
 /*
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -1,11 +1,16 @@
 /* How news reach the nodes of a data centre whose readers get no answer. */
+#include <unistd.h>
+
 #include "../side/follow_int.h"
 #include "rig_follow.h"
 #include "test.h"
 
 /* Of the store's word that a target leaves, until it gets nothing. */
-#define BOUND_MS 2000
-#define MANY	 12 /* nodes of one data centre */
+#define BOUND_MS    2000
+#define CATCH_UP_MS 6000 /* for nodes that were cut off, in a large fleet */
+#define MANY	    12	 /* nodes of one data centre */
+
+#define SILENT (4 * HELPERS) /* more than are asked at short intervals */
 
 static const char *const dcs[] = { "north", "south" };
 
@@ -180,7 +185,32 @@
 	follow_rig_stop(&w);
 }
 
+/*
+ * Neither the store nor any node that it asks answers a node that reads for
+ * others: it sends those away, and they find another source.
+ */
+static void
+a_reader_hears_of_nobody(void)
+{
+	int i, fds[SILENT], order[RIG_NODES];
+	struct follow_rig w;
+
+	follow_rig_start_in(&w, 3, dcs, 1);
+	follow_rig_order(&w, "north", order);
+	follow_rig_list_silent(&w, order[0], order[1], fds, SILENT);
+	rig_run(&w.rig, 1000);
+	silence_first(&w, order, 1);
+	store_put_config(w.store, 35, "svc", "/run/");
+	rig_run(&w.rig, CATCH_UP_MS);
+	for (i = 1; i < 3; i++)
+		CU_ASSERT_EQUAL(follow_rig_version(&w, order[i]), 35);
+	follow_rig_stop(&w);
+	for (i = 0; i < SILENT; i++)
+		close(fds[i]);
+}
+
 static const struct test tests[] = {
+	{ "a reader hears of nobody", a_reader_hears_of_nobody },
 	{ "the own removal is passed on", the_own_removal_is_passed_on },
 	{ "a reader ends and the next cannot read",
 	    a_reader_ends_and_the_next_cannot_read },
