--- a/side/relay.c
+++ b/side/relay.c
@@ -20,12 +20,12 @@
 static void choose_backup(struct follow *, int64_t);
 static void look_after_backup(struct follow *, int64_t);
 static void ask_helpers(struct follow *, int64_t);
-static void keep_helper(struct follow *, int);
+static void keep_helper(struct follow *, int, int64_t);
 static int fresh_helper(const struct follow *, int64_t);
 static int has_heard(const struct follow *);
 static void look_after_helpers(struct follow *, int64_t);
 static void set_publisher(struct follow *, enum proxy_slot, struct publisher *,
-    const char *, enum proxy_subscription);
+    const char *, enum proxy_subscription, int64_t);
 
 /* Prepares. */
 void
@@ -52,11 +52,11 @@
 /* Subscribes to a node in a slot, or to none. */
 static void
 set_publisher(struct follow *f, enum proxy_slot slot, struct publisher *p,
-    const char *addr, enum proxy_subscription how)
+    const char *addr, enum proxy_subscription how, int64_t now)
 {
 	if (addr == NULL && p->addr[0] == '\0')
 		return;
-	*p = (struct publisher){ .heard_at = base_now_ms() };
+	*p = (struct publisher){ .heard_at = now };
 	if (addr != NULL)
 		g_strlcpy(p->addr, addr, sizeof(p->addr));
 	proxy_subscribe(f->proxy, slot, addr, how);
@@ -130,7 +130,8 @@
 	if (addr == NULL || strcmp(addr, r->backup.addr) != 0) {
 		base_log(G_LOG_LEVEL_MESSAGE, "backup", "addr=%s turn=%u",
 		    addr != NULL ? addr : "-", r->backup_turn);
-		set_publisher(f, PROXY_BACKUP, &r->backup, addr, PROXY_RELAY);
+		set_publisher(
+		    f, PROXY_BACKUP, &r->backup, addr, PROXY_RELAY, now);
 	}
 	g_free(addr);
 }
@@ -174,13 +175,13 @@
 		if (strcmp(addr, self) == 0)
 			continue;
 		set_publisher(f, PROXY_HELPERS + asked, &r->helpers[asked],
-		    addr, PROXY_HELP);
+		    addr, PROXY_HELP, now);
 		asked++;
 	}
 	g_array_free(list, TRUE);
 	for (i = asked; i < HELPERS; i++)
 		set_publisher(f, PROXY_HELPERS + i, &r->helpers[i], NULL,
-		    PROXY_UNSUBSCRIBED);
+		    PROXY_UNSUBSCRIBED, now);
 	r->helper_rounds++;
 	r->round_at = now;
 	r->round_until =
@@ -192,14 +193,15 @@
 
 /* Unsubscribes from all helpers but one, or from all (-1). */
 static void
-keep_helper(struct follow *f, int kept)
+keep_helper(struct follow *f, int kept, int64_t now)
 {
 	int i;
 
 	for (i = 0; i < HELPERS; i++)
 		if (i != kept)
 			set_publisher(f, PROXY_HELPERS + i,
-			    &f->relay.helpers[i], NULL, PROXY_UNSUBSCRIBED);
+			    &f->relay.helpers[i], NULL, PROXY_UNSUBSCRIBED,
+			    now);
 }
 
 /* A helper that reads, or -1. */
@@ -242,12 +244,12 @@
 		if (r->helper_rounds > 0)
 			base_log(G_LOG_LEVEL_MESSAGE, "helpers-released",
 			    "rounds=%d", r->helper_rounds);
-		keep_helper(f, -1);
+		keep_helper(f, -1, now);
 		r->helper_rounds = r->isolated = 0;
 		return;
 	}
 	if ((fresh = fresh_helper(f, now)) >= 0) {
-		keep_helper(f, fresh);
+		keep_helper(f, fresh, now);
 		r->isolated = 0;
 		return;
 	}
@@ -271,8 +273,8 @@
 		r->helper_rounds = 0;
 	} else if (!reads && r->since != 0) {
 		set_publisher(
-		    f, PROXY_BACKUP, &r->backup, NULL, PROXY_UNSUBSCRIBED);
-		keep_helper(f, -1);
+		    f, PROXY_BACKUP, &r->backup, NULL, PROXY_UNSUBSCRIBED, now);
+		keep_helper(f, -1, now);
 		evtimer_del(r->timer);
 		r->since = r->backup_at = 0;
 		r->isolated = 0;
