Each answer of the store is taken for news once

On links that are full, nodes in a circle would have kept stale knowledge fresh.

Change: an age goes with the number of the reader that had the answer, and of the answer; known ones change nothing (link.proto, Feed.reader and answer).

--- a/proxy/link.pb-c.c
+++ b/proxy/link.pb-c.c
@@ -1475,7 +1475,7 @@
   (ProtobufCMessageInit) link__subscribe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__feed__field_descriptors[6] =
+static const ProtobufCFieldDescriptor link__feed__field_descriptors[8] =
 {
   {
     "state",
@@ -1549,12 +1549,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reader",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Link__Feed, reader),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Link__Feed, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__feed__field_indices_by_name[] = {
   2,   /* field[2] = against */
   4,   /* field[4] = age_ms */
+  7,   /* field[7] = answer */
   1,   /* field[1] = length */
   3,   /* field[3] = number */
+  6,   /* field[6] = reader */
   0,   /* field[0] = state */
   5,   /* field[5] = unsubscribe */
 };
@@ -1562,7 +1588,7 @@
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor link__feed__descriptor =
 {
@@ -1572,7 +1598,7 @@
   "Link__Feed",
   "link",
   sizeof(Link__Feed),
-  6,
+  8,
   link__feed__field_descriptors,
   link__feed__field_indices_by_name,
   2,  link__feed__number_ranges,
--- a/proxy/link.pb-c.h
+++ b/proxy/link.pb-c.h
@@ -317,10 +317,18 @@
    * ask another node: it leaves, or hears of nobody
    */
   protobuf_c_boolean unsubscribe;
+  /*
+   * whose answer of the store it was, a random number
+   */
+  uint64_t reader;
+  /*
+   * which of them; each is taken for news once
+   */
+  uint64_t answer;
 };
 #define LINK__FEED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__feed__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0, 0 }
+    , {0,NULL}, 0, 0, 0, 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/proxy/link_state.c
+++ b/proxy/link_state.c
@@ -128,6 +128,8 @@
 {
 	const struct proxy_state *s = &l->links->proxy->state;
 	struct proxy_news news = { .age_ms = (int64_t)feed->age_ms,
+		.reader = feed->reader,
+		.answer = feed->answer,
 		.unsubscribe = feed->unsubscribe };
 	GBytes *full = NULL;
 	int i;
@@ -166,14 +168,16 @@
 static void
 write_feed(struct link *l, const struct told *t)
 {
+	const struct view *v = l->links->proxy->view;
 	Link__Frame f = LINK__FRAME__INIT;
 	Link__Feed feed = LINK__FEED__INIT;
 
 	f.body_case = LINK__FRAME__BODY_FEED;
 	f.feed = &feed;
 	feed.unsubscribe = t->unsubscribe;
-	feed.age_ms =
-	    (uint64_t)(base_now_ms() - l->links->proxy->view->known_at);
+	feed.age_ms = (uint64_t)(base_now_ms() - v->known_at);
+	feed.reader = v->reader;
+	feed.answer = v->answer;
 	feed.length = (uint32_t)t->full;
 	feed.against = t->base;
 	feed.number = t->number;
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -73,6 +73,8 @@
 	const char *state; /* NULL: there is nothing new */
 	size_t len;
 	int64_t age_ms;	 /* since all that the sender knew was complete */
+	uint64_t reader; /* by an answer that this node had */
+	uint64_t answer; /* which of them */
 	int unsubscribe; /* another node has to be asked */
 };
 
--- a/side/follow.c
+++ b/side/follow.c
@@ -6,7 +6,8 @@
 
 #include "follow_int.h"
 
-#define DARK_MS 150 /* without a word of the store: a node is asked */
+#define DARK_MS	    150	 /* without a word of the store: a node is asked */
+#define READERS_MAX 1024 /* whose newest answers are remembered */
 #define VERIFY_MS \
 	3000 /* for reading what another node told; calls take 1.5 s */
 
@@ -54,6 +55,10 @@
 	    g_str_hash, g_str_equal, g_free, platform_item_free);
 	f->unread =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	f->answers =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	f->reader_id =
+	    (uint64_t)g_random_int() << 32 | (uint64_t)g_random_int();
 	proxy_set_state(p, &state);
 	f->dark = evtimer_new(base, on_dark, f);
 	evtimer_add(f->dark, &tv);
@@ -71,6 +76,7 @@
 	store_reader_free(f->reader);
 	g_hash_table_destroy(f->held);
 	g_hash_table_destroy(f->unread);
+	g_hash_table_destroy(f->answers);
 	event_free(f->dark);
 	g_free(f->store);
 	g_free(f);
@@ -336,7 +342,10 @@
 {
 	struct follow *f = arg;
 
-	follow_known(f, store_reader_known_at(f->reader));
+	if (store_reader_known_at(f->reader) > f->answered_at) {
+		f->answered_at = store_reader_known_at(f->reader);
+		follow_known(f, f->answered_at, f->reader_id, ++f->nanswers);
+	}
 	if (part == PLATFORM_TARGETS && store_reader_watches(f->reader))
 		proxy_target_reported(f->proxy);
 }
@@ -394,14 +403,16 @@
 on_published(void *arg, enum proxy_slot slot, const struct proxy_news *n)
 {
 	struct follow *f = arg;
+	int is_new;
 
 	if (n->len > 0)
 		take_state(f, n->state, n->len);
 	if (slot == PROXY_PUBLISHER)
 		feed_heard(f, n);
-	else
-		relay_heard(f, slot, n);
-	follow_known(f, base_now_ms() - n->age_ms);
+	is_new =
+	    follow_known(f, base_now_ms() - n->age_ms, n->reader, n->answer);
+	if (slot != PROXY_PUBLISHER)
+		relay_heard(f, slot, n, is_new);
 }
 
 static void
@@ -421,15 +432,30 @@
 }
 
 /*
- * All changes until then are held, ms.  Times of answers of the store are
- * passed on as they are, so that nodes which tell each other in a circle do
- * not take each other's word for news.
+ * All changes until then (ms) are held, by an answer that a reader had of the
+ * store.  Each answer counts once: on its way it is taken for later than it
+ * was, and among nodes that tell each other in a circle it would stay new.
+ * Returns 0 for one that was known.
  */
-void
-follow_known(struct follow *f, int64_t at)
+int
+follow_known(struct follow *f, int64_t at, uint64_t reader, uint64_t answer)
 {
-	f->view->known_at = MAX(f->view->known_at, at);
-	feed_known(f);
+	const uint64_t *newest = g_hash_table_lookup(f->answers, &reader);
+
+	if (answer == 0 || (newest != NULL && *newest >= answer))
+		return 0;
+	/* Readers that have ended are forgotten with the others. */
+	if (g_hash_table_size(f->answers) > READERS_MAX)
+		g_hash_table_remove_all(f->answers);
+	g_hash_table_replace(f->answers, g_memdup2(&reader, sizeof(reader)),
+	    g_memdup2(&answer, sizeof(answer)));
+	if (at > f->view->known_at) {
+		f->view->known_at = at;
+		f->view->reader = reader;
+		f->view->answer = answer;
+		feed_known(f);
+	}
+	return 1;
 }
 
 /* Whether changes may have been missed for longer than is usual. */
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -61,12 +61,16 @@
 	struct view *view;
 	struct proxy *proxy;
 	struct store_reader *reader;
-	char *store;	    /* address that is read */
-	GHashTable *held;   /* key to struct platform_item, as last read */
-	GHashTable *unread; /* ids of targets whose entries say nothing */
-	uint64_t held_at;   /* revision of the newest of them */
-	int next_peer;	    /* of the settings, asked next in the dark */
-	struct event *dark; /* when */
+	char *store;	     /* address that is read */
+	GHashTable *held;    /* key to struct platform_item, as last read */
+	GHashTable *unread;  /* ids of targets whose entries say nothing */
+	uint64_t held_at;    /* revision of the newest of them */
+	uint64_t reader_id;  /* of this process, among all that read */
+	uint64_t nanswers;   /* of the store to it */
+	int64_t answered_at; /* the last of them */
+	GHashTable *answers; /* reader to its newest answer, as heard */
+	int next_peer;	     /* of the settings, asked next in the dark */
+	struct event *dark;  /* when */
 	int leaving;
 	/*
 	 * Another node tells that the own target is not listed any more.  It is
@@ -82,8 +86,8 @@
 void state_pack(const GPtrArray *items, uint64_t as_of, GString *out);
 int state_unpack(const char *, size_t, struct platform_page *);
 
-/* All changes until then are held. */
-void follow_known(struct follow *, int64_t at);
+/* All changes until then are held by an answer; 0 if that was known. */
+int follow_known(struct follow *, int64_t at, uint64_t reader, uint64_t answer);
 /* Whether changes may have been missed for longer than is usual. */
 int follow_is_stale(const struct follow *);
 
@@ -104,7 +108,9 @@
 void relay_start(struct follow *);
 void relay_stop(struct follow *);
 void relay_look(struct follow *, int64_t now);
-void relay_heard(struct follow *, enum proxy_slot, const struct proxy_news *);
+/* is_new: by an answer of the store that was not known before. */
+void relay_heard(
+    struct follow *, enum proxy_slot, const struct proxy_news *, int is_new);
 void relay_lost(struct follow *, enum proxy_slot);
 
 #endif
--- a/side/relay.c
+++ b/side/relay.c
@@ -287,7 +287,8 @@
 
 /* The backup or a helper told something. */
 void
-relay_heard(struct follow *f, enum proxy_slot slot, const struct proxy_news *n)
+relay_heard(struct follow *f, enum proxy_slot slot, const struct proxy_news *n,
+    int is_new)
 {
 	struct relay *r = &f->relay;
 	struct publisher *p = slot == PROXY_BACKUP
@@ -296,7 +297,8 @@
 	int64_t now = base_now_ms();
 
 	p->heard_at = now;
-	p->known_at = now - n->age_ms;
+	if (is_new)
+		p->known_at = now - n->age_ms;
 	if (n->age_ms <= FOLLOW_STALE_MS)
 		proxy_target_reported(f->proxy);
 	if (slot == PROXY_BACKUP && n->unsubscribe) {
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -209,7 +209,34 @@
 		close(fds[i]);
 }
 
+/*
+ * A helper that is not answered either tells what it had from the node that
+ * asks it, a little younger by the way: that is no news.
+ */
+static void
+an_answer_is_news_once(void)
+{
+	struct follow_rig w;
+	struct view *v;
+	int64_t at;
+
+	follow_rig_start_in(&w, 1, dcs, 1);
+	v = w.rig.nodes[0].view;
+	at = v->known_at;
+	CU_ASSERT(at > 0);
+	CU_ASSERT(!follow_known(w.follows[0], at + 5, v->reader, v->answer));
+	CU_ASSERT_EQUAL(v->known_at, at);
+	CU_ASSERT(follow_known(w.follows[0], at + 5, 77, 3));
+	CU_ASSERT(!follow_known(w.follows[0], at + 900, 77, 3));
+	CU_ASSERT(!follow_known(w.follows[0], at + 900, 77, 2));
+	CU_ASSERT_EQUAL(v->known_at, at + 5);
+	CU_ASSERT(follow_known(w.follows[0], at + 900, 77, 4));
+	CU_ASSERT_EQUAL(v->known_at, at + 900);
+	follow_rig_stop(&w);
+}
+
 static const struct test tests[] = {
+	{ "an answer is news once", an_answer_is_news_once },
 	{ "a reader hears of nobody", a_reader_hears_of_nobody },
 	{ "the own removal is passed on", the_own_removal_is_passed_on },
 	{ "a reader ends and the next cannot read",
--- a/view/view.h
+++ b/view/view.h
@@ -116,6 +116,8 @@
 	GHashTable *out;	    /* data centres that are out, owned */
 	uint64_t listed_at;	    /* revision of the newest whole list */
 	int64_t known_at;	    /* all changes until then are held, or 0 */
+	uint64_t reader;	    /* whose answer of the store tells so */
+	uint64_t answer;	    /* which of its answers, from 1 */
 };
 
 struct view *view_new(void);
