Help goes on until the store answers the node itself

What callers saw: requests reached a target 2.58 s after its entry was removed; it never said that it leaves.

--- a/side/relay.c
+++ b/side/relay.c
@@ -229,15 +229,19 @@
 	return f->relay.backup.heard_at > f->relay.round_at;
 }
 
-/* Asks for help when all that is known without it is stale, and ends it. */
+/*
+ * Asks for help when all that is known without it is stale.  It ends when the
+ * store answers this node: a backup may have its news of the same help.
+ */
 static void
 look_after_helpers(struct follow *f, int64_t now)
 {
 	struct relay *r = &f->relay;
-	int64_t known, left;
+	int64_t known = store_reader_known_at(f->reader), left;
 	int fresh;
 
-	known = MAX(store_reader_known_at(f->reader), r->backup.known_at);
+	if (r->helper_rounds == 0)
+		known = MAX(known, r->backup.known_at);
 	left = MAX(known, r->since) + FOLLOW_STALE_MS - now;
 	if (left >= 0) {
 		http_timer(r->timer, left + 1);
