--- a/side/relay.c
+++ b/side/relay.c
@@ -257,7 +257,9 @@
 		r->isolated = 0;
 		return;
 	}
-	if (r->helper_rounds > 0 && now < r->round_until)
+	/* A helper passes on the newest answer, which need not be its own. */
+	if (r->helper_rounds > 0 &&
+	    (now < r->round_until || !follow_is_stale(f)))
 		return;
 	r->isolated = r->helper_rounds > 0 && !has_heard(f);
 	ask_helpers(f, now);
