Log why a connection closes with a request unanswered

A caller whose connection ends without an answer left no trace of which process closed it and why. Each place that closes a connection now names its reason: connection-closed counts what stays unanswered, cancelled has the request's id and the reason, input-dropped tells of bytes that arrive on a connection being closed, and exiting counts what is pending at the exit.

No behaviour changes.

--- a/http/http.h
+++ b/http/http.h
@@ -255,6 +255,8 @@
 /* Answers with a text body of a content type. */
 void http_reply_text(
     struct http_exchange *, int status, const char *type, const char *text);
+/* Why the connection closed, for the log; valid in gone. */
+const char *http_close_reason(const struct http_exchange *);
 /* Data that the handler attaches to an exchange; not owned by it. */
 void http_exchange_set(struct http_exchange *, void *data);
 void *http_exchange_data(const struct http_exchange *);
--- a/http/pipeline.c
+++ b/http/pipeline.c
@@ -25,6 +25,7 @@
 static struct http_exchange *exchange_new(struct http_conn *);
 static void exchange_free(struct http_exchange *);
 static void start_exchange(struct http_exchange *, struct http_message *);
+static void log_unanswered(const struct http_conn *);
 static void flush_answers(struct http_conn *);
 static int keep_connection(const struct http_exchange *);
 static void write_answer(struct http_exchange *, const struct http_message *);
@@ -131,14 +132,39 @@
 	http_message_free(m);
 }
 
+/* Logs that a connection closes while a request is unanswered or unread. */
+static void
+log_unanswered(const struct http_conn *c)
+{
+	size_t unread = evbuffer_get_length(bufferevent_get_input(c->bev));
+	const struct http_exchange *x;
+	int active = 0, queued = 0;
+	const GList *i;
+
+	for (i = c->exchanges.head; i != NULL; i = i->next) {
+		x = i->data;
+		active += x->state == EXCHANGE_ACTIVE;
+		queued += x->state == EXCHANGE_QUEUED;
+	}
+	if (active + queued == 0 && !c->parse.begun && unread == 0)
+		return;
+	base_log(G_LOG_LEVEL_INFO, "connection-closed",
+	    "reason=\"%s\" active=%d queued=%d begun=%d unread=%zu",
+	    c->close_reason, active, queued, c->parse.begun, unread);
+}
+
 /* Frees exchanges from the last to the first, so that none is started. */
 void
-pipeline_drop(struct http_conn *c)
+pipeline_drop(struct http_conn *c, const char *reason)
 {
 	const struct http_server_calls *calls = &c->server->calls;
 	struct http_exchange *x;
 
-	c->closing = 1;
+	if (!c->closing) {
+		c->closing = 1;
+		c->close_reason = reason;
+		log_unanswered(c);
+	}
 	while ((x = g_queue_peek_tail(&c->exchanges)) != NULL) {
 		if (x->state == EXCHANGE_ACTIVE)
 			calls->gone(calls->arg, x);
@@ -172,7 +198,7 @@
 	    bufferevent_get_output(c->bev), answer, keep, x->is_head);
 	exchange_free(x);
 	if (!keep)
-		pipeline_drop(c);
+		pipeline_drop(c, "last answer");
 }
 
 /* Writes the head and the pending pieces of the first exchange's answer. */
@@ -208,10 +234,11 @@
 end_pieces(struct http_exchange *x)
 {
 	struct http_conn *c = x->conn;
-	int keep = x->keep && !x->truncated &&
+	int truncated = x->truncated;
+	int keep = x->keep && !truncated &&
 		   (x->conn->exchanges.length > 1 || !c->server->draining);
 
-	if (x->truncated) {
+	if (truncated) {
 		c->reset = 1;
 		/* Deferred: the calling code may still use the connection. */
 		http_timer_set(c->timer, 0);
@@ -220,7 +247,8 @@
 	}
 	exchange_free(x);
 	if (!keep)
-		pipeline_drop(c);
+		pipeline_drop(
+		    c, truncated ? "truncated answer" : "last answer");
 }
 
 /*
@@ -366,3 +394,10 @@
 {
 	return x->data;
 }
+
+/* Set by pipeline_drop before it calls gone. */
+const char *
+http_close_reason(const struct http_exchange *x)
+{
+	return x->conn->close_reason;
+}
--- a/http/server.c
+++ b/http/server.c
@@ -24,7 +24,7 @@
 static void on_timer(evutil_socket_t, short, void *);
 static int reserve_body(struct http_conn *);
 static void read_request(struct http_conn *);
-static void conn_free(struct http_conn *);
+static void conn_free(struct http_conn *, const char *);
 
 /* Status for each error of the parser; the last entry for all others, too. */
 static const struct {
@@ -82,7 +82,7 @@
 		g_hash_table_iter_init(&it, s->conns);
 		if (!g_hash_table_iter_next(&it, &key, NULL))
 			break;
-		conn_free(key);
+		conn_free(key, "server stops");
 	}
 	g_hash_table_destroy(s->conns);
 	g_free(s);
@@ -115,9 +115,9 @@
 
 /* Closes a connection after the handler's gone was called for its requests. */
 static void
-conn_free(struct http_conn *c)
+conn_free(struct http_conn *c, const char *reason)
 {
-	pipeline_drop(c);
+	pipeline_drop(c, reason);
 	g_hash_table_remove(c->server->conns, c);
 	event_free(c->timer);
 	http_parse_free(&c->parse);
@@ -236,10 +236,14 @@
 on_read(struct bufferevent *bev, void *arg)
 {
 	struct http_conn *c = arg;
+	size_t n;
 
 	if (c->closing) {
-		evbuffer_drain(bufferevent_get_input(bev),
-		    evbuffer_get_length(bufferevent_get_input(bev)));
+		n = evbuffer_get_length(bufferevent_get_input(bev));
+		if (n > 0)
+			base_log(G_LOG_LEVEL_INFO, "input-dropped",
+			    "bytes=%zu reason=\"%s\"", n, c->close_reason);
+		evbuffer_drain(bufferevent_get_input(bev), n);
 		return;
 	}
 	pipeline_start_queued(c);
@@ -267,7 +271,7 @@
 		return;
 	c->lingering = 1;
 	if (shutdown(bufferevent_getfd(bev), SHUT_WR) != 0) {
-		conn_free(c);
+		conn_free(c, "last answer");
 		return;
 	}
 	http_timer_set(c->timer, LINGER_MS);
@@ -278,8 +282,8 @@
 on_event(struct bufferevent *bev, short what, void *arg)
 {
 	(void)bev;
-	(void)what;
-	conn_free(arg);
+	conn_free(
+	    arg, what & BEV_EVENT_EOF ? "closed by client" : "client lost");
 }
 
 /* Timeout of a request, of an idle connection or of the linger time. */
@@ -291,7 +295,7 @@
 	(void)fd;
 	(void)what;
 	if (c->closing || !c->parse.begun)
-		conn_free(c);
+		conn_free(c, "idle");
 	else if (pipeline_has_room(c))
 		pipeline_refuse(c, STATUS_TIMEOUT);
 	else
--- a/http/server_int.h
+++ b/http/server_int.h
@@ -55,6 +55,7 @@
 	int closing;	   /* closes once the output is written */
 	int lingering;	   /* the output is written and the write side shut */
 	int reset;	   /* an answer was truncated: close with a reset */
+	const char *close_reason; /* for the log, once closing is set */
 	size_t reserved; /* bytes of limits.bodies_bytes for the current body */
 };
 
@@ -72,7 +73,10 @@
  * answers to earlier requests, and closes the connection.
  */
 void pipeline_refuse(struct http_conn *, int status);
-/* Frees all exchanges and calls the handler's gone for the active ones. */
-void pipeline_drop(struct http_conn *);
+/*
+ * Frees all exchanges and calls the handler's gone for the active ones.  The
+ * reason is logged if a request stays unanswered; it must be a literal.
+ */
+void pipeline_drop(struct http_conn *, const char *reason);
 
 #endif
--- a/proxy/offer.c
+++ b/proxy/offer.c
@@ -304,7 +304,9 @@
 	(void)arg;
 	if (r == NULL)
 		return;
-	base_log(G_LOG_LEVEL_INFO, "cancelled", "id=%s took_ms=%d", r->id,
+	base_log(G_LOG_LEVEL_INFO, "cancelled",
+	    "id=%s reason=\"%s\" gates=%d took_ms=%d", r->id,
+	    http_close_reason(exchange), r->offers,
 	    (int)(base_now_ms() - r->arrived));
 	cancel_offer(r);
 	request_free(r);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -183,6 +183,18 @@
 	       p->guard.running->len == 0 && links_busy(&p->links) == 0;
 }
 
+/* Logs what has not ended although the process exits. */
+void
+proxy_log_pending(const struct proxy *p, int64_t drained_ms)
+{
+	base_log(G_LOG_LEVEL_MESSAGE, "exiting",
+	    "drained_ms=%" G_GINT64_FORMAT
+	    " requests=%u answers=%d running=%u links=%d",
+	    drained_ms, g_hash_table_size(p->entry.requests),
+	    !http_server_idle(p->entry.server), p->guard.running->len,
+	    links_busy(&p->links));
+}
+
 /* Copies the callbacks for the platform's state. */
 void
 proxy_set_state(struct proxy *p, const struct proxy_state_calls *s)
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -133,6 +133,8 @@
 void proxy_request_state(struct proxy *, const char *addr);
 /* Whether no request or answer is pending. */
 int proxy_idle(const struct proxy *);
+/* Logs what is pending as the process exits, ms after it began to drain. */
+void proxy_log_pending(const struct proxy *, int64_t drained_ms);
 /* Id of the target beside the node by its status check, or "". */
 const char *proxy_target_id(const struct proxy *);
 /* Appends counters and gauges in the Prometheus text format. */
--- a/side/teaselside.c
+++ b/side/teaselside.c
@@ -194,6 +194,7 @@
 	    s->settings.store,
 	    s->settings.peers != NULL ? g_strv_length(s->settings.peers) : 0);
 	event_base_dispatch(s->base);
+	proxy_log_pending(s->proxy, base_now_ms() - s->draining_since);
 	follow_stop(s->follow);
 	http_server_free(s->metrics);
 	proxy_free(s->proxy);
