A node that stops tells its peers before it exits

What callers saw: 502 (may have run) for requests that no target was given, whenever nodes are stopped in turn. Some of them could not be sent again.

Cause: a draining node exits once it is idle. A request that another node has just written to its link is then lost with the link, and its entry cannot tell it from one that was running. Entries went on to offer to such a node every 250 ms until it exited, which also used up their four offers.

Change: when its target gets no more work, a draining node closes its link listener and sends a goaway on each link that others opened; they choose other targets until the link is closed.

Test: exiting_node_gets_no_requests got 502 before.

--- a/proxy/choose.c
+++ b/proxy/choose.c
@@ -45,6 +45,24 @@
 	    port != NULL ? port : "");
 }
 
+/* A node that has started again is reached by a new link. */
+void
+peers_set_leaving(struct proxy *p, const char *link_addr, int leaving)
+{
+	char addr[ADDRESS_MAX];
+	struct peer *peer;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, p->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		peer = value;
+		peer_link_addr(p, peer->addr, addr);
+		if (strcmp(addr, link_addr) == 0)
+			peer->leaving = leaving;
+	}
+}
+
 /* Whether the request was offered to this address before. */
 static int
 was_tried(const GPtrArray *tried, const char *addr)
@@ -82,6 +100,7 @@
     struct proxy *p, const char *service, const GPtrArray *tried, int64_t now)
 {
 	const struct view_target *t, *local = NULL, *remote = NULL;
+	const struct peer *peer;
 	int load, local_load = G_MAXINT, remote_load = G_MAXINT;
 	GHashTableIter it;
 	gpointer value;
@@ -91,8 +110,10 @@
 		t = value;
 		if (t->state != VIEW_READY ||
 		    strcmp(t->service, service) != 0 ||
-		    view_is_out(p->view, t->dc) || was_tried(tried, t->addr) ||
-		    peer_get(p, t->addr)->avoid_until > now)
+		    view_is_out(p->view, t->dc) || was_tried(tried, t->addr))
+			continue;
+		peer = peer_get(p, t->addr);
+		if (peer->avoid_until > now || peer->leaving)
 			continue;
 		load = load_of(p, t) +
 		       g_rand_int_range(p->rand, 0, JITTER_PERCENT);
--- a/proxy/link.pb-c.c
+++ b/proxy/link.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &link__suspect__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   link__goaway__init
+                     (Link__Goaway         *message)
+{
+  static const Link__Goaway init_value = LINK__GOAWAY__INIT;
+  *message = init_value;
+}
+size_t link__goaway__get_packed_size
+                     (const Link__Goaway *message)
+{
+  assert(message->base.descriptor == &link__goaway__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t link__goaway__pack
+                     (const Link__Goaway *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &link__goaway__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t link__goaway__pack_to_buffer
+                     (const Link__Goaway *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &link__goaway__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Link__Goaway *
+       link__goaway__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Link__Goaway *)
+     protobuf_c_message_unpack (&link__goaway__descriptor,
+                                allocator, len, data);
+}
+void   link__goaway__free_unpacked
+                     (Link__Goaway *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &link__goaway__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   link__ping__init
                      (Link__Ping         *message)
 {
@@ -1306,6 +1351,24 @@
   (ProtobufCMessageInit) link__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+#define link__goaway__field_descriptors NULL
+#define link__goaway__field_indices_by_name NULL
+#define link__goaway__number_ranges NULL
+const ProtobufCMessageDescriptor link__goaway__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "link.Goaway",
+  "Goaway",
+  "Link__Goaway",
+  "link",
+  sizeof(Link__Goaway),
+  0,
+  link__goaway__field_descriptors,
+  link__goaway__field_indices_by_name,
+  0,  link__goaway__number_ranges,
+  (ProtobufCMessageInit) link__goaway__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 #define link__ping__field_descriptors NULL
 #define link__ping__field_indices_by_name NULL
 #define link__ping__number_ranges NULL
@@ -1605,7 +1668,7 @@
   (ProtobufCMessageInit) link__feed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__frame__field_descriptors[14] =
+static const ProtobufCFieldDescriptor link__frame__field_descriptors[15] =
 {
   {
     "stream",
@@ -1775,6 +1838,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "goaway",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Link__Frame, body_case),
+    offsetof(Link__Frame, goaway),
+    &link__goaway__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__frame__field_indices_by_name[] = {
   2,   /* field[2] = answer */
@@ -1782,6 +1857,7 @@
   13,   /* field[13] = credit */
   12,   /* field[12] = end */
   10,   /* field[10] = feed */
+  14,   /* field[14] = goaway */
   11,   /* field[11] = piece */
   5,   /* field[5] = ping */
   6,   /* field[6] = pong */
@@ -1795,7 +1871,7 @@
 static const ProtobufCIntRange link__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor link__frame__descriptor =
 {
@@ -1805,7 +1881,7 @@
   "Link__Frame",
   "link",
   sizeof(Link__Frame),
-  14,
+  15,
   link__frame__field_descriptors,
   link__frame__field_indices_by_name,
   1,  link__frame__number_ranges,
--- a/proxy/link.pb-c.h
+++ b/proxy/link.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Link__Credit Link__Credit;
 typedef struct Link__Cancel Link__Cancel;
 typedef struct Link__Suspect Link__Suspect;
+typedef struct Link__Goaway Link__Goaway;
 typedef struct Link__Ping Link__Ping;
 typedef struct Link__StateRequest Link__StateRequest;
 typedef struct Link__State Link__State;
@@ -216,6 +217,18 @@
     , 0, 0,NULL, 0 }
 
 
+/*
+ * The sender stops: it takes no new requests, and will close the link.
+ */
+struct  Link__Goaway
+{
+  ProtobufCMessage base;
+};
+#define LINK__GOAWAY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&link__goaway__descriptor) \
+     }
+
+
 struct  Link__Ping
 {
   ProtobufCMessage base;
@@ -345,7 +358,8 @@
   LINK__FRAME__BODY_FEED = 11,
   LINK__FRAME__BODY_PIECE = 12,
   LINK__FRAME__BODY_END = 13,
-  LINK__FRAME__BODY_CREDIT = 14
+  LINK__FRAME__BODY_CREDIT = 14,
+  LINK__FRAME__BODY_GOAWAY = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LINK__FRAME__BODY__CASE)
 } Link__Frame__BodyCase;
 
@@ -371,6 +385,7 @@
     Link__Piece *piece;
     Link__End *end;
     Link__Credit *credit;
+    Link__Goaway *goaway;
   };
 };
 #define LINK__FRAME__INIT \
@@ -530,6 +545,25 @@
 void   link__suspect__free_unpacked
                      (Link__Suspect *message,
                       ProtobufCAllocator *allocator);
+/* Link__Goaway methods */
+void   link__goaway__init
+                     (Link__Goaway         *message);
+size_t link__goaway__get_packed_size
+                     (const Link__Goaway   *message);
+size_t link__goaway__pack
+                     (const Link__Goaway   *message,
+                      uint8_t             *out);
+size_t link__goaway__pack_to_buffer
+                     (const Link__Goaway   *message,
+                      ProtobufCBuffer     *buffer);
+Link__Goaway *
+       link__goaway__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   link__goaway__free_unpacked
+                     (Link__Goaway *message,
+                      ProtobufCAllocator *allocator);
 /* Link__Ping methods */
 void   link__ping__init
                      (Link__Ping         *message);
@@ -689,6 +723,9 @@
 typedef void (*Link__Suspect_Closure)
                  (const Link__Suspect *message,
                   void *closure_data);
+typedef void (*Link__Goaway_Closure)
+                 (const Link__Goaway *message,
+                  void *closure_data);
 typedef void (*Link__Ping_Closure)
                  (const Link__Ping *message,
                   void *closure_data);
@@ -724,6 +761,7 @@
 extern const ProtobufCMessageDescriptor link__credit__descriptor;
 extern const ProtobufCMessageDescriptor link__cancel__descriptor;
 extern const ProtobufCMessageDescriptor link__suspect__descriptor;
+extern const ProtobufCMessageDescriptor link__goaway__descriptor;
 extern const ProtobufCMessageDescriptor link__ping__descriptor;
 extern const ProtobufCMessageDescriptor link__state_request__descriptor;
 extern const ProtobufCMessageDescriptor link__state__descriptor;
--- a/proxy/link_int.h
+++ b/proxy/link_int.h
@@ -9,6 +9,7 @@
 	struct bufferevent *bev;
 	char *addr; /* of the peer; NULL for a link that the peer opened */
 	int connected;
+	int leaving;			/* the peer takes no new requests */
 	int64_t opened_at, received_at; /* ms; of the last input */
 	int64_t pinged_at;		/* ms; of an unanswered ping, or 0 */
 	enum proxy_subscription subscriber; /* subscription of the peer */
--- a/proxy/links.c
+++ b/proxy/links.c
@@ -58,6 +58,23 @@
 	return PROXY_ELISTEN;
 }
 
+/*
+ * A request on its way to a node that exits has an unknown outcome.  So the
+ * nodes that may send any are told long before.
+ */
+void
+links_drain(struct links *ls)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	evconnlistener_free(ls->listener);
+	ls->listener = NULL;
+	g_hash_table_iter_init(&it, ls->in);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		write_control(value, LINK__FRAME__BODY_GOAWAY);
+}
+
 /* Closes all links; jobs sent on them end as undelivered or unknown. */
 void
 links_close(struct links *ls)
@@ -117,6 +134,8 @@
 	/* Removed first, as callbacks may open a link to the same peer. */
 	if (l->addr != NULL) {
 		g_hash_table_remove(l->links->out, l->addr);
+		if (l->leaving)
+			peers_set_leaving(l->links->proxy, l->addr, 0);
 		link_drop_publisher(l);
 		http_reset(l->bev);
 		l->bev = NULL;
@@ -180,17 +199,20 @@
 	return n;
 }
 
-/* Writes a ping, or a pong if the body case is any other. */
+/* Writes a ping or a goaway, or a pong if the body case is any other. */
 static void
 write_control(struct link *l, Link__Frame__BodyCase what)
 {
 	Link__Frame f = LINK__FRAME__INIT;
 	Link__Ping ping = LINK__PING__INIT;
 	Link__Pong pong = LINK__PONG__INIT;
+	Link__Goaway goaway = LINK__GOAWAY__INIT;
 
 	f.body_case = what;
 	if (what == LINK__FRAME__BODY_PING)
 		f.ping = &ping;
+	else if (what == LINK__FRAME__BODY_GOAWAY)
+		f.goaway = &goaway;
 	else
 		f.pong = &pong;
 	link_write_frame(l, &f);
@@ -241,6 +263,12 @@
 		    f->suspect->crashes, f->suspect->n_crashes,
 		    f->suspect->left_ms);
 		break;
+	case LINK__FRAME__BODY_GOAWAY:
+		if (l->addr != NULL) {
+			l->leaving = 1;
+			peers_set_leaving(l->links->proxy, l->addr, 1);
+		}
+		break;
 	case LINK__FRAME__BODY_PING:
 		write_control(l, LINK__FRAME__BODY_PONG);
 		break;
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -135,7 +135,7 @@
 	proxy_guard_probe(&p->guard);
 }
 
-/* From now on, the target of this draining node gets no new work. */
+/* From now on, this draining node's target gets no new work. */
 static void
 on_guard_drain(evutil_socket_t fd, short what, void *arg)
 {
@@ -145,6 +145,7 @@
 	(void)what;
 	proxy_guard_set_state(
 	    &p->guard, PROXY_GUARD_DRAINING, "the node leaves");
+	links_drain(&p->links);
 }
 
 /* Refuses all pending calls, as the process is killed soon. */
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -209,6 +209,11 @@
 };
 
 int links_open(struct links *, struct proxy *);
+/*
+ * Accepts no further links, and tells the nodes that opened one to send no new
+ * requests on it.
+ */
+void links_drain(struct links *);
 void links_close(struct links *);
 /* Sends a job to the guard of the node at a link address. */
 void links_submit(struct links *, const char *addr, struct job *);
@@ -269,6 +274,7 @@
 	int inflight;		/* sent from here and not answered */
 	int load_inflight;	/* inflight when load was reported */
 	int64_t avoid_until;	/* ms; no offers before this time */
+	int leaving;		/* its node takes no new requests */
 };
 
 /*
@@ -279,6 +285,8 @@
     struct proxy *, const char *service, const GPtrArray *tried, int64_t now);
 /* Returns the state of a target by its address; created if it is new. */
 struct peer *peer_get(struct proxy *, const char *addr);
+/* Sets whether the node at a link address takes no new requests. */
+void peers_set_leaving(struct proxy *, const char *link_addr, int leaving);
 /* Writes the link address of the node beside a target; buf has ADDRESS_MAX. */
 void peer_link_addr(const struct proxy *, const char *addr, char *buf);
 
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -5,6 +5,25 @@
 #include "rig.h"
 #include "test.h"
 
+#define FORWARDS "teaselstep_forwards_total"
+
+/* Returns the value of a metric, or -1. */
+static double
+metric_value(const struct proxy *p, const char *name)
+{
+	GString *text = g_string_new(NULL);
+	char *key = g_strdup_printf("\n%s ", name);
+	const char *at;
+	double v = -1;
+
+	proxy_print_metrics(p, text);
+	if ((at = strstr(text->str, key)) != NULL)
+		v = g_ascii_strtod(at + strlen(key), NULL);
+	g_string_free(text, TRUE);
+	g_free(key);
+	return v;
+}
+
 /* A request runs at the local target; its answer is complete. */
 static void
 local_request_is_served(void)
@@ -114,6 +133,48 @@
 	rig_stop(&r);
 }
 
+/*
+ * Guards against a request that is told "may have run" because it was on its
+ * way to a node that exited after it had drained.
+ */
+static void
+exiting_node_gets_no_requests(void)
+{
+	struct rig r;
+	struct rig_call c;
+	double offers;
+	int i;
+
+	rig_start(&r, 2);
+	rig_list_target(&r, 0, "other", VIEW_READY);
+	rig_call(&r, &c, 0, "/once/x", "a", 900);
+	rig_wait(&r, &c);
+	CU_ASSERT_EQUAL(rig_status(&c), 200);
+	rig_call_end(&c);
+	r.nodes[1].settings.grace_ms = 1000;
+	proxy_drain(r.nodes[1].proxy);
+	rig_run(&r, 500);
+	offers = metric_value(r.nodes[0].proxy, FORWARDS);
+	rig_call(&r, &c, 0, "/once/x", "b", 900);
+	/* The node exits before it can read the request. */
+	for (i = 0; i < 1000 && c.answer == NULL &&
+		    metric_value(r.nodes[0].proxy, FORWARDS) == offers;
+	     i++)
+		event_base_loop(r.base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+	rig_restart(&r, 1);
+	rig_wait(&r, &c);
+	CU_ASSERT_EQUAL(rig_status(&c), 503);
+	rig_call_end(&c);
+	/* Started again, it gets requests as before. */
+	rig_run(&r, 300);
+	rig_call(&r, &c, 0, "/once/x", "c", 900);
+	rig_wait(&r, &c);
+	CU_ASSERT_EQUAL(rig_status(&c), 200);
+	CU_ASSERT_EQUAL(r.nodes[1].target.runs, 2);
+	rig_call_end(&c);
+	rig_stop(&r);
+}
+
 /*
  * A target that becomes cold while the store is lost is detected by status
  * checks.  Then it gets no more than the rate of a cold target in each second.
@@ -380,23 +441,6 @@
 	rig_stop(&r);
 }
 
-/* Returns the value of a metric, or -1. */
-static double
-metric_value(const struct proxy *p, const char *name)
-{
-	GString *text = g_string_new(NULL);
-	char *key = g_strdup_printf("\n%s ", name);
-	const char *at;
-	double v = -1;
-
-	proxy_print_metrics(p, text);
-	if ((at = strstr(text->str, key)) != NULL)
-		v = g_ascii_strtod(at + strlen(key), NULL);
-	g_string_free(text, TRUE);
-	g_free(key);
-	return v;
-}
-
 /* Each answer is counted once, in every bucket whose bound is above it. */
 static void
 answer_times_are_counted(void)
@@ -442,6 +486,7 @@
 	{ "draining node refuses late calls",
 	    draining_node_refuses_late_calls },
 	{ "draining nodes target gets work", draining_nodes_target_gets_work },
+	{ "exiting node gets no requests", exiting_node_gets_no_requests },
 	{ "local request is served", local_request_is_served },
 	{ "reload keeps queued requests", reload_keeps_queued_requests },
 };
