No request is written to a link whose peer stops

A peer that had said goaway on a link used for updates alone was not marked among the peers that a request may be offered to. Its requests end as not delivered now, whichever use the link had.

--- a/proxy/link_client.c
+++ b/proxy/link_client.c
@@ -26,7 +26,10 @@
 	}
 }
 
-/* Sends a job to another node's guard; without a link it ends undelivered. */
+/*
+ * Sends a job to another node's guard.  It ends undelivered without a link, and
+ * if the peer takes no new requests.
+ */
 void
 links_submit(struct links *ls, const char *addr, struct job *j)
 {
@@ -37,7 +40,7 @@
 	struct link *l;
 	int64_t now = base_now_ms();
 
-	if ((l = link_to(ls, addr)) == NULL) {
+	if ((l = link_to(ls, addr)) == NULL || l->leaving) {
 		j->done(j, &undelivered);
 		return;
 	}
