--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -135,7 +135,7 @@
 	proxy_guard_probe(&p->guard);
 }
 
-/* From now on, the target of this draining node gets no new work. */
+/* From now on, this draining node's target gets no new work. */
 static void
 on_guard_drain(evutil_socket_t fd, short what, void *arg)
 {
@@ -145,6 +145,7 @@
 	(void)what;
 	proxy_guard_set_state(
 	    &p->guard, PROXY_GUARD_DRAINING, "the node leaves");
+	links_drain(&p->links);
 }
 
 /* Refuses all pending calls, as the process is killed soon. */
@@ -183,6 +184,18 @@
 	       p->guard.running->len == 0 && links_busy(&p->links) == 0;
 }
 
+/* Logs what has not ended although the process exits. */
+void
+proxy_log_pending(const struct proxy *p, int64_t drained_ms)
+{
+	base_log(G_LOG_LEVEL_MESSAGE, "exiting",
+	    "drained_ms=%" G_GINT64_FORMAT
+	    " requests=%u answers=%d running=%u links=%d",
+	    drained_ms, g_hash_table_size(p->entry.requests),
+	    !http_server_idle(p->entry.server), p->guard.running->len,
+	    links_busy(&p->links));
+}
+
 /* Copies the callbacks for the platform's state. */
 void
 proxy_set_state(struct proxy *p, const struct proxy_state_calls *s)
