A draining server answers what it has received

What callers saw: on a kept connection with several requests in flight, the connection closed after an answer and those behind it got none.

Cause: a draining server closed a connection as soon as no started request was left on it. Requests that it had read and queued, or that were in its input buffer, were dropped, however long they had waited.

Evidence: draining_answers_received_requests, where 3 of 5 requests get no answer before this change.

Change: a draining server goes on reading, and only the answer to the last request that was received announces the close. Nothing is read after a head that has announced it, where a started request would be cancelled.

The test replaces draining_answers_started_requests, which required that queued and later requests are dropped; the same requests must now all be answered, in order, with one announced close.

--- a/http/http.h
+++ b/http/http.h
@@ -237,7 +237,7 @@
 void http_server_free(struct http_server *);
 /*
  * Drains the server: a connection closes after the answer to the last request
- * that was started on it.  An idle or new connection still takes one request.
+ * that was received on it.  An idle or new connection still takes one request.
  */
 void http_server_drain(struct http_server *);
 /* Returns whether no request is pending and all answers are written. */
--- a/http/pipeline.c
+++ b/http/pipeline.c
@@ -35,7 +35,7 @@
 
 /*
  * At most one request is queued, and none is read after a request whose answer
- * closes the connection.
+ * closes the connection, or has announced that it will.
  */
 int
 pipeline_has_room(const struct http_conn *c)
@@ -47,11 +47,20 @@
 	    evbuffer_get_length(bufferevent_get_output(c->bev)) > OUTPUT_MAX)
 		return 0;
 	return last == NULL ||
-	       (last->keep_alive && last->state != EXCHANGE_QUEUED &&
-		   !c->server->draining && c->exchanges.length < PIPELINE_MAX &&
+	       (last->keep_alive && (!last->started || last->keep) &&
+		   last->state != EXCHANGE_QUEUED &&
+		   c->exchanges.length < PIPELINE_MAX &&
 		   c->bytes < PIPELINE_BODY_MAX);
 }
 
+/* Whether a part of a request was received, or a whole one that is not read. */
+int
+pipeline_is_receiving(const struct http_conn *c)
+{
+	return c->parse.begun ||
+	       evbuffer_get_length(bufferevent_get_input(c->bev)) > 0;
+}
+
 /* Appends an exchange and stops the timer of the request or the idle time. */
 static struct http_exchange *
 exchange_new(struct http_conn *c)
@@ -174,17 +183,14 @@
 
 /*
  * Returns whether the connection is kept after the first exchange.  A draining
- * server keeps it until the requests that have started are answered.
+ * server keeps it until all requests that it has received are answered.
  */
 static int
 keep_connection(const struct http_exchange *x)
 {
-	const GList *next = x->conn->exchanges.head->next;
-	const struct http_exchange *behind = next != NULL ? next->data : NULL;
-
 	return x->keep_alive &&
-	       !(x->conn->server->draining &&
-		   (behind == NULL || behind->state == EXCHANGE_QUEUED));
+	       (!x->conn->server->draining || x->conn->exchanges.length > 1 ||
+		   pipeline_is_receiving(x->conn));
 }
 
 /* Writes the answer of the first exchange and frees the exchange. */
--- a/http/server_int.h
+++ b/http/server_int.h
@@ -62,6 +62,8 @@
 /* pipeline.c */
 /* Returns whether the connection's limits allow to read another request. */
 int pipeline_has_room(const struct http_conn *);
+/* Returns whether the connection has input of a request not yet started. */
+int pipeline_is_receiving(const struct http_conn *);
 /* Starts a complete request or queues it; takes ownership of the message. */
 void pipeline_add(struct http_conn *, struct http_message *);
 /* Starts the queued request if all earlier ones are answered. */
--- a/test/test_pipeline.c
+++ b/test/test_pipeline.c
@@ -125,14 +125,30 @@
 	rig_server_stop(&f);
 }
 
+/* Number of received answers that announce the end of the connection. */
+static int
+count_announced_closes(const struct rig_server *f)
+{
+	const char *at = f->received->str;
+	int n = 0;
+
+	while ((at = strstr(at, "Connection: close")) != NULL) {
+		n++;
+		at++;
+	}
+	return n;
+}
+
 /*
- * A draining server answers the requests that have started, and drops queued
- * and later ones.  The last answer announces that the connection closes.
+ * Guards against a request that a draining server has received and closes the
+ * connection on without an answer.  Started, queued and unparsed requests are
+ * answered, and only the last answer announces that the connection closes.
  */
 static void
-draining_answers_started_requests(void)
+draining_answers_received_requests(void)
 {
 	struct rig_server f;
+	int i;
 
 	rig_server_start(&f);
 	rig_server_send(&f, "/a /b /once /c");
@@ -140,16 +156,51 @@
 	CU_ASSERT_FALSE(http_server_idle(f.server));
 	rig_server_answer(&f, 1);
 	rig_server_send(&f, "/d");
-	CU_ASSERT_EQUAL(f.closed, 0);
+	CU_ASSERT_EQUAL(f.nrequests, 2);
 	rig_server_answer(&f, 0);
 	rig_server_check(&f, "200 /a,200 /b,");
-	CU_ASSERT(f.closed && f.nrequests == 2 && f.naborted == 0);
-	CU_ASSERT_PTR_NOT_NULL(strstr(f.received->str, "Connection: close"));
+	CU_ASSERT_EQUAL(f.closed + count_announced_closes(&f), 0);
+	CU_ASSERT_EQUAL(f.nrequests, 5);
+	for (i = 2; i < f.nrequests; i++) {
+		CU_ASSERT_EQUAL(f.closed, 0);
+		rig_server_answer(&f, i);
+	}
+	rig_server_check(&f, "200 /a,200 /b,200 /once,200 /c,200 /d,");
+	CU_ASSERT(f.closed && f.nrequests == 5 && f.naborted == 0);
+	CU_ASSERT_EQUAL(count_announced_closes(&f), 1);
 	rig_loop(f.base, 20);
 	CU_ASSERT(http_server_idle(f.server));
 	rig_server_stop(&f);
 }
 
+/*
+ * Guards against a request that is started although the head of the answer
+ * before it has announced that the connection closes.
+ */
+static void
+nothing_is_read_after_an_announced_close(void)
+{
+	struct http_message *m;
+	struct rig_server f;
+
+	rig_server_start(&f);
+	rig_server_send(&f, "/a");
+	http_server_drain(f.server);
+	m = http_message_new();
+	m->status = 200;
+	m->length = 2;
+	http_reply_begin(f.exchanges[0], m);
+	http_message_free(m);
+	rig_server_send(&f, "/b");
+	CU_ASSERT_EQUAL(f.nrequests, 1);
+	http_reply_piece(f.exchanges[0], "/a", 2);
+	http_reply_end(f.exchanges[0], 1);
+	rig_server_check(&f, "200 /a,");
+	CU_ASSERT(f.closed && f.nrequests == 1 && f.naborted == 0);
+	CU_ASSERT_EQUAL(count_announced_closes(&f), 1);
+	rig_server_stop(&f);
+}
+
 /* A connection has at most 8 unanswered requests; more start after them. */
 static void
 started_requests_are_limited(void)
@@ -248,8 +299,10 @@
 	    an_error_answer_follows_earlier_answers },
 	{ "a closed connection cancels its requests",
 	    a_closed_connection_cancels_its_requests },
-	{ "draining answers started requests",
-	    draining_answers_started_requests },
+	{ "draining answers received requests",
+	    draining_answers_received_requests },
+	{ "nothing is read after an announced close",
+	    nothing_is_read_after_an_announced_close },
 	{ "started requests are limited", started_requests_are_limited },
 	{ "unread answers stop new requests",
 	    unread_answers_stop_new_requests },
