A draining server keeps a connection that an answer said would stay

What callers saw: a connection closed although the head of the last answer had announced that it stays open, so a request sent on it next met the close.

Cause: the head of a streamed answer was written before the server began to drain; its end closed the connection all the same.

Evidence: draining_keeps_a_connection_that_was_promised failed before: the connection closed after the first answer.

Change: the end of an answer does what its head announced. The connection is idle then; the next answer announces the close, or it ends with the process.

--- a/http/pipeline.c
+++ b/http/pipeline.c
@@ -241,8 +241,8 @@
 {
 	struct http_conn *c = x->conn;
 	int truncated = x->truncated;
-	int keep = x->keep && !truncated &&
-		   (x->conn->exchanges.length > 1 || !c->server->draining);
+	/* The client may reuse the connection if the head did not forbid it. */
+	int keep = x->keep && !truncated;
 
 	if (truncated) {
 		c->reset = 1;
--- a/test/test_pipeline.c
+++ b/test/test_pipeline.c
@@ -289,6 +289,36 @@
 	rig_server_stop(&f);
 }
 
+/*
+ * Guards against a request that is sent on a connection which the last answer
+ * said would stay open: the server began to drain after the answer's head.
+ */
+static void
+draining_keeps_a_connection_that_was_promised(void)
+{
+	struct http_message *m;
+	struct rig_server f;
+
+	rig_server_start(&f);
+	rig_server_send(&f, "/a");
+	m = http_message_new();
+	m->status = 200;
+	m->length = 2;
+	http_reply_begin(f.exchanges[0], m);
+	http_message_free(m);
+	http_server_drain(f.server);
+	http_reply_piece(f.exchanges[0], "/a", 2);
+	http_reply_end(f.exchanges[0], 1);
+	rig_server_check(&f, "200 /a,");
+	CU_ASSERT_EQUAL(f.closed + count_announced_closes(&f), 0);
+	CU_ASSERT(http_server_idle(f.server));
+	rig_server_send(&f, "/b");
+	rig_server_answer(&f, 1);
+	rig_server_check(&f, "200 /a,200 /b,");
+	CU_ASSERT(f.closed && count_announced_closes(&f) == 1);
+	rig_server_stop(&f);
+}
+
 static const struct test tests[] = {
 	{ "answers are sent in request order",
 	    answers_are_sent_in_request_order },
@@ -308,6 +338,8 @@
 	    unread_answers_stop_new_requests },
 	{ "a timed-out request follows earlier answers",
 	    a_timed_out_request_follows_earlier_answers },
+	{ "draining keeps a connection that was promised",
+	    draining_keeps_a_connection_that_was_promised },
 };
 
 TEST_MAIN("pipeline", tests)
