A process does not exit while it receives a request

What callers saw: the connection closed while a request was being sent to a node that stops, so the caller could not tell whether it was read.

Cause: http_server_idle() counted only complete requests, so a draining node exited between two parts of one, or with input that it had read and not yet parsed.

Evidence: a_request_being_received_is_not_idle failed before.

Change: a connection with input of a request is not idle. The header timeout and the grace bound the wait.

--- a/http/http.h
+++ b/http/http.h
@@ -240,7 +240,10 @@
  * that was received on it.  An idle or new connection still takes one request.
  */
 void http_server_drain(struct http_server *);
-/* Returns whether no request is pending and all answers are written. */
+/*
+ * Returns whether no request is pending or being received, and all answers are
+ * written.
+ */
 int http_server_idle(const struct http_server *);
 /* Sends an answer, which is not kept.  The exchange is invalid afterwards. */
 void http_reply(struct http_exchange *, const struct http_message *);
--- a/http/server.c
+++ b/http/server.c
@@ -107,6 +107,7 @@
 	while (g_hash_table_iter_next(&it, &key, NULL)) {
 		c = key;
 		if (c->exchanges.length > 0 ||
+		    (!c->closing && pipeline_is_receiving(c)) ||
 		    evbuffer_get_length(bufferevent_get_output(c->bev)) > 0)
 			return 0;
 	}
--- a/test/test_pipeline.c
+++ b/test/test_pipeline.c
@@ -319,6 +319,30 @@
 	rig_server_stop(&f);
 }
 
+/*
+ * Guards against a request that an exiting process has partly received: while
+ * one is being received the server is not idle.
+ */
+static void
+a_request_being_received_is_not_idle(void)
+{
+	struct rig_server f;
+
+	rig_server_start(&f);
+	CU_ASSERT(http_server_idle(f.server));
+	http_server_drain(f.server);
+	evbuffer_add_printf(bufferevent_get_output(f.client),
+	    "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo");
+	rig_loop(f.base, 20);
+	CU_ASSERT_FALSE(http_server_idle(f.server));
+	evbuffer_add_printf(bufferevent_get_output(f.client), "dy");
+	rig_loop(f.base, 20);
+	rig_server_answer(&f, 0);
+	rig_server_check(&f, "200 /a,");
+	CU_ASSERT(http_server_idle(f.server));
+	rig_server_stop(&f);
+}
+
 static const struct test tests[] = {
 	{ "answers are sent in request order",
 	    answers_are_sent_in_request_order },
@@ -340,6 +364,8 @@
 	    a_timed_out_request_follows_earlier_answers },
 	{ "draining keeps a connection that was promised",
 	    draining_keeps_a_connection_that_was_promised },
+	{ "a request being received is not idle",
+	    a_request_being_received_is_not_idle },
 };
 
 TEST_MAIN("pipeline", tests)
