A raised idle timeout holds for idle connections too

What callers saw: a kept connection closed earlier than the configuration in force says, just when a caller may send on it.

Cause: the timer of an idle connection kept the limit that was in force when it became idle. A caller that learns of a higher limit reuses the connection later than that.

Evidence: a_raised_idle_timeout_holds_at_once failed before.

Change: when the timer ends, the time is compared with the limit in force.

--- a/http/pipeline.c
+++ b/http/pipeline.c
@@ -278,10 +278,12 @@
 	}
 	if (c->closing)
 		return;
-	if (x == NULL)
+	if (x == NULL) {
+		c->idle_since = base_now_ms();
 		http_timer_set(c->timer, c->parse.begun
 					     ? c->server->limits->head_ms
 					     : c->server->limits->idle_ms);
+	}
 	/* Deferred, as the handler that replied has not returned. */
 	bufferevent_trigger(c->bev, EV_READ,
 	    BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
--- a/http/server.c
+++ b/http/server.c
@@ -158,6 +158,7 @@
 	bufferevent_setwatermark(c->bev, EV_READ, 0, INPUT_BUFFER_MAX);
 	bufferevent_setwatermark(c->bev, EV_WRITE, OUTPUT_LOW_BYTES, 0);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+	c->idle_since = base_now_ms();
 	http_timer_set(c->timer, s->limits->idle_ms);
 }
 
@@ -292,10 +293,15 @@
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct http_conn *c = arg;
+	int64_t left;
 
 	(void)fd;
 	(void)what;
-	if (c->closing || !c->parse.begun)
+	/* The limit may have been raised since the timer was set. */
+	left = c->idle_since + c->server->limits->idle_ms - base_now_ms();
+	if (!c->closing && !c->parse.begun && left > 0)
+		http_timer_set(c->timer, left);
+	else if (c->closing || !c->parse.begun)
 		conn_free(c, "idle");
 	else if (pipeline_has_room(c))
 		pipeline_refuse(c, STATUS_TIMEOUT);
--- a/http/server_int.h
+++ b/http/server_int.h
@@ -49,6 +49,8 @@
 	struct bufferevent *bev;
 	struct http_parse parse;
 	struct event *timer;
+	/* When the last request was answered, ms. */
+	int64_t idle_since;
 	GQueue exchanges;  /* of struct http_exchange, in request order */
 	size_t bytes;	   /* of the bodies of their requests */
 	int sent_continue; /* 100 Continue was sent for the current request */
--- a/test/test_pipeline.c
+++ b/test/test_pipeline.c
@@ -343,6 +343,33 @@
 	rig_server_stop(&f);
 }
 
+/*
+ * Guards against a connection that closes while its client may still reuse it:
+ * a raised idle timeout holds for connections that are idle already.
+ */
+static void
+a_raised_idle_timeout_holds_at_once(void)
+{
+	struct rig_server f;
+
+	rig_server_start(&f);
+	f.limits.idle_ms = 150;
+	rig_server_send(&f, "/a");
+	rig_server_answer(&f, 0);
+	rig_server_check(&f, "200 /a,");
+	f.limits.idle_ms = 600;
+	rig_loop(f.base, 400);
+	CU_ASSERT_EQUAL(f.closed, 0);
+	rig_server_send(&f, "/b");
+	rig_server_answer(&f, 1);
+	rig_server_check(&f, "200 /a,200 /b,");
+	rig_loop(f.base, 450);
+	CU_ASSERT_EQUAL(f.closed, 0);
+	rig_loop(f.base, 300);
+	CU_ASSERT(f.closed);
+	rig_server_stop(&f);
+}
+
 static const struct test tests[] = {
 	{ "answers are sent in request order",
 	    answers_are_sent_in_request_order },
@@ -366,6 +393,8 @@
 	    draining_keeps_a_connection_that_was_promised },
 	{ "a request being received is not idle",
 	    a_request_being_received_is_not_idle },
+	{ "a raised idle timeout holds at once",
+	    a_raised_idle_timeout_holds_at_once },
 };
 
 TEST_MAIN("pipeline", tests)
