--- a/http/http.h
+++ b/http/http.h
@@ -237,10 +237,13 @@
 void http_server_free(struct http_server *);
 /*
  * Drains the server: a connection closes after the answer to the last request
- * that was started on it.  An idle or new connection still takes one request.
+ * that was received on it.  An idle or new connection still takes one request.
  */
 void http_server_drain(struct http_server *);
-/* Returns whether no request is pending and all answers are written. */
+/*
+ * Returns whether no request is pending or being received, and all answers are
+ * written.
+ */
 int http_server_idle(const struct http_server *);
 /* Sends an answer, which is not kept.  The exchange is invalid afterwards. */
 void http_reply(struct http_exchange *, const struct http_message *);
