Updates to a new subscriber are compressed with what it holds

Cause: a new subscriber has no base in common with its publisher. So the first change of the configuration after a publisher has left is sent whole to each node of the data centre, and so is the state if the two differ by a version.

Change: a node keeps its last large values. A subscription names their digests; the publisher compresses with the newest that it has too, until an update of its own is the base. A subscription also has a number, which its updates carry: one of an earlier subscription on the same link is dropped, as its base may be gone. Peers of former builds name no values and get what they got before.

--- a/proxy/link.pb-c.c
+++ b/proxy/link.pb-c.c
@@ -1494,7 +1494,7 @@
   (ProtobufCMessageInit) link__pong__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__subscribe__field_descriptors[4] =
+static const ProtobufCFieldDescriptor link__subscribe__field_descriptors[6] =
 {
   {
     "on",
@@ -1544,17 +1544,43 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "bases",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Link__Subscribe, n_bases),
+    offsetof(Link__Subscribe, bases),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Subscribe, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__subscribe__field_indices_by_name[] = {
+  4,   /* field[4] = bases */
   3,   /* field[3] = held */
   2,   /* field[2] = help */
+  5,   /* field[5] = number */
   0,   /* field[0] = on */
   1,   /* field[1] = relay */
 };
 static const ProtobufCIntRange link__subscribe__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor link__subscribe__descriptor =
 {
@@ -1564,14 +1590,14 @@
   "Link__Subscribe",
   "link",
   sizeof(Link__Subscribe),
-  4,
+  6,
   link__subscribe__field_descriptors,
   link__subscribe__field_indices_by_name,
   1,  link__subscribe__number_ranges,
   (ProtobufCMessageInit) link__subscribe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor link__feed__field_descriptors[8] =
+static const ProtobufCFieldDescriptor link__feed__field_descriptors[9] =
 {
   {
     "state",
@@ -1669,6 +1695,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "subscription",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Link__Feed, subscription),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned link__feed__field_indices_by_name[] = {
   2,   /* field[2] = against */
@@ -1678,13 +1716,14 @@
   3,   /* field[3] = number */
   6,   /* field[6] = reader */
   0,   /* field[0] = state */
+  8,   /* field[8] = subscription */
   5,   /* field[5] = unsubscribe */
 };
 static const ProtobufCIntRange link__feed__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor link__feed__descriptor =
 {
@@ -1694,7 +1733,7 @@
   "Link__Feed",
   "link",
   sizeof(Link__Feed),
-  8,
+  9,
   link__feed__field_descriptors,
   link__feed__field_indices_by_name,
   2,  link__feed__number_ranges,
--- a/proxy/link.pb-c.h
+++ b/proxy/link.pb-c.h
@@ -304,10 +304,19 @@
    */
   size_t n_held;
   uint64_t *held;
+  /*
+   * digests of values that it has as bases
+   */
+  size_t n_bases;
+  uint64_t *bases;
+  /*
+   * of the subscription, carried by its updates
+   */
+  uint32_t number;
 };
 #define LINK__SUBSCRIBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__subscribe__descriptor) \
-    , 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -325,9 +334,12 @@
    */
   uint32_t length;
   /*
-   * number of the base it was compressed with; 0: none
+   * base it was compressed with: the number of an
    */
   uint64_t against;
+  /*
+   * update, or a digest of the bases named; 0: none
+   */
   /*
    * as a base of later updates; 0: it is none
    */
@@ -348,10 +360,14 @@
    * number of that answer, applied as new only once
    */
   uint64_t answer;
+  /*
+   * its number
+   */
+  uint32_t subscription;
 };
 #define LINK__FEED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&link__feed__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0, 0, 0, 0 }
+    , {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/proxy/link_int.h
+++ b/proxy/link_int.h
@@ -13,8 +13,10 @@
 	int64_t opened_at, received_at; /* ms; of the last input */
 	int64_t pinged_at;		/* ms; of an unanswered ping, or 0 */
 	enum proxy_subscription subscriber; /* subscription of the peer */
-	uint64_t base_number; /* of the base that both ends have, or 0 */
-	GBytes *base;	      /* that base, at the subscriber's end */
+	uint32_t subscription; /* number of the last one on this link */
+	uint64_t base_number;  /* of the base that both ends have, or 0 */
+	GBytes *base;	       /* that base, or NULL */
+	GArray *bases; /* named in a subscription to the peer, or NULL */
 	uint32_t next_stream;
 	GHashTable *jobs;  /* stream to struct job, or struct served_job */
 	GQueue send_queue; /* of struct served_job that may send a piece */
@@ -61,6 +63,8 @@
 void link_set_subscriber(struct link *, const Link__Subscribe *);
 /* Whether this node is subscribed to the peer. */
 int link_is_publisher(const struct link *);
+/* Releases the bases of updates. */
+void link_drop_bases(struct link *);
 /* Clears subscriptions to the peer of a lost link, and reports their loss. */
 void link_drop_publisher(struct link *);
 
--- a/proxy/link_state.c
+++ b/proxy/link_state.c
@@ -5,7 +5,7 @@
 struct feed_update {
 	GBytes *compressed; /* state, or NULL for the staleness alone */
 	size_t length;	    /* bytes of the state when expanded */
-	uint64_t base, number;
+	uint64_t number;    /* as a base of later updates, or 0 */
 	int unsubscribe;
 };
 
@@ -13,6 +13,12 @@
 static enum proxy_subscription subscription_kind(const Link__Subscribe *);
 static void
 write_state(struct links *, const uint64_t *held, size_t n, GString *);
+static void set_base(struct link *, uint64_t, GBytes *);
+static void clear_bases(GArray *);
+static GArray *list_bases(struct links *);
+static void share_base(struct link *, const Link__Subscribe *);
+static GBytes *find_base(const struct link *, uint64_t);
+static GBytes *compress_once(GHashTable *, const char *, size_t, GBytes *);
 static void write_feed(struct link *, const struct feed_update *);
 
 /* Lists the digests of this node's items. */
@@ -37,6 +43,92 @@
 		s->write_state(s->arg, &(struct proxy_held){ held, n }, out);
 }
 
+/* ---- bases of updates ---- */
+
+/* Sets the base that both ends have, and takes a reference; NULL: none. */
+static void
+set_base(struct link *l, uint64_t number, GBytes *base)
+{
+	GBytes *old = l->base;
+
+	l->base = base != NULL ? g_bytes_ref(base) : NULL;
+	l->base_number = base != NULL ? number : 0;
+	if (old != NULL)
+		g_bytes_unref(old);
+}
+
+/* Releases a list of bases, which may be NULL. */
+static void
+clear_bases(GArray *bases)
+{
+	guint i;
+
+	if (bases == NULL)
+		return;
+	for (i = 0; i < bases->len; i++)
+		g_bytes_unref(g_array_index(bases, struct proxy_base, i).value);
+	g_array_free(bases, TRUE);
+}
+
+/* Lists the values of this node that a subscription may name. */
+static GArray *
+list_bases(struct links *ls)
+{
+	const struct proxy_state_calls *s = &ls->proxy->state;
+	GArray *bases = g_array_new(FALSE, FALSE, sizeof(struct proxy_base));
+
+	if (s->list_bases != NULL)
+		s->list_bases(s->arg, bases);
+	return bases;
+}
+
+/* Makes the newest value that a new subscriber has too the base, if any. */
+static void
+share_base(struct link *l, const Link__Subscribe *q)
+{
+	GArray *bases = list_bases(l->links);
+	const struct proxy_base *b;
+	guint i;
+	size_t k;
+
+	set_base(l, 0, NULL);
+	for (i = 0; i < bases->len && l->base == NULL; i++) {
+		b = &g_array_index(bases, struct proxy_base, i);
+		for (k = 0; k < q->n_bases; k++)
+			if (q->bases[k] == b->digest)
+				set_base(l, b->digest, b->value);
+	}
+	clear_bases(bases);
+}
+
+/* Returns the base of an update from a publisher, or NULL. */
+static GBytes *
+find_base(const struct link *l, uint64_t number)
+{
+	const struct proxy_base *b;
+	guint i;
+
+	if (number == l->base_number)
+		return l->base;
+	for (i = 0; l->bases != NULL && i < l->bases->len; i++) {
+		b = &g_array_index(l->bases, struct proxy_base, i);
+		if (b->digest == number)
+			return b->value;
+	}
+	return NULL;
+}
+
+/* Releases the bases of updates. */
+void
+link_drop_bases(struct link *l)
+{
+	set_base(l, 0, NULL);
+	clear_bases(l->bases);
+	l->bases = NULL;
+}
+
+/* ---- states and updates ---- */
+
 /* Requests the state of a node; read_state gets it if the node answers. */
 void
 links_request_state(struct links *ls, const char *addr)
@@ -101,7 +193,8 @@
 	Link__Frame f = LINK__FRAME__INIT;
 	Link__Subscribe q = LINK__SUBSCRIBE__INIT;
 	struct link *l = ls->publishers[slot];
-	GArray *held;
+	GArray *held, *digests;
+	guint i;
 
 	f.body_case = LINK__FRAME__BODY_SUBSCRIBE;
 	f.subscribe = &q;
@@ -117,8 +210,18 @@
 	held = list_held(ls);
 	q.held = (uint64_t *)(void *)held->data;
 	q.n_held = held->len;
+	clear_bases(l->bases);
+	l->bases = list_bases(ls);
+	digests = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	for (i = 0; i < l->bases->len; i++)
+		g_array_append_val(digests,
+		    g_array_index(l->bases, struct proxy_base, i).digest);
+	q.bases = (uint64_t *)(void *)digests->data;
+	q.n_bases = digests->len;
+	q.number = ++l->subscription;
 	link_write_frame(l, &f);
 	g_array_free(held, TRUE);
+	g_array_free(digests, TRUE);
 	link_send_suspects(l, 1);
 }
 
@@ -156,7 +259,11 @@
 	g_bytes_unref(full);
 }
 
-/* Handles an update; one that cannot be decoded counts as a lost link. */
+/*
+ * Handles an update; one that cannot be decoded counts as a lost link.  One of
+ * an earlier subscription is dropped: the first of the new one has what it
+ * brought, and its base may be gone.
+ */
 void
 link_receive_feed(struct link *l, const Link__Feed *feed)
 {
@@ -165,14 +272,17 @@
 		.reader = feed->reader,
 		.answer = feed->answer,
 		.unsubscribe = feed->unsubscribe };
-	GBytes *full = NULL;
+	GBytes *full = NULL, *base = NULL;
 	int i;
 
+	if (feed->subscription != 0 && feed->subscription != l->subscription)
+		return;
 	if (feed->length > 0) {
-		if (feed->against == 0 || feed->against == l->base_number)
+		if (feed->against != 0)
+			base = find_base(l, feed->against);
+		if (feed->against == 0 || base != NULL)
 			full = feed_decompress(feed->state.data,
-			    feed->state.len, feed->length,
-			    feed->against != 0 ? l->base : NULL);
+			    feed->state.len, feed->length, base);
 		if (full == NULL) {
 			base_log(G_LOG_LEVEL_WARNING, "feed",
 			    "unreadable base=%" G_GUINT64_FORMAT,
@@ -181,11 +291,10 @@
 			return;
 		}
 	}
-	if (feed->number != 0) {
-		if (l->base != NULL)
-			g_bytes_unref(l->base);
-		l->base = g_bytes_ref(full);
-		l->base_number = feed->number;
+	if (feed->number != 0 && full != NULL) {
+		/* Later updates are compressed with this one. */
+		link_drop_bases(l);
+		set_base(l, feed->number, full);
 	}
 	if (full != NULL) {
 		update.state = g_bytes_get_data(full, NULL);
@@ -199,7 +308,7 @@
 		g_bytes_unref(full);
 }
 
-/* Writes an update to a subscriber, which must have the update's base. */
+/* Writes an update to a subscriber, compressed with its base if any. */
 static void
 write_feed(struct link *l, const struct feed_update *t)
 {
@@ -214,15 +323,14 @@
 	feed.reader = v->synced_reader;
 	feed.answer = v->synced_answer;
 	feed.length = (uint32_t)t->length;
-	feed.against = t->base;
+	feed.against = t->length > 0 ? l->base_number : 0;
 	feed.number = t->number;
+	feed.subscription = l->subscription;
 	if (t->compressed != NULL) {
 		feed.state.data =
 		    (uint8_t *)g_bytes_get_data(t->compressed, NULL);
 		feed.state.len = g_bytes_get_size(t->compressed);
 	}
-	if (t->number != 0)
-		l->base_number = t->number;
 	link_write_frame(l, &f);
 }
 
@@ -247,12 +355,13 @@
 	struct feed_update t = { 0 };
 
 	l->subscriber = kind;
-	l->base_number = 0;
+	l->subscription = q->number;
+	share_base(l, q);
 	if (kind != PROXY_UNSUBSCRIBED)
 		write_state(l->links, q->held, q->n_held, text);
 	if (text->len > 0) {
 		t.length = text->len;
-		t.compressed = feed_compress(text->str, text->len, NULL);
+		t.compressed = feed_compress(text->str, text->len, l->base);
 		write_feed(l, &t);
 		g_bytes_unref(t.compressed);
 	}
@@ -278,51 +387,48 @@
 	return n;
 }
 
+/* Compresses with a base, or NULL, unless the table has the result. */
+static GBytes *
+compress_once(GHashTable *done, const char *text, size_t len, GBytes *base)
+{
+	GBytes *c = g_hash_table_lookup(done, base);
+
+	if (c == NULL && (c = feed_compress(text, len, base)) != NULL)
+		g_hash_table_insert(done, base, c);
+	return c;
+}
+
 /*
- * Publishes an update: as a delta to subscribers that have the base, and whole
- * to the others.  A large update becomes the base of later ones.
+ * Publishes an update: as a delta to subscribers that have a base, and whole to
+ * the others.  A large update becomes the base of later ones.
  */
 void
 links_publish(struct links *ls, const char *state, size_t len, int unsubscribe)
 {
-	struct feed_update whole = { .unsubscribe = unsubscribe };
-	struct feed_update delta = whole;
-	uint64_t next = 0;
+	struct feed_update t = { .length = len, .unsubscribe = unsubscribe };
+	GHashTable *done = g_hash_table_new_full(
+	    NULL, NULL, NULL, (GDestroyNotify)g_bytes_unref);
+	GBytes *next = NULL;
 	struct link *l;
 	GHashTableIter it;
 	gpointer value;
 
-	if (feed_is_base(len))
-		next = ls->base_number + 1;
-	whole.length = delta.length = len;
-	whole.number = delta.number = next;
-	delta.base = ls->base_number;
+	if (feed_is_base(len)) {
+		next = g_bytes_new(state, len);
+		t.number = ++ls->base_number;
+	}
 	g_hash_table_iter_init(&it, ls->in);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		l = value;
 		if (l->subscriber == PROXY_UNSUBSCRIBED)
 			continue;
-		if (len > 0 && ls->base != NULL &&
-		    l->base_number == ls->base_number) {
-			if (delta.compressed == NULL)
-				delta.compressed =
-				    feed_compress(state, len, ls->base);
-			write_feed(l, &delta);
-		} else {
-			if (len > 0 && whole.compressed == NULL)
-				whole.compressed =
-				    feed_compress(state, len, NULL);
-			write_feed(l, &whole);
-		}
+		if (len > 0)
+			t.compressed = compress_once(done, state, len, l->base);
+		write_feed(l, &t);
+		if (next != NULL)
+			set_base(l, t.number, next);
 	}
-	if (whole.compressed != NULL)
-		g_bytes_unref(whole.compressed);
-	if (delta.compressed != NULL)
-		g_bytes_unref(delta.compressed);
-	if (next == 0)
-		return;
-	if (ls->base != NULL)
-		g_bytes_unref(ls->base);
-	ls->base = g_bytes_new(state, len);
-	ls->base_number = next;
+	g_hash_table_destroy(done);
+	if (next != NULL)
+		g_bytes_unref(next);
 }
--- a/proxy/links.c
+++ b/proxy/links.c
@@ -93,8 +93,6 @@
 		g_hash_table_destroy(tables[i]);
 	}
 	event_free(ls->timer);
-	if (ls->base != NULL)
-		g_bytes_unref(ls->base);
 	if (ls->listener != NULL)
 		evconnlistener_free(ls->listener);
 }
@@ -145,8 +143,7 @@
 		http_reset(l->bev);
 	}
 	g_hash_table_destroy(l->jobs);
-	if (l->base != NULL)
-		g_bytes_unref(l->base);
+	link_drop_bases(l);
 	g_free(l->addr);
 	g_free(l);
 }
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -106,15 +106,23 @@
 	size_t n;
 };
 
+/* A value with which updates can be compressed, if both nodes have it. */
+struct proxy_base {
+	uint64_t digest;
+	GBytes *value;
+};
+
 /*
  * Callbacks for the state of the platform that nodes exchange.  list_held adds
- * the digest of each item of this node to an array of uint64_t.  write_state
- * appends the items of this node that another one lacks.  read_state merges
- * what another node has sent.
+ * the digest of each item of this node to an array of uint64_t, list_bases the
+ * large values that it has or had, newest first, to one of struct proxy_base;
+ * the caller gets a reference to each.  write_state appends the items of this
+ * node that another one lacks.  read_state merges what another node has sent.
  */
 struct proxy_state_calls {
 	void *arg;
 	void (*list_held)(void *arg, GArray *digests);
+	void (*list_bases)(void *arg, GArray *bases);
 	void (*write_state)(void *arg, const struct proxy_held *, GString *out);
 	void (*read_state)(void *arg, const char *state, size_t len);
 	/* An update arrived; without a state it only carries the staleness. */
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -205,7 +205,6 @@
 	struct event *timer; /* of the checks for silent links */
 	struct link *publishers[PROXY_SLOT_COUNT]; /* subscribed to, or NULL */
 	uint64_t base_number; /* of the last published base, for deltas */
-	GBytes *base;
 };
 
 int links_open(struct links *, struct proxy *);
--- a/side/follow.c
+++ b/side/follow.c
@@ -42,8 +42,9 @@
 	struct timeval tv = { 0, BOOTSTRAP_MS * 1000L };
 	struct store_reader_calls calls = { f, on_items, on_listed, on_failed,
 		on_answered, is_needed };
-	struct proxy_state_calls state = { f, held_list, held_write,
-		apply_state, on_published, on_publisher_lost, on_subscribed };
+	struct proxy_state_calls state = { f, held_list, held_list_bases,
+		held_write, apply_state, on_published, on_publisher_lost,
+		on_subscribed };
 
 	f->base = base;
 	f->settings = s;
@@ -73,6 +74,7 @@
 	proxy_set_state(f->proxy, &(struct proxy_state_calls){ 0 });
 	feed_stop(f);
 	store_reader_free(f->reader);
+	held_clear_bases(f);
 	g_hash_table_destroy(f->held);
 	g_hash_table_destroy(f->unparsed);
 	g_hash_table_destroy(f->answers);
@@ -121,6 +123,7 @@
 	if (!is_newer(f, it))
 		return 0;
 	f->held_revision = MAX(f->held_revision, it->revision);
+	held_keep_base(f, it);
 	/* Removals too, or an older entry sent by a node would undo them. */
 	g_hash_table_replace(
 	    f->held, platform_item_key(it), platform_item_copy(it));
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -19,6 +19,9 @@
 #define FOLLOW_FAILBACK_MS 8000 /* until the node of rank 0 is tried again */
 #define FOLLOW_RANKS_MAX   3	/* nodes tried before this one reads itself */
 
+/* Versions of the configuration that a publisher and its subscribers differ. */
+#define HELD_BASES_MAX 4
+
 /* Nodes asked at the same time to read on behalf of this one. */
 #define RELAY_HELPERS (PROXY_SLOT_COUNT - PROXY_SLOT_HELPERS)
 
@@ -75,11 +78,13 @@
 	GHashTable *held;	/* key to struct platform_item, as last read */
 	GHashTable *unparsed;	/* ids of targets with malformed entries */
 	uint64_t held_revision; /* greatest of the held items */
-	uint64_t reader_id;	/* random; identifies this process's answers */
-	uint64_t answer_seq;	/* number of this reader's last answer */
-	int64_t answered_at;	/* ms of that answer */
-	GHashTable *answers;	/* reader id to its newest answer */
-	int next_peer;		/* index of the next of settings->peers */
+	/* Last large values, newest first; the oldest may be gone from held. */
+	struct proxy_base bases[HELD_BASES_MAX];
+	uint64_t reader_id;  /* random; identifies this process's answers */
+	uint64_t answer_seq; /* number of this reader's last answer */
+	int64_t answered_at; /* ms of that answer */
+	GHashTable *answers; /* reader id to its newest answer */
+	int next_peer;	     /* index of the next of settings->peers */
 	struct event *bootstrap_timer; /* asks it for its state */
 	int draining;		       /* the node is about to stop */
 	/*
@@ -104,11 +109,16 @@
 int state_unpack(const char *, size_t, struct platform_page *);
 
 /*
- * held.c: the state that this node sends to others.  Both are callbacks of
- * struct proxy_state_calls, with the follower as argument.
+ * held.c: the state that this node sends to others.  The functions with a
+ * void pointer are callbacks of struct proxy_state_calls, with the follower as
+ * argument.
  */
 void held_list(void *, GArray *digests);
+void held_list_bases(void *, GArray *bases);
 void held_write(void *, const struct proxy_held *, GString *out);
+/* Keeps the value of a new item as a base if it is large. */
+void held_keep_base(struct follow *, const struct platform_item *);
+void held_clear_bases(struct follow *);
 
 /*
  * Records that all changes up to a time (ms) have been applied, according to
