A node that stops accepts the links that wait before it takes no more

What callers saw: 502 (may have run) for requests that no node had read, when nodes of small machines are stopped in turn.

Cause: a draining node closes the listener of its links. The system then resets the connections that wait to be accepted. A peer takes these as open, has written requests on them, and cannot tell them from requests that were running.

Change: it accepts the waiting connections first, and tells their peers as those of other links that it takes no new requests.

Test: request_on_waiting_link_is_answered got no answer before.

--- a/proxy/links.c
+++ b/proxy/links.c
@@ -5,6 +5,7 @@
  */
 #include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <event2/listener.h>
 
@@ -23,6 +24,7 @@
 static struct link *
 link_new(struct links *, struct bufferevent *, const char *);
 static void link_close(struct link *, const char *);
+static void accept_waiting(struct links *);
 static void on_accept(
     struct evconnlistener *, evutil_socket_t, struct sockaddr *, int, void *);
 static void on_read(struct bufferevent *, void *);
@@ -57,6 +59,25 @@
 	return PROXY_ELISTEN;
 }
 
+/*
+ * Accepts the connections that wait for it.  Closing the listener would reset
+ * them, and peers may have written requests on them.
+ */
+static void
+accept_waiting(struct links *ls)
+{
+	evutil_socket_t fd, listener = evconnlistener_get_fd(ls->listener);
+
+	for (;;) {
+		fd =
+		    accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd >= 0)
+			on_accept(ls->listener, fd, NULL, 0, ls);
+		else if (errno != ECONNABORTED && errno != EINTR)
+			break;
+	}
+}
+
 /*
  * A request on its way to a node that exits has an unknown outcome.  So the
  * nodes that may send any are told long before.
@@ -67,6 +88,7 @@
 	GHashTableIter it;
 	gpointer value;
 
+	accept_waiting(ls);
 	evconnlistener_free(ls->listener);
 	ls->listener = NULL;
 	g_hash_table_iter_init(&it, ls->in);
--- a/test/test_links.c
+++ b/test/test_links.c
@@ -1,6 +1,7 @@
-/* Links between nodes: the platform's state that they send. */
+/* Links between nodes: the platform's state that they send, and their end. */
 #include <arpa/inet.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "../proxy/link.pb-c.h"
 #include "../proxy/link_int.h"
@@ -309,12 +310,65 @@
 	follow_rig_stop(&w);
 }
 
+/*
+ * Guards against 502 for a request that nothing had read: closing the listener
+ * reset the connections that were not accepted yet.
+ */
+static void
+request_on_waiting_link_is_answered(void)
+{
+	Link__Frame f = LINK__FRAME__INIT, *in;
+	Link__Request q = LINK__REQUEST__INIT;
+	struct sockaddr_in sin;
+	struct link l = { 0 };
+	struct rig r;
+	int fd, i, answered = 0;
+
+	rig_start(&r, 1);
+	address_resolve(r.nodes[0].settings.links, &sin);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_EQUAL_FATAL(
+	    connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	evutil_make_socket_nonblocking(fd);
+	l.bev = bufferevent_socket_new(r.base, fd, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_enable(l.bev, EV_READ | EV_WRITE);
+	f.stream = 1;
+	f.body_case = LINK__FRAME__BODY_REQUEST;
+	f.request = &q;
+	q.method = "GET";
+	q.path = "/run/x";
+	q.service = "svc";
+	q.id = "a";
+	q.remaining_ms = 900;
+	write_frame(l.bev, &f);
+	proxy_guard_set_state(
+	    &r.nodes[0].proxy->guard, PROXY_GUARD_DRAINING, "test");
+	links_drain(&r.nodes[0].proxy->links);
+	for (i = 0; i < 40 && !answered; i++) {
+		rig_run(&r, 5);
+		while (link_read_frame(&l, &in) > 0) {
+			if (in->body_case == LINK__FRAME__BODY_ANSWER) {
+				answered = 1;
+				CU_ASSERT_EQUAL(
+				    in->answer->outcome, OUTCOME_OUT);
+			}
+			link__frame__free_unpacked(in, NULL);
+		}
+	}
+	CU_ASSERT(answered);
+	CU_ASSERT_EQUAL(r.nodes[0].target.runs, 0);
+	bufferevent_free(l.bev);
+	rig_stop(&r);
+}
+
 static const struct test tests[] = {
 	{ "held state is not sent again", held_state_is_not_sent_again },
 	{ "peer gets the items that it lacks",
 	    peer_gets_the_items_that_it_lacks },
 	{ "first change is a delta", first_change_is_a_delta },
 	{ "former version is a base", former_version_is_a_base },
+	{ "request on waiting link is answered",
+	    request_on_waiting_link_is_answered },
 	{ "update of earlier subscription is dropped",
 	    update_of_earlier_subscription_is_dropped },
 };
