--- a/proxy/links.c
+++ b/proxy/links.c
@@ -5,6 +5,7 @@
  */
 #include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <event2/listener.h>
 
@@ -23,6 +24,7 @@
 static struct link *
 link_new(struct links *, struct bufferevent *, const char *);
 static void link_close(struct link *, const char *);
+static void accept_waiting(struct links *);
 static void on_accept(
     struct evconnlistener *, evutil_socket_t, struct sockaddr *, int, void *);
 static void on_read(struct bufferevent *, void *);
@@ -32,7 +34,6 @@
 static void on_frame(struct link *, const Link__Frame *);
 static void on_write(struct bufferevent *, void *);
 static void write_control(struct link *, Link__Frame__BodyCase);
-static enum proxy_subscription subscription_kind(const Link__Subscribe *);
 
 /* Listens for links of other nodes; returns PROXY_OK or PROXY_ELISTEN. */
 int
@@ -58,6 +59,25 @@
 	return PROXY_ELISTEN;
 }
 
+/*
+ * Accepts the connections that wait for it.  Closing the listener would reset
+ * them, and peers may have written requests on them.
+ */
+static void
+accept_waiting(struct links *ls)
+{
+	evutil_socket_t fd, listener = evconnlistener_get_fd(ls->listener);
+
+	for (;;) {
+		fd =
+		    accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd >= 0)
+			on_accept(ls->listener, fd, NULL, 0, ls);
+		else if (errno != ECONNABORTED && errno != EINTR)
+			break;
+	}
+}
+
 /*
  * A request on its way to a node that exits has an unknown outcome.  So the
  * nodes that may send any are told long before.
@@ -68,6 +88,7 @@
 	GHashTableIter it;
 	gpointer value;
 
+	accept_waiting(ls);
 	evconnlistener_free(ls->listener);
 	ls->listener = NULL;
 	g_hash_table_iter_init(&it, ls->in);
@@ -94,8 +115,6 @@
 		g_hash_table_destroy(tables[i]);
 	}
 	event_free(ls->timer);
-	if (ls->base != NULL)
-		g_bytes_unref(ls->base);
 	if (ls->listener != NULL)
 		evconnlistener_free(ls->listener);
 }
@@ -146,8 +165,7 @@
 		http_reset(l->bev);
 	}
 	g_hash_table_destroy(l->jobs);
-	if (l->base != NULL)
-		g_bytes_unref(l->base);
+	link_drop_bases(l);
 	g_free(l->addr);
 	g_free(l);
 }
@@ -218,17 +236,6 @@
 	link_write_frame(l, &f);
 }
 
-/* Returns the kind of subscription that a frame asks for. */
-static enum proxy_subscription
-subscription_kind(const Link__Subscribe *q)
-{
-	if (!q->on)
-		return PROXY_UNSUBSCRIBED;
-	if (q->relay)
-		return PROXY_SUBSCRIBE_RELAY;
-	return q->help ? PROXY_SUBSCRIBE_HELP : PROXY_SUBSCRIBE_READ;
-}
-
 /* Handles one frame; those of the wrong direction are ignored. */
 static void
 on_frame(struct link *l, const Link__Frame *f)
@@ -273,10 +280,10 @@
 		write_control(l, LINK__FRAME__BODY_PONG);
 		break;
 	case LINK__FRAME__BODY_STATE_REQUEST:
-		link_send_state(l);
+		link_send_state(l, f->state_request);
 		break;
 	case LINK__FRAME__BODY_SUBSCRIBE:
-		link_set_subscriber(l, subscription_kind(f->subscribe));
+		link_set_subscriber(l, f->subscribe);
 		break;
 	case LINK__FRAME__BODY_FEED:
 		if (link_is_publisher(l))
--- a/side/follow.c
+++ b/side/follow.c
@@ -26,7 +26,6 @@
 static int is_own_removal(struct follow *, const struct platform_item *);
 static void
 remove_missing(struct follow *, enum platform_part, GHashTable *, uint64_t);
-static void write_state(void *, GString *);
 static void apply_state(void *, const char *, size_t);
 static void on_published(void *, enum proxy_slot, const struct proxy_update *);
 static void on_publisher_lost(void *, enum proxy_slot);
@@ -43,8 +42,9 @@
 	struct timeval tv = { 0, BOOTSTRAP_MS * 1000L };
 	struct store_reader_calls calls = { f, on_items, on_listed, on_failed,
 		on_answered, is_needed };
-	struct proxy_state_calls state = { f, write_state, apply_state,
-		on_published, on_publisher_lost, on_subscribed };
+	struct proxy_state_calls state = { f, held_list, held_list_bases,
+		held_write, apply_state, on_published, on_publisher_lost,
+		on_subscribed };
 
 	f->base = base;
 	f->settings = s;
@@ -74,6 +74,7 @@
 	proxy_set_state(f->proxy, &(struct proxy_state_calls){ 0 });
 	feed_stop(f);
 	store_reader_free(f->reader);
+	held_clear_bases(f);
 	g_hash_table_destroy(f->held);
 	g_hash_table_destroy(f->unparsed);
 	g_hash_table_destroy(f->answers);
@@ -122,6 +123,7 @@
 	if (!is_newer(f, it))
 		return 0;
 	f->held_revision = MAX(f->held_revision, it->revision);
+	held_keep_base(f, it);
 	/* Removals too, or an older entry sent by a node would undo them. */
 	g_hash_table_replace(
 	    f->held, platform_item_key(it), platform_item_copy(it));
@@ -363,25 +365,6 @@
 
 /* ---- state sent between nodes ---- */
 
-/* Appends all held items, for a node that subscribed or asked for them. */
-static void
-write_state(void *arg, GString *out)
-{
-	struct follow *f = arg;
-	GPtrArray *items;
-	GHashTableIter it;
-	gpointer value;
-
-	if (f->view->config == NULL)
-		return;
-	items = g_ptr_array_new();
-	g_hash_table_iter_init(&it, f->held);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		g_ptr_array_add(items, value);
-	state_pack(items, f->held_revision, out);
-	g_ptr_array_free(items, TRUE);
-}
-
 /* Applies the items that another node has sent. */
 static void
 apply_state(void *arg, const char *text, size_t len)
