--- a/base/address.c
+++ b/base/address.c
@@ -18,6 +18,9 @@
 		return BASE_EADDRESS;
 	memcpy(host, addr, (size_t)(colon - addr));
 	host[colon - addr] = '\0';
+	/* strtol() would accept a sign or spaces. */
+	if (!g_ascii_isdigit(colon[1]))
+		return BASE_EADDRESS;
 	n = strtol(colon + 1, &end, 10);
 	if (*end != '\0' || n < 1 || n > UINT16_MAX ||
 	    inet_pton(AF_INET, host, &in) != 1)
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -337,7 +337,11 @@
 	    "\"AsOf\":9}";
 	static const char *const bad[] = { "", "{", "[]", "{\"items\":[]}",
 		"{\"AsOf\":\"9\"}", "{\"AsOf\":-2}",
-		"{\"items\":[],\"AsOf\":9,\"HasMore\":\"yes\"}" };
+		"{\"items\":[],\"AsOf\":9,\"HasMore\":\"yes\"}",
+		"{\"items\":[],\"AsOf\":9,\"HasMore\":true}", "{\"AsOf\":9}",
+		"{\"items\":null,\"AsOf\":9}", "{\"items\":[{],\"AsOf\":9}",
+		"{\"items\":[],\"items\":[],\"AsOf\":9}",
+		"{\"items\":[],\"AsOf\":9e999}" };
 	const struct platform_item *it;
 	struct platform_page p;
 	size_t i;
