A link is not silent while its ping may wait behind updates

What callers saw: 502 (may have run) from the node that publishes a large configuration, for requests at other nodes that went on as usual.

Cause: a publisher that sends a new large configuration to all nodes of its data centre fills its link for about a second. Its pings on other links wait there too; without a pong in 500 ms it closed those links as silent, with requests.

Change: an update of more than a piece is followed by a ping. Until the pong to it, and as long after as a pong may take, pings on other links have the time that they have while an answer is streamed. Time bounds are as they were. Nodes of former builds answer such a ping too.

Test: link_is_not_silent_behind_updates fails if only streams are considered.

--- a/proxy/link_int.h
+++ b/proxy/link_int.h
@@ -12,6 +12,7 @@
 	int leaving;			/* the peer takes no new requests */
 	int64_t opened_at, received_at; /* ms; of the last input */
 	int64_t pinged_at;		/* ms; of an unanswered ping, or 0 */
+	int pong_due;			/* to the ping after a large update */
 	enum proxy_subscription subscriber; /* subscription of the peer */
 	uint32_t subscription; /* number of the last one on this link */
 	uint64_t base_number;  /* of the base that both ends have, or 0 */
@@ -49,6 +50,9 @@
 /* Returns the link to an address, opened if needed; NULL if that fails. */
 struct link *link_to(struct links *, const char *addr);
 
+/* Asks for a pong, which shows that all output before it has arrived. */
+void link_ping(struct link *);
+
 /* link_client.c: client side, jobs that are sent to other nodes */
 void link_on_answer(struct link *, uint32_t stream, const Link__Answer *);
 void link_on_piece(struct link *, uint32_t stream, const Link__Piece *);
--- a/proxy/link_state.c
+++ b/proxy/link_state.c
@@ -332,6 +332,8 @@
 		feed.state.len = g_bytes_get_size(t->compressed);
 	}
 	link_write_frame(l, &f);
+	if (feed.state.len > PIECE_MAX)
+		link_ping(l);
 }
 
 /* Returns the kind of subscription that a frame asks for. */
--- a/proxy/links.c
+++ b/proxy/links.c
@@ -1,7 +1,8 @@
 /*
  * Links between nodes: one connection for each direction in use, with many
  * requests on each.  A link on which an answer is due and nothing arrives is
- * probed with a ping, and closed if nothing arrives after that either.
+ * probed with a ping, and closed if nothing arrives after that either.  The
+ * ping may also wait behind this node's own output on other links.
  */
 #include <errno.h>
 #include <string.h>
@@ -14,12 +15,12 @@
 #define BACKLOG		  256
 #define CHECK_INTERVAL_MS 100 /* between two checks for silent links */
 #define PING_AFTER_MS	  300 /* without input while an answer is due */
-/* Time to answer a ping; longer while a streamed answer is in flight. */
-#define PONG_TIMEOUT_MS	       500
-#define PONG_STREAM_TIMEOUT_MS 2500
-#define CONNECT_TIMEOUT_MS     400   /* VMs are 0.1 to 1 ms apart */
-#define OUTPUT_LOW_WATER       16384 /* bytes left when pieces may follow */
-#define IDLE_TIMEOUT_MS	       10000
+/* Time to answer a ping; longer while a long answer or update is in flight. */
+#define PONG_TIMEOUT_MS	     500
+#define PONG_LONG_TIMEOUT_MS 2500
+#define CONNECT_TIMEOUT_MS   400   /* VMs are 0.1 to 1 ms apart */
+#define OUTPUT_LOW_WATER     16384 /* bytes left when pieces may follow */
+#define IDLE_TIMEOUT_MS	     10000
 
 static struct link *
 link_new(struct links *, struct bufferevent *, const char *);
@@ -30,6 +31,8 @@
 static void on_read(struct bufferevent *, void *);
 static void on_event(struct bufferevent *, short, void *);
 static void on_timer(evutil_socket_t, short, void *);
+static int is_update_in_flight(const struct links *);
+static int pong_timeout_ms(struct link *);
 static void check_silence(struct link *, int64_t);
 static void on_frame(struct link *, const Link__Frame *);
 static void on_write(struct bufferevent *, void *);
@@ -279,6 +282,11 @@
 	case LINK__FRAME__BODY_PING:
 		write_control(l, LINK__FRAME__BODY_PONG);
 		break;
+	case LINK__FRAME__BODY_PONG:
+		if (l->pong_due)
+			l->links->arrived_at = base_now_ms();
+		l->pong_due = 0;
+		break;
 	case LINK__FRAME__BODY_STATE_REQUEST:
 		link_send_state(l, f->state_request);
 		break;
@@ -340,6 +348,42 @@
 	}
 }
 
+/*
+ * Whether a peer has yet to receive a large update of this node, or one has
+ * received it only now, so that pings may still be on their way.
+ */
+static int
+is_update_in_flight(const struct links *ls)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	if (base_now_ms() - ls->arrived_at <= PONG_TIMEOUT_MS)
+		return 1;
+	g_hash_table_iter_init(&it, ls->in);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (((struct link *)value)->pong_due)
+			return 1;
+	return 0;
+}
+
+/* Time that the peer of a link has to answer a ping. */
+static int
+pong_timeout_ms(struct link *l)
+{
+	return link_is_streaming(l) || is_update_in_flight(l->links)
+		   ? PONG_LONG_TIMEOUT_MS
+		   : PONG_TIMEOUT_MS;
+}
+
+/* Asks for a pong, which shows that all output before it has arrived. */
+void
+link_ping(struct link *l)
+{
+	l->pong_due = 1;
+	write_control(l, LINK__FRAME__BODY_PING);
+}
+
 /* Pings or closes a link opened by this node, if it is silent or idle. */
 static void
 check_silence(struct link *l, int64_t now)
@@ -350,9 +394,7 @@
 		if (now - l->opened_at > CONNECT_TIMEOUT_MS)
 			link_close(l, "no connection");
 	} else if (l->pinged_at > 0 &&
-		   now - l->pinged_at > (link_is_streaming(l)
-						? PONG_STREAM_TIMEOUT_MS
-						: PONG_TIMEOUT_MS)) {
+		   now - l->pinged_at > pong_timeout_ms(l)) {
 		link_close(l, "silent");
 	} else if (answer_due && l->pinged_at == 0 &&
 		   now - l->received_at > PING_AFTER_MS) {
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -205,6 +205,7 @@
 	struct event *timer; /* of the checks for silent links */
 	struct link *publishers[PROXY_SLOT_COUNT]; /* subscribed to, or NULL */
 	uint64_t base_number; /* of the last published base, for deltas */
+	int64_t arrived_at;   /* ms; a peer had received a large update */
 };
 
 int links_open(struct links *, struct proxy *);
--- a/test/test_links.c
+++ b/test/test_links.c
@@ -2,6 +2,7 @@
 #include <arpa/inet.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "../proxy/link.pb-c.h"
 #include "../proxy/link_int.h"
@@ -310,6 +311,77 @@
 	follow_rig_stop(&w);
 }
 
+/* Listens on an address of no node; the caller closes the socket. */
+static int
+listen_silently(const struct rig *r, char *addr)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0), one = 1;
+	struct sockaddr_in sin;
+
+	g_snprintf(addr, ADDRESS_MAX, "127.0.0.201:%d", r->ports);
+	address_resolve(addr, &sin);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
+	    listen(fd, 8) != 0)
+		g_error("cannot listen on %s", addr);
+	return fd;
+}
+
+/* Records the outcome of a job. */
+static void
+on_job_done(struct job *j, const struct job_result *r)
+{
+	*(int *)j->arg = (int)r->outcome;
+}
+
+/*
+ * Guards against the same: a node whose output is full of updates took other
+ * nodes for silent, whose answers were due.  A subscriber has received them all
+ * when it answers the ping after them.
+ */
+static void
+link_is_not_silent_behind_updates(void)
+{
+	Link__Frame f = LINK__FRAME__INIT;
+	Link__Subscribe q = LINK__SUBSCRIBE__INIT;
+	Link__Pong pong = LINK__PONG__INIT;
+	int order[RIG_NODES_MAX], fd, outcome = OUTCOME_COUNT;
+	struct job job = { .service = "svc", .caller = "", .id = "a" };
+	char addr[ADDRESS_MAX];
+	struct bufferevent *bev;
+	struct follow_rig w;
+
+	start(&w, order);
+	bev = http_connect(w.rig.base, w.rig.nodes[order[0]].settings.links);
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+	f.body_case = LINK__FRAME__BODY_SUBSCRIBE;
+	f.subscribe = &q;
+	q.on = 1;
+	write_frame(bev, &f);
+	rig_run(&w.rig, 50);
+	fd = listen_silently(&w.rig, addr);
+	job.msg = http_message_new();
+	job.msg->method = g_strdup("GET");
+	job.msg->path = g_strdup("/run/x");
+	job.deadline = base_now_ms() + 5000;
+	job.done = on_job_done;
+	job.arg = &outcome;
+	links_submit(&w.rig.nodes[order[0]].proxy->links, addr, &job);
+	rig_run(&w.rig, 1200);
+	CU_ASSERT_EQUAL(outcome, (int)OUTCOME_COUNT);
+	f.body_case = LINK__FRAME__BODY_PONG;
+	f.pong = &pong;
+	write_frame(bev, &f);
+	rig_run(&w.rig, 200);
+	CU_ASSERT_EQUAL(outcome, (int)OUTCOME_COUNT);
+	rig_run(&w.rig, 600);
+	CU_ASSERT_EQUAL(outcome, (int)OUTCOME_UNKNOWN);
+	http_message_free(job.msg);
+	bufferevent_free(bev);
+	close(fd);
+	follow_rig_stop(&w);
+}
+
 /*
  * Guards against 502 for a request that nothing had read: closing the listener
  * reset the connections that were not accepted yet.
@@ -367,6 +439,8 @@
 	    peer_gets_the_items_that_it_lacks },
 	{ "first change is a delta", first_change_is_a_delta },
 	{ "former version is a base", former_version_is_a_base },
+	{ "link is not silent behind updates",
+	    link_is_not_silent_behind_updates },
 	{ "request on waiting link is answered",
 	    request_on_waiting_link_is_answered },
 	{ "update of earlier subscription is dropped",
