test: updates of former builds, and a subscription without a link

A publisher of a former build numbers no subscriptions and knows no bases; its updates are read as before.

--- a/test/test_links.c
+++ b/test/test_links.c
@@ -298,7 +298,8 @@
 	proxy_subscribe(w.rig.nodes[order[2]].proxy, PROXY_SLOT_PUBLISHER,
 	    w.rig.nodes[order[0]].settings.target, PROXY_SUBSCRIBE_READ);
 	l = ls->publishers[PROXY_SLOT_PUBLISHER];
-	CU_ASSERT_PTR_NOT_NULL_FATAL(l);
+	if (l == NULL)
+		g_error("the node has no publisher");
 	CU_ASSERT_EQUAL_FATAL(l->subscription, 2);
 	feed.length = 100;
 	feed.against = 12345;
@@ -311,6 +312,46 @@
 	follow_rig_stop(&w);
 }
 
+/* A publisher of a former build numbers no subscriptions and knows no bases. */
+static void
+update_of_former_build_is_read(void)
+{
+	GString *whole = g_string_new(NULL);
+	GBytes *base, *state, *delta;
+	Link__Feed feed = LINK__FEED__INIT;
+	int order[RIG_NODES_MAX];
+	struct follow_rig w;
+	struct link *l;
+
+	start(&w, order);
+	l = w.rig.nodes[order[2]].proxy->links.publishers[0];
+	if (l == NULL)
+		g_error("the node has no publisher");
+	held_write(w.follows[order[0]], &(struct proxy_held){ 0 }, whole);
+	base = g_bytes_new(whole->str, whole->len);
+	state = feed_compress(whole->str, whole->len, NULL);
+	delta = feed_compress(whole->str, whole->len, base);
+	feed.length = (uint32_t)whole->len;
+	feed.number = 7;
+	feed.state.data = (uint8_t *)g_bytes_get_data(state, NULL);
+	feed.state.len = g_bytes_get_size(state);
+	link_receive_feed(l, &feed);
+	CU_ASSERT_EQUAL(l->base_number, 7);
+	feed.against = 7;
+	feed.number = 8;
+	feed.state.data = (uint8_t *)g_bytes_get_data(delta, NULL);
+	feed.state.len = g_bytes_get_size(delta);
+	link_receive_feed(l, &feed);
+	CU_ASSERT_EQUAL(l->base_number, 8);
+	CU_ASSERT_PTR_EQUAL(
+	    w.rig.nodes[order[2]].proxy->links.publishers[0], l);
+	g_bytes_unref(base);
+	g_bytes_unref(state);
+	g_bytes_unref(delta);
+	g_string_free(whole, TRUE);
+	follow_rig_stop(&w);
+}
+
 /* Listens on an address of no node; the caller closes the socket. */
 static int
 listen_silently(const struct rig *r, char *addr)
@@ -439,6 +480,7 @@
 	    peer_gets_the_items_that_it_lacks },
 	{ "first change is a delta", first_change_is_a_delta },
 	{ "former version is a base", former_version_is_a_base },
+	{ "update of former build is read", update_of_former_build_is_read },
 	{ "link is not silent behind updates",
 	    link_is_not_silent_behind_updates },
 	{ "request on waiting link is answered",
