test: a lost link leaves the caller's connection open

When a link is closed or silent with a request on it, an entry sends the request elsewhere or answers 502; the caller's connection goes on. No test showed this.

--- /dev/null
+++ b/test/test_links.c
@@ -0,0 +1,132 @@
+/* Links between nodes that are lost while requests are on them. */
+#include <string.h>
+#include <unistd.h>
+
+#include <event2/listener.h>
+
+#include "rig.h"
+#include "test.h"
+
+#define PEER_HOST "127.0.0.99"
+
+/*
+ * A peer that takes links and the requests on them and never answers.  It may
+ * close them.
+ */
+struct mute_peer {
+	struct evconnlistener *listener;
+	evutil_socket_t link; /* the last one, or -1 */
+	char target[ADDRESS_MAX];
+};
+
+/* Keeps the connection, unread. */
+static void
+on_link(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa,
+    int len, void *arg)
+{
+	struct mute_peer *p = arg;
+
+	(void)l;
+	(void)sa;
+	(void)len;
+	p->link = fd;
+}
+
+/* Starts the peer, and lists a target beside it in the view of node 0. */
+static void
+mute_peer_start(struct rig *r, struct mute_peer *p)
+{
+	struct view_target t = { .slots = 4, .state = VIEW_READY };
+	const char *links = r->nodes[0].settings.links;
+	struct sockaddr_in sin;
+	char addr[ADDRESS_MAX];
+
+	g_snprintf(addr, sizeof(addr), PEER_HOST "%s", strrchr(links, ':'));
+	g_snprintf(p->target, sizeof(p->target), PEER_HOST ":%d", r->ports);
+	p->link = -1;
+	if (address_resolve(addr, &sin) != BASE_OK ||
+	    (p->listener = evconnlistener_new_bind(r->base, on_link, p,
+		 LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 4,
+		 (struct sockaddr *)&sin, sizeof(sin))) == NULL)
+		g_error("the peer cannot listen");
+	t.revision = r->nodes[0].view->listed_revision + 1;
+	g_strlcpy(t.id, "mute", sizeof(t.id));
+	g_strlcpy(t.service, "svc", sizeof(t.service));
+	g_strlcpy(t.addr, p->target, sizeof(t.addr));
+	g_strlcpy(t.dc, "north", sizeof(t.dc));
+	view_set_target(r->nodes[0].view, &t);
+}
+
+/* Closes the peer's link in an orderly way, if it is open. */
+static void
+mute_peer_close_link(struct mute_peer *p)
+{
+	if (p->link >= 0)
+		close(p->link);
+	p->link = -1;
+}
+
+/* Sends a further request on a call's connection. */
+static void
+call_again(struct rig_call *c, const char *id)
+{
+	http_message_free(c->answer);
+	c->answer = NULL;
+	evbuffer_add_printf(bufferevent_get_output(c->bev),
+	    "GET /run/x HTTP/1.1\r\nHost: rig\r\n%s: %s\r\n%s: 900\r\n\r\n",
+	    platform_headers.id, id, platform_headers.remaining_ms);
+}
+
+/*
+ * Guards against a kept connection that closes with a request unanswered when
+ * the link that has the request is lost.  A request that may run again is sent
+ * to another target, any other gets 502, and the connection serves the next.
+ */
+static void
+lost_link_leaves_the_connection_open(void)
+{
+	static const struct {
+		const char *path;
+		int status, closes;
+	} cases[] = { { "/run/x", 200, 1 }, { "/once/x", 502, 1 },
+		{ "/run/x", 200, 0 }, { "/once/x", 502, 0 } };
+	struct mute_peer peer;
+	struct view_config *config;
+	struct rig_call c;
+	struct rig r;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		rig_start(&r, 1);
+		config = r.nodes[0].view->config;
+		config->routes[0].timeout_ms = config->routes[1].timeout_ms =
+		    3000;
+		rig_list_target(&r, 0, "other", VIEW_READY);
+		mute_peer_start(&r, &peer);
+		rig_call(&r, &c, 0, cases[i].path, "a", 3000);
+		rig_run(&r, 100);
+		CU_ASSERT(peer.link >= 0 && c.answer == NULL);
+		rig_list_target(&r, 0, "svc", VIEW_READY);
+		if (cases[i].closes)
+			mute_peer_close_link(&peer);
+		rig_wait(&r, &c);
+		CU_ASSERT_EQUAL(rig_status(&c), cases[i].status);
+		CU_ASSERT_EQUAL(r.nodes[0].target.runs, cases[i].status == 200);
+		CU_ASSERT_FALSE(c.ended);
+		call_again(&c, "b");
+		rig_wait(&r, &c);
+		CU_ASSERT_EQUAL(rig_status(&c), 200);
+		CU_ASSERT_FALSE(c.ended);
+		rig_call_end(&c);
+		mute_peer_close_link(&peer);
+		evconnlistener_free(peer.listener);
+		rig_stop(&r);
+	}
+}
+
+static const struct test tests[] = {
+	{ "lost link leaves the connection open",
+	    lost_link_leaves_the_connection_open },
+};
+
+TEST_MAIN("links", tests)
