A stopping node answers requests that arrive as it exits

Cause: once it had found itself idle, a draining node read nothing more, but its listener and its kept connections stayed open until the process was gone. Requests that arrived meanwhile were never read.

Change: the node accepts what waits, closes the listener, and a check later closes the idle connections whose sockets hold no input; it exits when none is left. What is on its way on a kept connection still crosses the close, as HTTP/1.1 has no other end for an idle connection.

Test: closing_answers_requests_that_wait; it fails without the accepts, and without the look at the socket.

--- a/http/http.h
+++ b/http/http.h
@@ -245,6 +245,14 @@
  * written.
  */
 int http_server_idle(const struct http_server *);
+/*
+ * The two steps before a process exits.  The first accepts the connections that
+ * wait and closes the listener; returns 0 if it was closed before.  The second
+ * closes idle connections, unless input waits, and returns the number of
+ * others.
+ */
+int http_server_stop_listening(struct http_server *);
+int http_server_close_idle(struct http_server *);
 /* Sends an answer, which is not kept.  The exchange is invalid afterwards. */
 void http_reply(struct http_exchange *, const struct http_message *);
 /*
--- a/http/server.c
+++ b/http/server.c
@@ -4,6 +4,7 @@
  */
 #include <errno.h>
 #include <string.h>
+#include <sys/ioctl.h>
 
 #include <event2/listener.h>
 
@@ -24,6 +25,7 @@
 static void on_timer(evutil_socket_t, short, void *);
 static int reserve_body(struct http_conn *);
 static void read_request(struct http_conn *);
+static int is_closable(const struct http_conn *);
 static void conn_free(struct http_conn *, const char *);
 
 /* Status for each error of the parser; the last entry for all others, too. */
@@ -77,7 +79,8 @@
 
 	if (s == NULL)
 		return;
-	evconnlistener_free(s->listener);
+	if (s->listener != NULL)
+		evconnlistener_free(s->listener);
 	for (;;) {
 		g_hash_table_iter_init(&it, s->conns);
 		if (!g_hash_table_iter_next(&it, &key, NULL))
@@ -114,6 +117,54 @@
 	return 1;
 }
 
+/*
+ * Connections that the kernel has accepted would be reset with the listener,
+ * and their clients could not tell whether a request was read.
+ */
+int
+http_server_stop_listening(struct http_server *s)
+{
+	evutil_socket_t fd;
+
+	if (s->listener == NULL)
+		return 0;
+	while ((fd = accept(evconnlistener_get_fd(s->listener), NULL, NULL)) >=
+	       0) {
+		evutil_make_socket_nonblocking(fd);
+		on_accept(s->listener, fd, NULL, 0, s);
+	}
+	evconnlistener_free(s->listener);
+	s->listener = NULL;
+	return 1;
+}
+
+/* Whether a connection can close without losing a request or an answer. */
+static int
+is_closable(const struct http_conn *c)
+{
+	int waiting;
+
+	if (c->exchanges.length > 0 ||
+	    (!c->closing && pipeline_is_receiving(c)) ||
+	    evbuffer_get_length(bufferevent_get_output(c->bev)) > 0)
+		return 0;
+	return ioctl(bufferevent_getfd(c->bev), FIONREAD, &waiting) != 0 ||
+	       waiting == 0;
+}
+
+/* Copies the keys, as conn_free changes the table. */
+int
+http_server_close_idle(struct http_server *s)
+{
+	GList *all = g_hash_table_get_keys(s->conns), *i;
+
+	for (i = all; i != NULL; i = i->next)
+		if (is_closable(i->data))
+			conn_free(i->data, "server stops");
+	g_list_free(all);
+	return (int)g_hash_table_size(s->conns);
+}
+
 /* Closes a connection after the handler's gone was called for its requests. */
 static void
 conn_free(struct http_conn *c, const char *reason)
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -184,6 +184,18 @@
 	       p->guard.running->len == 0 && links_busy(&p->links) == 0;
 }
 
+/*
+ * The time between the two steps lets the requests arrive that are on their way
+ * on new connections.
+ */
+int
+proxy_close_callers(struct proxy *p)
+{
+	if (http_server_stop_listening(p->entry.server))
+		return 0;
+	return http_server_close_idle(p->entry.server) == 0;
+}
+
 /* Logs what has not ended although the process exits. */
 void
 proxy_log_pending(const struct proxy *p, int64_t drained_ms)
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -133,6 +133,12 @@
 void proxy_request_state(struct proxy *, const char *addr);
 /* Whether no request or answer is pending. */
 int proxy_idle(const struct proxy *);
+/*
+ * Closes the callers' connections before the process exits: first the
+ * listener, then, when called again, what is idle.  Returns whether all are
+ * closed.
+ */
+int proxy_close_callers(struct proxy *);
 /* Logs what is pending as the process exits, ms after it began to drain. */
 void proxy_log_pending(const struct proxy *, int64_t drained_ms);
 /* Id of the target beside the node by its status check, or "". */
--- a/side/teaselside.c
+++ b/side/teaselside.c
@@ -127,7 +127,8 @@
 
 	(void)fd;
 	(void)what;
-	if ((draining_ms >= DRAIN_MS && proxy_idle(s->proxy)) ||
+	if ((draining_ms >= DRAIN_MS && proxy_idle(s->proxy) &&
+		proxy_close_callers(s->proxy)) ||
 	    draining_ms >= s->settings.proxy.grace_ms - EXIT_MARGIN_MS)
 		event_base_loopbreak(s->base);
 }
--- a/test/rig_server.c
+++ b/test/rig_server.c
@@ -67,18 +67,17 @@
 		.request = on_request,
 		.gone = on_connection_closed,
 		.may_pipeline = may_pipeline };
-	char addr[ADDRESS_MAX];
 
 	memset(f, 0, sizeof(*f));
-	g_snprintf(
-	    addr, sizeof(addr), ADDR, PORT_BASE + (int)(getpid() % PORT_SPAN));
+	g_snprintf(f->addr, sizeof(f->addr), ADDR,
+	    PORT_BASE + (int)(getpid() % PORT_SPAN));
 	f->base = event_base_new();
 	f->limits = (struct http_limits){ 4096, 1048576, 300, 5000, 0 };
-	f->server = http_server_new(f->base, addr, &f->limits, &calls);
+	f->server = http_server_new(f->base, f->addr, &f->limits, &calls);
 	if (f->server == NULL)
 		g_error("the server cannot listen");
 	f->received = g_string_new(NULL);
-	f->client = http_connect(f->base, addr);
+	f->client = http_connect(f->base, f->addr);
 	bufferevent_setcb(f->client, on_client_read, NULL, on_client_event, f);
 	bufferevent_enable(f->client, EV_READ | EV_WRITE);
 	rig_loop(f->base, 10);
--- a/test/rig_server.h
+++ b/test/rig_server.h
@@ -15,6 +15,7 @@
 	struct event_base *base;
 	struct http_server *server;
 	struct http_limits limits;
+	char addr[ADDRESS_MAX];
 	struct bufferevent *client;
 	GString *received; /* bytes that the client received */
 	int closed;	   /* the client saw the connection end */
--- a/test/test_pipeline.c
+++ b/test/test_pipeline.c
@@ -1,5 +1,6 @@
 /* HTTP pipelining: the order of answers, limits, and closing connections. */
 #include <string.h>
+#include <unistd.h>
 
 #include "rig_server.h"
 #include "test.h"
@@ -201,6 +202,58 @@
 	rig_server_stop(&f);
 }
 
+/* Sends a request while the server's event loop does not run. */
+static void
+send_unseen(int fd, const char *path)
+{
+	char *text =
+	    g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path);
+
+	CU_ASSERT(send(fd, text, strlen(text), 0) == (ssize_t)strlen(text));
+	g_free(text);
+}
+
+/*
+ * Guards against requests that arrive while a process decides to exit, and are
+ * met by the close: on a kept connection, and on one that is not accepted yet.
+ */
+static void
+closing_answers_requests_that_wait(void)
+{
+	struct rig_server f;
+	struct sockaddr_in sin;
+	char got[256] = "";
+	int fd;
+
+	rig_server_start(&f);
+	rig_server_send(&f, "/a");
+	rig_server_answer(&f, 0);
+	rig_server_check(&f, "200 /a,");
+	http_server_drain(f.server);
+	CU_ASSERT_EQUAL(address_resolve(f.addr, &sin), BASE_OK);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	send_unseen(fd, "/b");
+	send_unseen((int)bufferevent_getfd(f.client), "/c");
+	CU_ASSERT_EQUAL(http_server_stop_listening(f.server), 1);
+	CU_ASSERT_EQUAL(http_server_stop_listening(f.server), 0);
+	CU_ASSERT_EQUAL(http_server_close_idle(f.server), 2);
+	rig_loop(f.base, 20);
+	CU_ASSERT_EQUAL(f.nrequests, 3);
+	rig_server_answer(&f, 1);
+	rig_server_answer(&f, 2);
+	rig_server_check(&f, "200 /a,200 /c,");
+	CU_ASSERT(recv(fd, got, sizeof(got) - 1, MSG_DONTWAIT) > 0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(got, "200 OK"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(got, "/b"));
+	CU_ASSERT_EQUAL(http_server_close_idle(f.server), 0);
+	close(fd);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), -1);
+	close(fd);
+	rig_server_stop(&f);
+}
+
 /* A connection has at most 8 unanswered requests; more start after them. */
 static void
 started_requests_are_limited(void)
@@ -384,6 +437,8 @@
 	    draining_answers_received_requests },
 	{ "nothing is read after an announced close",
 	    nothing_is_read_after_an_announced_close },
+	{ "closing answers requests that wait",
+	    closing_answers_requests_that_wait },
 	{ "started requests are limited", started_requests_are_limited },
 	{ "unread answers stop new requests",
 	    unread_answers_stop_new_requests },
