HTTP/1.0 requests on one connection run one after another

What callers saw: of two HTTP/1.0 requests sent at once on a kept connection the second was passed to a target and then cancelled, if the answer to the first was streamed without a length: to HTTP/1.0 that ends with the connection.

Cause: the second was started before it was known how the first answer ends.

Evidence: http10_requests_are_not_pipelined failed before (2 requests started, 1 aborted).

Change: nothing is read after an HTTP/1.0 request until it is answered.

--- a/http/pipeline.c
+++ b/http/pipeline.c
@@ -35,7 +35,7 @@
 
 /*
  * At most one request is queued, and none is read after a request whose answer
- * closes the connection, or has announced that it will.
+ * closes the connection, has announced that it will or, in HTTP/1.0, may.
  */
 int
 pipeline_has_room(const struct http_conn *c)
@@ -46,11 +46,11 @@
 	if (c->closing ||
 	    evbuffer_get_length(bufferevent_get_output(c->bev)) > OUTPUT_MAX)
 		return 0;
-	return last == NULL ||
-	       (last->keep_alive && (!last->started || last->keep) &&
-		   last->state != EXCHANGE_QUEUED &&
-		   c->exchanges.length < PIPELINE_MAX &&
-		   c->bytes < PIPELINE_BODY_MAX);
+	return last == NULL || (last->keep_alive && !last->http10 &&
+				   (!last->started || last->keep) &&
+				   last->state != EXCHANGE_QUEUED &&
+				   c->exchanges.length < PIPELINE_MAX &&
+				   c->bytes < PIPELINE_BODY_MAX);
 }
 
 /* Whether a part of a request was received, or a whole one that is not read. */
--- a/test/test_pipeline.c
+++ b/test/test_pipeline.c
@@ -83,6 +83,34 @@
 	rig_server_stop(&f);
 }
 
+/*
+ * Guards against a request that is started and then cancelled as the answer
+ * before it ends with the connection: to HTTP/1.0 a stream has no other end.
+ */
+static void
+http10_requests_are_not_pipelined(void)
+{
+	static const char request[] =
+	    "GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n";
+	struct rig_server f;
+	struct http_message *m;
+
+	rig_server_start(&f);
+	evbuffer_add_printf(
+	    bufferevent_get_output(f.client), "%s%s", request, request);
+	rig_loop(f.base, 20);
+	CU_ASSERT_EQUAL(f.nrequests, 1);
+	m = http_message_new();
+	m->status = 200;
+	http_reply_begin(f.exchanges[0], m);
+	http_message_free(m);
+	http_reply_piece(f.exchanges[0], "/a", 2);
+	http_reply_end(f.exchanges[0], 1);
+	rig_loop(f.base, 20);
+	CU_ASSERT(f.closed && f.nrequests == 1 && f.naborted == 0);
+	rig_server_stop(&f);
+}
+
 /*
  * A malformed request is answered after the earlier ones, and its answer
  * closes the connection.
@@ -429,6 +457,8 @@
 	{ "once waits for earlier answers", once_waits_for_earlier_answers },
 	{ "nothing is read after connection close",
 	    nothing_is_read_after_connection_close },
+	{ "http10 requests are not pipelined",
+	    http10_requests_are_not_pipelined },
 	{ "an error answer follows earlier answers",
 	    an_error_answer_follows_earlier_answers },
 	{ "a closed connection cancels its requests",
