--- a/test/test_pipeline.c
+++ b/test/test_pipeline.c
@@ -1,5 +1,6 @@
 /* HTTP pipelining: the order of answers, limits, and closing connections. */
 #include <string.h>
+#include <unistd.h>
 
 #include "rig_server.h"
 #include "test.h"
@@ -82,6 +83,34 @@
 	rig_server_stop(&f);
 }
 
+/*
+ * Guards against a request that is started and then cancelled as the answer
+ * before it ends with the connection: to HTTP/1.0 a stream has no other end.
+ */
+static void
+http10_requests_are_not_pipelined(void)
+{
+	static const char request[] =
+	    "GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n";
+	struct rig_server f;
+	struct http_message *m;
+
+	rig_server_start(&f);
+	evbuffer_add_printf(
+	    bufferevent_get_output(f.client), "%s%s", request, request);
+	rig_loop(f.base, 20);
+	CU_ASSERT_EQUAL(f.nrequests, 1);
+	m = http_message_new();
+	m->status = 200;
+	http_reply_begin(f.exchanges[0], m);
+	http_message_free(m);
+	http_reply_piece(f.exchanges[0], "/a", 2);
+	http_reply_end(f.exchanges[0], 1);
+	rig_loop(f.base, 20);
+	CU_ASSERT(f.closed && f.nrequests == 1 && f.naborted == 0);
+	rig_server_stop(&f);
+}
+
 /*
  * A malformed request is answered after the earlier ones, and its answer
  * closes the connection.
@@ -201,6 +230,58 @@
 	rig_server_stop(&f);
 }
 
+/* Sends a request while the server's event loop does not run. */
+static void
+send_unseen(int fd, const char *path)
+{
+	char *text =
+	    g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path);
+
+	CU_ASSERT(send(fd, text, strlen(text), 0) == (ssize_t)strlen(text));
+	g_free(text);
+}
+
+/*
+ * Guards against requests that arrive while a process decides to exit, and are
+ * met by the close: on a kept connection, and on one that is not accepted yet.
+ */
+static void
+closing_answers_requests_that_wait(void)
+{
+	struct rig_server f;
+	struct sockaddr_in sin;
+	char got[256] = "";
+	int fd;
+
+	rig_server_start(&f);
+	rig_server_send(&f, "/a");
+	rig_server_answer(&f, 0);
+	rig_server_check(&f, "200 /a,");
+	http_server_drain(f.server);
+	CU_ASSERT_EQUAL(address_resolve(f.addr, &sin), BASE_OK);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	send_unseen(fd, "/b");
+	send_unseen((int)bufferevent_getfd(f.client), "/c");
+	CU_ASSERT_EQUAL(http_server_stop_listening(f.server), 1);
+	CU_ASSERT_EQUAL(http_server_stop_listening(f.server), 0);
+	CU_ASSERT_EQUAL(http_server_close_idle(f.server), 2);
+	rig_loop(f.base, 20);
+	CU_ASSERT_EQUAL(f.nrequests, 3);
+	rig_server_answer(&f, 1);
+	rig_server_answer(&f, 2);
+	rig_server_check(&f, "200 /a,200 /c,");
+	CU_ASSERT(recv(fd, got, sizeof(got) - 1, MSG_DONTWAIT) > 0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(got, "200 OK"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(got, "/b"));
+	CU_ASSERT_EQUAL(http_server_close_idle(f.server), 0);
+	close(fd);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), -1);
+	close(fd);
+	rig_server_stop(&f);
+}
+
 /* A connection has at most 8 unanswered requests; more start after them. */
 static void
 started_requests_are_limited(void)
@@ -378,6 +459,8 @@
 	{ "once waits for earlier answers", once_waits_for_earlier_answers },
 	{ "nothing is read after connection close",
 	    nothing_is_read_after_connection_close },
+	{ "http10 requests are not pipelined",
+	    http10_requests_are_not_pipelined },
 	{ "an error answer follows earlier answers",
 	    an_error_answer_follows_earlier_answers },
 	{ "a closed connection cancels its requests",
@@ -386,6 +469,8 @@
 	    draining_answers_received_requests },
 	{ "nothing is read after an announced close",
 	    nothing_is_read_after_an_announced_close },
+	{ "closing answers requests that wait",
+	    closing_answers_requests_that_wait },
 	{ "started requests are limited", started_requests_are_limited },
 	{ "unread answers stop new requests",
 	    unread_answers_stop_new_requests },
