Soak: the store comes back from a copy, and nodes are asked for their version

The soak could not show what nodes do when the store comes back from a copy: its store lost nothing, and versions were only looked at once, after all faults.

Targets register again within two seconds, entries of targets that are gone lapse again, and the operator writes again what was lost, the configuration with its own version. The draws of restores are their own, so the sequences of faults of all seeds stay as they were.

Every node is probed on routes that exist from one version on. A node that had a version must not lose it before its process restarts, and a confirmed version must be in force 2 s after it was confirmed (5 s more while the store is disturbed) at a node that has been undisturbed for 3 s. After the faults, a version is lost, written again, and followed at once by the next one, whose revision had been given out before.

--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 STANDIN_OBJ = $(STANDIN:%.c=$(OBJ)/%.o)
 
 SOAK = soak/target.c soak/fleet.c soak/callers.c soak/checker.c soak/link_proxy.c \
-	soak/faults.c soak/teaselsoak.c
+	soak/faults.c soak/operator.c soak/probe.c soak/restore.c soak/teaselsoak.c
 SOAK_OBJ = $(SOAK:%.c=$(OBJ)/%.o)
 
 PROGS = $(BIN)/teaselnode $(BIN)/teaselside $(BIN)/teaselctl $(BIN)/teaselplatform $(BIN)/teaseltarget \
--- a/soak/checker.c
+++ b/soak/checker.c
@@ -65,7 +65,7 @@
 	fflush(stdout);
 }
 
-/* Whether faults_put_config defines its route without retries. */
+/* Whether operator_put_config defines its route without retries. */
 static int
 is_at_most_once(const struct attempt *a)
 {
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -167,6 +167,7 @@
 do_compact(struct soak *s, struct soak_node *n)
 {
 	(void)n;
+	s->store_calm_at = base_now_ms();
 	store_compact(s->store);
 }
 
@@ -234,20 +235,14 @@
 do_configure(struct soak *s, struct soak_node *n)
 {
 	(void)n;
-	faults_put_config(s, soak_random_below(s, SERVICES));
+	operator_put_config(s, soak_random_below(s, SERVICES));
 }
 
 /* Takes a data centre out, or in again, as operators do. */
 static void
 do_dc_in_or_out(struct soak *s, struct soak_node *n)
 {
-	char *key = g_strdup_printf("op/evacuate/%s", n->dc);
-
-	if (soak_random_below(s, 2))
-		store_put(s->store, key, "{}");
-	else
-		store_remove(s->store, key);
-	g_free(key);
+	operator_set_out(s, n->dc, soak_random_below(s, 2));
 }
 
 /* Divides the callers' pauses by five, or makes them normal again. */
@@ -258,22 +253,6 @@
 	callers_set_pause(s, soak_random_below(s, 2) ? PAUSE_MS / 5 : PAUSE_MS);
 }
 
-/* Versions increase by up to three, as nodes need not see every version. */
-void
-faults_put_config(struct soak *s, int read_service)
-{
-	const struct store_route routes[ROUTES] = {
-		{ "/read/", soak_services[read_service], NULL, 1 },
-		{ "/write/", soak_services[BETA], NULL, 0 },
-		{ "/split/", soak_services[ALPHA], soak_services[BETA], 1 },
-	};
-
-	s->read_service = read_service;
-	s->config_version += 1 + soak_random_below(s, 3);
-	store_put_routes(
-	    s->store, s->config_version, soak_services, routes, ROUTES);
-}
-
 /*
  * Sets the callers' normal pause before the event loop runs; faults start when
  * next_event is set.
@@ -328,13 +307,8 @@
 		for (k = 0; k < TARGET_FAULTS; k++)
 			soak_target_set_fault(
 			    s->nodes[i].target, (enum target_fault)k, now);
-		if (i < 3) {
-			char *key =
-			    g_strdup_printf("op/evacuate/%s", s->nodes[i].dc);
-
-			store_remove(s->store, key);
-			g_free(key);
-		}
+		if (i < SOAK_DCS)
+			operator_set_out(s, s->nodes[i].dc, 0);
 	}
 	/*
 	 * Targets that changed their service may all have the same one by now;
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -68,6 +68,8 @@
 		    "soak: cannot start %s: %s", s->program, g_strerror(err));
 	n->stopping = 0;
 	n->kill_at = n->resume_at = 0;
+	n->starts++;
+	n->calm_at = base_now_ms();
 }
 
 /* Does nothing if the process is down. */
@@ -122,6 +124,28 @@
 	return n->pid == 0 || n->disturbed_at >= since;
 }
 
+/* A process that stops, is down or is stopped by a signal is disturbed. */
+int64_t
+node_calm_at(const struct soak_node *n, int64_t now)
+{
+	if (n->pid == 0 || n->stopping || n->resume_at != 0 ||
+	    n->heal_links_at != 0 || n->heal_store_at != 0)
+		return now;
+	return n->calm_at;
+}
+
+/* A fault of any node's address counts. */
+int64_t
+node_store_calm_at(const struct soak *s, int64_t now)
+{
+	int i;
+
+	for (i = 0; i < s->nnodes; i++)
+		if (s->nodes[i].heal_store_at != 0)
+			return now;
+	return s->store_calm_at;
+}
+
 /*
  * Schedules the restart of a process that has exited.  An exit that was not
  * requested, a fatal signal and a status other than 0 are reported.
@@ -170,14 +194,17 @@
 		}
 		if (n->resume_at != 0 && now >= n->resume_at) {
 			n->resume_at = 0;
+			n->calm_at = now;
 			node_signal(s, n, SIGCONT);
 		}
 		if (n->heal_links_at != 0 && now >= n->heal_links_at) {
 			n->heal_links_at = 0;
+			n->calm_at = now;
 			link_proxy_set_fault(n->link_proxy, LINK_PASS);
 		}
 		if (n->heal_store_at != 0 && now >= n->heal_store_at) {
 			n->heal_store_at = 0;
+			n->calm_at = s->store_calm_at = now;
 			store_set_address_fault(
 			    s->store, n->store_address, STORE_NO_FAULT);
 		}
@@ -188,7 +215,6 @@
 int
 fleet_start(struct soak *s)
 {
-	static const char *const dcs[] = { "north", "south", "east" };
 	struct soak_node *n;
 	char addr[ADDRESS_MAX], link_addr[ADDRESS_MAX];
 	int i;
@@ -198,7 +224,7 @@
 		n->i = i;
 		g_snprintf(
 		    n->host, sizeof(n->host), "127.%d.2.%d", s->net, i + 1);
-		g_strlcpy(n->dc, dcs[i % G_N_ELEMENTS(dcs)], sizeof(n->dc));
+		g_strlcpy(n->dc, soak_dcs[i % SOAK_DCS], sizeof(n->dc));
 		g_snprintf(
 		    n->config, sizeof(n->config), "%s/node%d.json", s->dir, i);
 		g_snprintf(n->log, sizeof(n->log), "%s/node%d.log", s->dir, i);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -20,6 +20,10 @@
 #define SOAK_NODES_MAX 48
 #define SOAK_ID_MAX    24  /* bytes of a request id, with its NUL */
 #define SOAK_PATH_MAX  128 /* bytes of a request path, with its NUL */
+#define SOAK_DCS       3
+#define SOAK_VERSIONS  64 /* newest versions that are remembered */
+/* Newest versions that a configuration has a route for. */
+#define SOAK_MARKED_MAX 16
 
 /* Services, and the routes that lead to them. */
 enum {
@@ -34,6 +38,7 @@
 	ROUTES
 };
 extern const char *const soak_services[]; /* names by index, NULL at the end */
+extern const char *const soak_dcs[SOAK_DCS];
 
 struct soak;
 struct soak_target;
@@ -80,6 +85,7 @@
 	struct crasher crasher;
 	int crash_count; /* targets crashed by all crasher requests */
 	int violations;
+	int probes; /* answers that showed a node's configuration */
 	int counts[COUNT_KINDS];
 };
 
@@ -147,6 +153,8 @@
  * reports were lost.  It reports again after ms.
  */
 void soak_target_expire(struct soak_target *, int ms);
+/* It reports again within ms, whatever its state. */
+void soak_target_report_in(struct soak_target *, int ms);
 int soak_target_service(const struct soak_target *);
 /* Service of the target from its next start on. */
 int soak_target_next_service(const struct soak_target *);
@@ -195,6 +203,8 @@
 	int64_t start_at;     /* start time while it does not run */
 	int64_t kill_at;      /* SIGKILL if still stopping then, or 0 */
 	int64_t resume_at;    /* SIGCONT of a stopped process, or 0 */
+	int64_t calm_at;      /* the end of its last disturbance */
+	int starts;	      /* of its process */
 	int stopping;	      /* SIGTERM or SIGKILL was sent */
 	int services;	      /* bits: services its target has had */
 	int store_address;    /* index of its address of the store */
@@ -224,17 +234,82 @@
 void node_freeze(struct soak *, struct soak_node *, int ms);
 /* Whether the process is down, or was killed or exited since a time. */
 int node_disturbed_since(const struct soak_node *, int64_t since);
+/*
+ * The end of the last disturbance of a node's process, links or address of the
+ * store, or of the store by any address; now while one lasts.
+ */
+int64_t node_calm_at(const struct soak_node *, int64_t now);
+int64_t node_store_calm_at(const struct soak *, int64_t now);
 
-/* ---- the schedule of faults ---- */
+/* ---- the operator ---- */
+
+/* A version, and when it was confirmed; G_MAXINT64: the store has lost it. */
+struct soak_version {
+	int version;
+	int64_t acked_at;
+};
+
+/* What the operator has written, as far as the store has it. */
+struct operator_written {
+	int version;
+	int out[SOAK_DCS];
+};
+
+struct operator_state {
+	struct operator_written now, saved; /* saved: in the store's copy */
+	int wanted_out[SOAK_DCS];
+	struct soak_version versions[SOAK_VERSIONS]; /* the newest last */
+	int nversions;
+};
 
-void faults_begin(struct soak *);
-/* Injects the faults that are due. */
-void faults_tick(struct soak *, int64_t now);
 /*
  * Publishes the next configuration; the read route leads to the given
  * service.
  */
-void faults_put_config(struct soak *, int read_service);
+void operator_put_config(struct soak *, int read_service);
+/* Takes a data centre out, or in again. */
+void operator_set_out(struct soak *, const char *dc, int out);
+/* The store has kept a copy, or has come back from it. */
+void operator_saved(struct soak *);
+void operator_restored(struct soak *);
+/* Writes again what the store has lost. */
+void operator_write_again(struct soak *);
+
+/* ---- restores of the store ---- */
+
+struct restore {
+	GRand *rand;
+	int every_ms; /* mean time between two; 0: none */
+	/* Times of the next steps, or 0. */
+	int64_t save_at, down_at, back_at, operator_at, lapse_at;
+	int has_copy;
+	int change;	 /* a change follows once the operator wrote again */
+	GPtrArray *gone; /* ids of targets removed since the copy */
+};
+
+void restore_init(struct soak *, int seed, int every_ms);
+void restore_destroy(struct soak *);
+void restore_begin(struct soak *);
+void restore_end(struct soak *);
+void restore_tick(struct soak *, int64_t now);
+void restore_target_gone(struct soak *, const char *id);
+/*
+ * Loses a version that was confirmed lost_ms before, and writes it again; run
+ * runs the event loop.
+ */
+void restore_lose_version(
+    struct soak *, int lost_ms, void (*run)(struct soak *, int));
+
+/* ---- probes of the configuration of each node ---- */
+
+void probes_start(struct soak *);
+void probes_stop(struct soak *);
+
+/* ---- the schedule of faults ---- */
+
+void faults_begin(struct soak *);
+/* Injects the faults that are due. */
+void faults_tick(struct soak *, int64_t now);
 /* Ends every fault. */
 void faults_heal(struct soak *);
 
@@ -252,7 +327,10 @@
 	int read_service;	 /* that the read route leads to */
 	int read_runs[SERVICES]; /* of the read route, since the last check */
 	int closing;		 /* callers send no more requests */
-	GPtrArray *callers;
+	int64_t store_calm_at;	 /* its history was last dropped or lost */
+	struct operator_state operator;
+	struct restore restore;
+	GPtrArray *callers, *probes;
 	int pause_ms;
 };
 
--- a/soak/target.c
+++ b/soak/target.c
@@ -34,6 +34,7 @@
 	/* The next start while down; the end of a drain, or 0. */
 	int64_t start_at, cold_until, report_at, drain_end_at, no_report_until;
 	int next_service; /* from its next start on */
+	int64_t again_at; /* reports again, also while it drains; or 0 */
 	int restart_ms;	  /* downtime after a drain */
 	int64_t born_wall_ms;
 	struct event *timer;
@@ -309,6 +310,7 @@
 	if (t->drain_end_at != 0 && now >= t->drain_end_at) {
 		target_stop(t);
 		store_remove_target(t->soak->store, t->id);
+		restore_target_gone(t->soak, t->id);
 		t->drain_end_at = 0;
 		t->start_at = now + t->restart_ms;
 	}
@@ -317,6 +319,12 @@
 	else if (t->listener != NULL && t->drain_end_at == 0 &&
 		 now >= t->report_at)
 		report_state(t, "ready");
+	if (t->again_at != 0 && now >= t->again_at) {
+		t->again_at = 0;
+		if (t->listener != NULL)
+			report_state(
+			    t, t->drain_end_at != 0 ? "draining" : "ready");
+	}
 	http_timer_set(t->timer, TICK_MS);
 }
 
@@ -364,8 +372,10 @@
 	if (t->listener == NULL)
 		return;
 	target_stop(t);
-	if (new_id)
+	if (new_id) {
 		store_remove_target(t->soak->store, t->id);
+		restore_target_gone(t->soak, t->id);
+	}
 	t->new_id = new_id;
 	t->start_at = base_now_ms() + ms;
 }
@@ -401,6 +411,13 @@
 	store_remove_target(t->soak->store, t->id);
 }
 
+/* Does nothing while the target is down. */
+void
+soak_target_report_in(struct soak_target *t, int ms)
+{
+	t->again_at = base_now_ms() + 1 + ms;
+}
+
 /* Index in soak_services. */
 int
 soak_target_service(const struct soak_target *t)
--- a/soak/teaselsoak.c
+++ b/soak/teaselsoak.c
@@ -14,9 +14,11 @@
 #define START_S	      30 /* until every node serves, at most */
 #define RECOVER_S     60 /* limit of each wait for a condition */
 #define CHECK_MS      1000
+#define LOST_MS	      1000
 #define FINAL_WAIT_MS 2500 /* above REMAINING_MS: every request has ended */
 
 static int seed = 1, seconds = 20, nnodes = 9, event_every_ms = 250, net = 77;
+static int restore_every_ms;
 static char *program, *dir;
 
 static void on_tick(evutil_socket_t, short, void *);
@@ -39,6 +41,8 @@
 	{ "net", 0, 0, G_OPTION_ARG_INT, &net, "Addresses are 127.N.x.y", "N" },
 	{ "every", 'e', 0, G_OPTION_ARG_INT, &event_every_ms,
 	    "Mean time between two faults", "MS" },
+	{ "restores", 'r', 0, G_OPTION_ARG_INT, &restore_every_ms,
+	    "Mean time between two restores of the store; 0: none", "MS" },
 	{ "program", 'p', 0, G_OPTION_ARG_FILENAME, &program,
 	    "The program to run", "FILE" },
 	{ "dir", 'd', 0, G_OPTION_ARG_FILENAME, &dir,
@@ -65,6 +69,7 @@
 	(void)fd;
 	(void)what;
 	fleet_tick(s, now);
+	restore_tick(s, now);
 	if (s->next_event != 0)
 		faults_tick(s, now);
 }
@@ -155,12 +160,12 @@
 static void
 check_healed(struct soak *s)
 {
-	char *key = g_strdup_printf("op/evacuate/%s", s->nodes[0].dc);
-
 	wait_until(s, "every node serves", all_nodes_served);
-	faults_put_config(s, 1 - s->read_service);
+	if (s->restore.every_ms != 0)
+		restore_lose_version(s, LOST_MS, run_loop_for);
+	operator_put_config(s, 1 - s->read_service);
 	wait_until(s, "the read route leads to the other service", reads_moved);
-	store_put(s->store, key, "{}");
+	operator_set_out(s, s->nodes[0].dc, 1);
 	if (wait_until(s, "no requests run in the data centre that is out",
 		none_ran_in_first_dc)) {
 		run_loop_for(s, CHECK_MS);
@@ -168,9 +173,8 @@
 			checker_violation(s, "EVAC",
 			    "requests run in a data centre that is out");
 	}
-	store_remove(s->store, key);
+	operator_set_out(s, s->nodes[0].dc, 0);
 	wait_until(s, "every node serves again", all_nodes_served);
-	g_free(key);
 }
 
 /* Runs the test; returns the number of violations. */
@@ -186,11 +190,14 @@
 	event_add(term, NULL);
 	event_add(intr, NULL);
 	callers_start(s);
+	probes_start(s);
 	faults_begin(s);
 	if (wait_until(s, "the fleet has started", all_nodes_served)) {
 		s->next_event = base_now_ms();
+		restore_begin(s);
 		run_loop_for(s, seconds * BASE_MS_PER_S);
 		s->next_event = 0;
+		restore_end(s);
 		faults_heal(s);
 		check_healed(s);
 	}
@@ -201,6 +208,7 @@
 	event_free(term);
 	event_free(intr);
 	callers_stop(s);
+	probes_stop(s);
 	return s->checker.violations;
 }
 
@@ -238,23 +246,25 @@
 	s.dir = dir;
 	s.event_every_ms = event_every_ms;
 	checker_init(&s.checker);
+	restore_init(&s, seed, restore_every_ms);
 	if (fleet_start(&s) != 0) {
 		fprintf(stderr, "teaselsoak: cannot bind address\n");
 		return EXIT_USAGE;
 	}
-	faults_put_config(&s, ALPHA);
+	operator_put_config(&s, ALPHA);
 	violations = run(&s);
 	fleet_stop(&s);
 	printf("{\"seed\": %d, \"faults\": %d, \"sent\": %d, \"served\": %d, "
 	       "\"refused\": %d, \"failed\": %d, \"cut\": %d, "
-	       "\"crashers_ended\": %d, "
+	       "\"crashers_ended\": %d, \"probes\": %d, "
 	       "\"broken\": %d}\n",
 	    seed, s.events, s.checker.counts[COUNT_SENT],
 	    s.checker.counts[COUNT_SERVED], s.checker.counts[COUNT_REFUSED],
 	    s.checker.counts[COUNT_FAILED],
 	    s.checker.counts[COUNT_DISCONNECTED], s.checker.crash_count,
-	    violations);
+	    s.checker.probes, violations);
 	checker_destroy(&s.checker);
+	restore_destroy(&s);
 	event_base_free(s.base);
 	g_rand_free(s.rand);
 	return violations > 0;
--- a/tools/soak-side.sh
+++ b/tools/soak-side.sh
@@ -1,12 +1,14 @@
 #!/usr/bin/env bash
 # Runs the fault soak of teaselside: soak-side.sh [FROM [TO [SECONDS]]].  Runs
 # the seeds that failed before (soak/seeds), then those from FROM to TO, by
-# default none.  The output and logs of failed runs are kept in soak/found/.
+# default none.  RESTORES=MS lets the store come back from a copy in all runs.
+# The output and logs of failed runs are kept in soak/found/.
 set -u
 cd "$(dirname "$0")/.."
 bin=${BIN:-bin}
 from=${1:-1} to=${2:-0} seconds=${3:-15}
 jobs=${JOBS:-2}
+restores=${RESTORES:-0}
 failed=0
 
 # One run; NET selects its addresses: run SEED NODES EVERY NET.
@@ -14,7 +16,7 @@
 	local dir out
 	dir=$(mktemp -d)
 	"$bin/teaselsoak" --seed "$1" --nodes "$2" --every "$3" --net "$4" \
-	    --seconds "$seconds" --program "$bin/teaselside" --dir "$dir" \
+	    --restores "$restores" --seconds "$seconds" --program "$bin/teaselside" --dir "$dir" \
 	    > "$dir/soak.log" 2>&1
 	out=$?
 	if [[ $out == 0 ]]; then
@@ -22,7 +24,7 @@
 		rm -rf "$dir"
 		return 0
 	fi
-	echo "FAILED: soak --seed $1 --nodes $2 --every $3 --seconds $seconds"
+	echo "FAILED: soak --seed $1 --nodes $2 --every $3 --restores $restores --seconds $seconds"
 	grep '^broken' "$dir/soak.log" | head -n 10
 	tail -n 1 "$dir/soak.log"
 	mkdir -p soak/found
