--- a/soak/restore.c
+++ b/soak/restore.c
@@ -175,17 +175,20 @@
 }
 
 /*
- * The store loses a version that the nodes have, has it again, and is given the
- * next version at once, with a revision that it gave out before.
+ * The store loses a version, and that a data centre was out for a moment, and
+ * has again what the operator wants.  What is written next has revisions that
+ * the store gave out before.
  */
 void
-restore_lose_version(
+restore_lose_changes(
     struct soak *s, int lost_ms, void (*run)(struct soak *, int))
 {
 	store_save(s->store);
 	operator_saved(s);
 	run(s, lost_ms);
-	operator_put_config(s, 1 - s->read_service);
+	operator_put_config(s, s->read_service);
+	operator_set_out(s, s->nodes[0].dc, 1);
+	operator_set_out(s, s->nodes[0].dc, 0);
 	run(s, lost_ms);
 	come_back(s, base_now_ms());
 	s->restore.save_at = s->restore.down_at = 0;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -294,10 +294,10 @@
 void restore_tick(struct soak *, int64_t now);
 void restore_target_gone(struct soak *, const char *id);
 /*
- * Loses a version that was confirmed lost_ms before, and writes it again; run
- * runs the event loop.
+ * Loses changes of the operator that were confirmed lost_ms before; run runs
+ * the event loop.
  */
-void restore_lose_version(
+void restore_lose_changes(
     struct soak *, int lost_ms, void (*run)(struct soak *, int));
 
 /* ---- probes of the configuration of each node ---- */
--- a/soak/teaselsoak.c
+++ b/soak/teaselsoak.c
@@ -162,9 +162,11 @@
 {
 	wait_until(s, "every node serves", all_nodes_served);
 	if (s->restore.every_ms != 0)
-		restore_lose_version(s, LOST_MS, run_loop_for);
+		restore_lose_changes(s, LOST_MS, run_loop_for);
 	operator_put_config(s, 1 - s->read_service);
 	wait_until(s, "the read route leads to the other service", reads_moved);
+	if (s->restore.every_ms != 0)
+		restore_lose_changes(s, LOST_MS, run_loop_for);
 	operator_set_out(s, s->nodes[0].dc, 1);
 	if (wait_until(s, "no requests run in the data centre that is out",
 		none_ran_in_first_dc)) {
