--- a/Makefile
+++ b/Makefile
@@ -43,11 +43,12 @@
 	replay/walk_steps.c
 REPLAY_OBJ = $(REPLAY:%.c=$(OBJ)/%.o)
 
-STANDIN = standin/fault.c standin/http.c standin/ledger.c standin/store.c standin/store_put.c
+STANDIN = standin/fault.c standin/http.c standin/ledger.c standin/store.c standin/store_data.c \
+	standin/store_era.c standin/store_put.c
 STANDIN_OBJ = $(STANDIN:%.c=$(OBJ)/%.o)
 
 SOAK = soak/target.c soak/fleet.c soak/callers.c soak/checker.c soak/link_proxy.c \
-	soak/faults.c soak/teaselsoak.c
+	soak/faults.c soak/operator.c soak/probe.c soak/restore.c soak/teaselsoak.c
 SOAK_OBJ = $(SOAK:%.c=$(OBJ)/%.o)
 
 PROGS = $(BIN)/teaselnode $(BIN)/teaselside $(BIN)/teaselctl $(BIN)/teaselplatform $(BIN)/teaseltarget \
