--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -109,7 +109,7 @@
 int state_unpack(const char *, size_t, struct platform_page *);
 
 /*
- * held.c: the state that this node sends to others.  The functions with a
+ * publish.c: the state that this node sends to others.  The functions with a
  * void pointer are callbacks of struct proxy_state_calls, with the follower as
  * argument.
  */
