Log items that are read and not taken, and the era of the store

After the store came back from a copy, a version that was read was dropped without a line. item-older names an item that differs from the held one and is not taken, with both revisions; config-older a version that is not above the one in force; store-era a change of the header Store-Era.

No behaviour changes.

--- a/side/follow.c
+++ b/side/follow.c
@@ -20,8 +20,6 @@
 static const char *first_problem(const struct report *, int);
 static int apply_config(struct follow *, const struct platform_item *);
 static int apply_target(struct follow *, const struct platform_item *);
-static int is_newer(const struct follow *, const struct platform_item *);
-static int hold_item(struct follow *, const struct platform_item *);
 static void apply_page(struct follow *, const struct platform_page *, int);
 static int is_own_removal(struct follow *, const struct platform_item *);
 static void
@@ -103,31 +101,6 @@
 
 /* ---- applying items ---- */
 
-/* Whether an item is newer than the one held under its key, if any. */
-static int
-is_newer(const struct follow *f, const struct platform_item *it)
-{
-	const struct platform_item *old;
-	char *key = platform_item_key(it);
-
-	old = g_hash_table_lookup(f->held, key);
-	g_free(key);
-	return old == NULL || old->revision < it->revision;
-}
-
-/* Holds an item as it was read; 0 if the held one is as new. */
-static int
-hold_item(struct follow *f, const struct platform_item *it)
-{
-	if (!is_newer(f, it))
-		return 0;
-	f->held_revision = MAX(f->held_revision, it->revision);
-	/* Removals too, or an older entry sent by a node would undo them. */
-	g_hash_table_replace(
-	    f->held, platform_item_key(it), platform_item_copy(it));
-	return 1;
-}
-
 /* Message of a report's first error, or first warning; "-" if none. */
 static const char *
 first_problem(const struct report *rep, int warning)
@@ -160,6 +133,11 @@
 	} else {
 		version = c->version;
 		accepted = view_set_config(f->view, c) == VIEW_OK;
+		if (!accepted)
+			base_log(G_LOG_LEVEL_MESSAGE, "config-older",
+			    "version=%" G_GUINT64_FORMAT
+			    " revision=%" G_GUINT64_FORMAT,
+			    version, it->revision);
 	}
 	if (accepted) {
 		counter_add(CTR_APPLIED, 1);
@@ -212,7 +190,7 @@
 static int
 apply_item(struct follow *f, const struct platform_item *it)
 {
-	if (it->kind == PLATFORM_OTHER || !hold_item(f, it))
+	if (it->kind == PLATFORM_OTHER || !follow_hold(f, it))
 		return 0;
 	switch (it->kind) {
 	case PLATFORM_CONFIG:
@@ -256,7 +234,7 @@
 			 * Published, but not applied until the store confirms
 			 * it, which it never does if this node is cut off.
 			 */
-			if (is_newer(f, it))
+			if (follow_is_newer(f, it))
 				g_ptr_array_add(changed, it);
 			f->verify_until = base_now_ms() + VERIFY_MS;
 		} else if (apply_item(f, it)) {
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -1,7 +1,8 @@
 /*
- * Shared by the parts of the follower: applying what was read (follow.c),
- * choosing the publisher of this node (feed.c), and finding another source when
- * the store does not answer a publisher (relay.c).
+ * Shared by the parts of the follower: applying what was read (follow.c), the
+ * items that are held (held.c), choosing the publisher of this node (feed.c),
+ * and finding another source when the store does not answer a publisher
+ * (relay.c).
  */
 #ifndef FOLLOW_INT_H
 #define FOLLOW_INT_H
@@ -103,6 +104,12 @@
  */
 int state_unpack(const char *, size_t, struct platform_page *);
 
+/* held.c: the items held, and their order */
+/* Whether an item is newer than the one held under its key, if any. */
+int follow_is_newer(const struct follow *, const struct platform_item *);
+/* Holds an item if it is newer; returns whether it was. */
+int follow_hold(struct follow *, const struct platform_item *);
+
 /*
  * Records that all changes up to a time (ms) have been applied, according to
  * an answer of the store to a reader.  Returns 0 if the answer was recorded
--- a/side/store_reader.c
+++ b/side/store_reader.c
@@ -69,6 +69,7 @@
 	int64_t failed_at; /* ms; the last failed request */
 	/* Targets are to be listed again, as removals may have been missed. */
 	int relist_due;
+	uint64_t era; /* of the store, the greatest in an answer; 0: none */
 };
 
 static const char *const part_names[] = {
@@ -78,6 +79,7 @@
 
 static void on_timer(evutil_socket_t, short, void *);
 static void on_page(void *, int, const struct platform_page *);
+static void note_era(struct part_reader *, const struct platform_page *);
 static void on_failure(struct part_reader *, int, const struct platform_page *);
 static void on_list(struct part_reader *, const struct platform_page *);
 static void on_changes(struct part_reader *, const struct platform_page *);
@@ -255,6 +257,20 @@
 		    on_page, pr);
 }
 
+/* Logs an answer of another era of the store than the ones before. */
+static void
+note_era(struct part_reader *pr, const struct platform_page *p)
+{
+	struct store_reader *r = pr->reader;
+
+	if (p->era == 0 || p->era == r->era)
+		return;
+	base_log(G_LOG_LEVEL_MESSAGE, "store-era",
+	    "question=%s era=%" G_GUINT64_FORMAT " known=%" G_GUINT64_FORMAT,
+	    part_names[pr->part], p->era, r->era);
+	r->era = MAX(r->era, p->era);
+}
+
 /* A request failed: schedules its retry, unless nothing is needed. */
 static void
 on_failure(struct part_reader *pr, int err, const struct platform_page *p)
@@ -346,6 +362,7 @@
 	struct store_reader *r = pr->reader;
 
 	pr->in_flight = 0;
+	note_era(pr, p);
 	if (err != PLATFORM_OK) {
 		on_failure(pr, err, p);
 		return;
