The stand-in for the store can come back from a copy

The platform's store may come back from a copy some seconds old: revisions go back and are given out again, and the header Store-Era, in all answers, rises by one. No test of ours could show what nodes do then, as the stand-in only lost its history.

It now keeps a copy (store_save) and comes back from it (store_restore), also between two pages of one list. All answers have the era; a test can choose it, send a text in its place or leave the header out. Answers about keys with a prefix can be kept back, so that one of the old era arrives after the next era was seen. A watch from a revision that the store does not have is answered 410, as the platform does; before, it waited.

--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,8 @@
 	replay/walk_steps.c
 REPLAY_OBJ = $(REPLAY:%.c=$(OBJ)/%.o)
 
-STANDIN = standin/fault.c standin/http.c standin/ledger.c standin/store.c standin/store_put.c
+STANDIN = standin/fault.c standin/http.c standin/ledger.c standin/store.c standin/store_data.c \
+	standin/store_era.c standin/store_put.c
 STANDIN_OBJ = $(STANDIN:%.c=$(OBJ)/%.o)
 
 SOAK = soak/target.c soak/fleet.c soak/callers.c soak/checker.c soak/link_proxy.c \
--- a/standin/store.c
+++ b/standin/store.c
@@ -2,47 +2,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "standin.h"
-#include "store.h"
+#include "store_int.h"
 
 #define WAIT_MAX_MS 30000 /* longest wait of a watch */
 
-struct item {
-	char *key;
-	char *value; /* NULL in the history: removed */
-	uint64_t revision;
-};
-
-/* An open watch: a request that is answered at the next change. */
-struct watch {
-	struct store *store;
-	const struct store_address *store_address; /* that received it */
-	struct http_exchange *exchange;
-	char *prefix;
-	uint64_t after;
-	struct event *timer;
-};
-
-/* An address that the store listens on, with a fault of its own. */
-struct store_address {
-	struct store *store;
-	struct http_server *server;
-	enum store_fault fault;
-};
-
-struct store {
-	struct event_base *base;
-	struct store_address addresses[STORE_ADDRESSES_MAX];
-	int naddresses;
-	struct http_limits limits;
-	GArray *history;	/* of struct item, every change */
-	GTree *items;		/* key to struct item */
-	GPtrArray *stale_items; /* copies for stale lists, or NULL */
-	GPtrArray *watches;
-	uint64_t revision, compacted_revision;
-	int page, calls, stale_calls;
-};
-
 const char *const store_fault_names[] = { "well", "down", "busy", "limit",
 	"silent", "garbled", NULL };
 
@@ -57,25 +20,6 @@
 static char *query_parameter(const char *, const char *);
 static void set_item(struct store *, const char *, const char *);
 
-/* Orders the keys of the tree of items. */
-static int
-compare(gconstpointer a, gconstpointer b, gpointer data)
-{
-	(void)data;
-	return strcmp(a, b);
-}
-
-/* Releases an item of the tree or of the stale items. */
-static void
-item_free(gpointer p)
-{
-	struct item *e = p;
-
-	g_free(e->key);
-	g_free(e->value);
-	g_free(e);
-}
-
 /* Releases a watch; its exchange belongs to the server. */
 static void
 watch_free(gpointer p)
@@ -95,10 +39,9 @@
 
 	s->base = base;
 	s->page = page;
-	s->revision = 1;
+	s->era = 1;
 	s->limits = (struct http_limits){ 16384, 0, 5000, 60000, 0 };
-	s->history = g_array_new(FALSE, FALSE, sizeof(struct item));
-	s->items = g_tree_new_full(compare, NULL, NULL, item_free);
+	store_data_init(&s->data);
 	s->watches = g_ptr_array_new_with_free_func(watch_free);
 	if (store_add_address(s, addr) == 0)
 		return s;
@@ -126,18 +69,16 @@
 void
 store_free(struct store *s)
 {
-	guint i;
 	int k;
 
 	for (k = 0; k < s->naddresses; k++)
 		http_server_free(s->addresses[k].server);
 	g_ptr_array_free(s->watches, TRUE);
-	g_tree_destroy(s->items);
-	for (i = 0; i < s->history->len; i++) {
-		g_free(g_array_index(s->history, struct item, i).key);
-		g_free(g_array_index(s->history, struct item, i).value);
-	}
-	g_array_free(s->history, TRUE);
+	store_drop_delayed(s, NULL);
+	store_data_clear(&s->data);
+	store_data_clear(&s->copy);
+	g_free(s->era_text);
+	g_free(s->delayed_prefix);
 	if (s->stale_items != NULL)
 		g_ptr_array_free(s->stale_items, TRUE);
 	g_free(s);
@@ -147,18 +88,19 @@
 static void
 set_item(struct store *s, const char *key, const char *value)
 {
-	struct item change = { g_strdup(key), g_strdup(value), ++s->revision };
+	struct item change = { g_strdup(key), g_strdup(value),
+		++s->data.revision };
 	struct item *e;
 	guint i;
 
-	g_array_append_val(s->history, change);
+	g_array_append_val(s->data.history, change);
 	if (value == NULL) {
-		g_tree_remove(s->items, key);
+		g_tree_remove(s->data.items, key);
 	} else {
 		e = g_new(struct item, 1);
 		*e = (struct item){ g_strdup(key), g_strdup(value),
-			s->revision };
-		g_tree_replace(s->items, e->key, e);
+			s->data.revision };
+		g_tree_replace(s->data.items, e->key, e);
 	}
 	for (i = s->watches->len; i > 0; i--)
 		reply_to_watch(g_ptr_array_index(s->watches, i - 1), 0);
@@ -184,7 +126,7 @@
 {
 	guint i;
 
-	s->compacted_revision = s->revision;
+	s->data.compacted_revision = s->data.revision;
 	for (i = s->watches->len; i > 0; i--)
 		reply_to_watch(g_ptr_array_index(s->watches, i - 1), 1);
 }
@@ -195,10 +137,10 @@
 {
 	struct watch *w;
 
-	s->compacted_revision = s->revision;
+	s->data.compacted_revision = s->data.revision;
 	while (s->watches->len > 0) {
 		w = g_ptr_array_index(s->watches, 0);
-		http_reply_text(w->exchange, 503, "application/json", "{}");
+		store_reply(s, w->exchange, w->prefix, 503, "{}");
 		g_ptr_array_remove(s->watches, w);
 	}
 }
@@ -244,11 +186,8 @@
 static gboolean
 copy_stale_item(gpointer key, gpointer value, gpointer data)
 {
-	const struct item *e = value;
-	struct item *c = g_new(struct item, 1);
-
-	*c = (struct item){ g_strdup(key), g_strdup(e->value), e->revision };
-	g_ptr_array_add(((struct store *)data)->stale_items, c);
+	(void)key;
+	g_ptr_array_add(((struct store *)data)->stale_items, item_copy(value));
 	return FALSE;
 }
 
@@ -259,7 +198,7 @@
 	if (s->stale_items != NULL)
 		g_ptr_array_free(s->stale_items, TRUE);
 	s->stale_items = g_ptr_array_new_with_free_func(item_free);
-	g_tree_foreach(s->items, copy_stale_item, s);
+	g_tree_foreach(s->data.items, copy_stale_item, s);
 }
 
 /* Without the lists that allow stale data. */
@@ -358,12 +297,13 @@
 				s->stale_items->pdata[i], &l))
 				break;
 	} else {
-		g_tree_foreach(s->items, add_to_list, &l);
+		g_tree_foreach(s->data.items, add_to_list, &l);
 	}
 	g_string_append_printf(l.out,
 	    "],\"HasMore\":%s,\"AsOf\":%" G_GUINT64_FORMAT "}",
-	    l.more ? "true" : "false", s->revision);
-	http_reply_text(c, 200, "application/json", l.out->str);
+	    l.more ? "true" : "false", s->data.revision);
+	store_reply(s, c, l.prefix, 200, l.out->str);
+	store_page_sent(s, l.more);
 	g_string_free(l.out, TRUE);
 	g_free(prefix);
 	g_free(after);
@@ -380,9 +320,9 @@
 }
 
 /*
- * Answers a watch with 410 if its revision was compacted, or with the changes
- * since that revision if there are any or it has timed out.  Returns 1 if it
- * was answered, and frees it then.
+ * Answers a watch with 410 if its revision was compacted or is none that the
+ * store has, or with the changes since that revision if there are any or it has
+ * timed out.  Returns 1 if it was answered, and frees it then.
  */
 static int
 reply_to_watch(struct watch *w, int timed_out)
@@ -393,22 +333,23 @@
 	int count = 0;
 	guint i;
 
-	if (w->after < s->compacted_revision) {
-		http_reply_text(w->exchange, 410, "application/json", "{}");
+	if (w->after < s->data.compacted_revision ||
+	    w->after > s->data.revision) {
+		store_reply(s, w->exchange, w->prefix, 410, "{}");
 		g_ptr_array_remove(s->watches, w);
 		return 1;
 	}
 	out = g_string_new("{\"events\":[");
-	for (i = 0; i < s->history->len; i++) {
-		e = &g_array_index(s->history, struct item, i);
+	for (i = 0; i < s->data.history->len; i++) {
+		e = &g_array_index(s->data.history, struct item, i);
 		if (e->revision > w->after &&
 		    g_str_has_prefix(e->key, w->prefix))
 			print_item(out, e, count++ ? "," : "");
 	}
 	g_string_append_printf(
-	    out, "],\"AsOf\":%" G_GUINT64_FORMAT "}", s->revision);
+	    out, "],\"AsOf\":%" G_GUINT64_FORMAT "}", s->data.revision);
 	if (count > 0 || timed_out) {
-		http_reply_text(w->exchange, 200, "application/json", out->str);
+		store_reply(s, w->exchange, w->prefix, 200, out->str);
 		g_ptr_array_remove(s->watches, w);
 	}
 	g_string_free(out, TRUE);
@@ -452,18 +393,18 @@
 	s->calls++;
 	switch (a->fault) {
 	case STORE_DOWN:
-		http_reply_text(c, 200, "text/plain", "");
+		store_reply(s, c, "", 200, "");
 		break;
 	case STORE_BUSY:
-		http_reply_text(c, 503, "application/json", "{}");
+		store_reply(s, c, "", 503, "{}");
 		break;
 	case STORE_LIMIT:
-		http_reply_text(c, 429, "application/json", "{}");
+		store_reply(s, c, "", 429, "{}");
 		break;
 	case STORE_SILENT:
 		break;
 	case STORE_MALFORMED:
-		http_reply_text(c, 200, "application/json", "{\"items\":[{");
+		store_reply(s, c, "", 200, "{\"items\":[{");
 		break;
 	default:
 		if (g_str_has_prefix(m->path, "/kv-range"))
@@ -471,7 +412,7 @@
 		else if (g_str_has_prefix(m->path, "/kv-watch"))
 			start_watch(a, c, m->path);
 		else
-			http_reply_text(c, 404, "application/json", "{}");
+			store_reply(s, c, "", 404, "{}");
 		break;
 	}
 	http_message_free(m);
@@ -486,4 +427,6 @@
 
 	if (w != NULL)
 		g_ptr_array_remove(s->watches, w);
+	else
+		store_drop_delayed(s, c);
 }
--- a/standin/store.h
+++ b/standin/store.h
@@ -1,7 +1,8 @@
 /*
  * Stand-in for the store of the users' platform: items by key with revisions,
- * paged lists, watches, compaction of the history, and faults.  It serves on
- * the loop of its event_base, and all functions must be called on that thread.
+ * paged lists, watches, compaction of the history, a return from a copy, and
+ * faults.  It serves on the loop of its event_base, and all functions must be
+ * called on that thread.
  */
 #ifndef STANDIN_STORE_H
 #define STANDIN_STORE_H
@@ -58,6 +59,32 @@
 int store_calls(const struct store *);
 int store_stale_calls(const struct store *);
 
+/* ---- a store that comes back from a copy ---- */
+
+/* Keeps a copy of all items, the revision and the history. */
+void store_save(struct store *);
+/*
+ * Comes back from the copy: later changes are lost, revisions go back and are
+ * given out again, and the era rises by one.  Open watches are cut; one from a
+ * revision that the store does not have is answered 410.  Nothing happens if
+ * no copy was kept.
+ */
+void store_restore(struct store *);
+/* Comes back right after the next page of a list that another one follows. */
+void store_restore_after_page(struct store *);
+/* All answers have the header Store-Era; the first era is 1. */
+void store_set_era(struct store *, uint64_t era);
+/* Sends a text in place of the era; "": no header; NULL: the era again. */
+void store_set_era_text(struct store *, const char *text);
+/*
+ * From now on answers about keys with this prefix are written, with the items
+ * and the era of that moment, but not sent until store_send_delayed().
+ */
+void store_delay_answers(struct store *, const char *prefix);
+void store_send_delayed(struct store *);
+/* How many answers are delayed. */
+int store_delayed(const struct store *);
+
 /* ---- entries of targets and configurations ---- */
 
 /* The entry by which a target announces itself. */
