An answer is judged by the request that it answers

What callers saw: requests reached servers of a data centre eight seconds after its evacuation was acknowledged (EVAC); the same cause could take all targets from a node's view.

Cause: a reader that is switched off and on again lists the store anew, after a delay if many nodes read, or the operators' part alone if it helps another node. A watch of the earlier period may still be in flight. The reader judged an answer by its own present state, so it took the events of that watch for a complete list and removed whatever they did not name. The first page of a list that was asked for before could be taken for a new list too.

Change: a request carries whether it is a watch and the period in which it was sent. An answer of an earlier period gives its items and no more. A reader that is switched off no longer takes a watch's answer for a list.

--- a/side/store_reader.c
+++ b/side/store_reader.c
@@ -49,7 +49,10 @@
 	struct event *timer; /* sends the next request */
 	int failures;	     /* in a row */
 	int in_flight;	     /* a request has been sent and not ended */
-	int suspended;	     /* the last request failed and is not retried */
+	/* What the last request asked for, and when. */
+	int is_watch;	       /* changes, not a page of a list */
+	unsigned int asked_in; /* period of the reader */
+	int suspended;	       /* the last request failed and is not retried */
 	int has_list; /* a complete list was read, so changes are watched */
 	int paused;   /* a pause preceded the current watch */
 	int64_t synced_at; /* ms; all changes up to then were read, or 0 */
@@ -64,8 +67,9 @@
 	struct store_reader_calls calls;
 	struct part_reader parts[2]; /* by enum platform_part */
 	int watching;
-	int nwatchers; /* nodes that also read for themselves, or 0 */
-	int helping;   /* reads for another node, and no answer arrived yet */
+	unsigned int period; /* counts how often it has started to watch */
+	int nwatchers;	     /* nodes that also read for themselves, or 0 */
+	int helping; /* reads for another node, and no answer arrived yet */
 	int64_t failed_at; /* ms; the last failed request */
 	/* Targets are to be listed again, as removals may have been missed. */
 	int relist_due;
@@ -80,7 +84,10 @@
 static void on_timer(evutil_socket_t, short, void *);
 static void on_page(void *, int, const struct platform_page *);
 static void note_era(struct part_reader *, const struct platform_page *);
+static void note_failure(struct store_reader *);
 static void on_failure(struct part_reader *, int, const struct platform_page *);
+static void
+on_superseded(struct part_reader *, int, const struct platform_page *);
 static void on_list(struct part_reader *, const struct platform_page *);
 static void on_changes(struct part_reader *, const struct platform_page *);
 static int is_settled(const struct store_reader *);
@@ -173,14 +180,15 @@
 	base_log(G_LOG_LEVEL_MESSAGE, "reader", "watches=%d", on);
 	r->watching = on;
 	r->helping = helping;
-	if (on && helping) {
-		/* The store may have been down, and entries have expired. */
-		r->failed_at = base_now_ms();
-		r->relist_due = 1;
-	}
+	if (on)
+		r->period++;
+	/* For a helper the store may have been down, and entries expired. */
+	if (on && helping)
+		note_failure(r);
 	for (i = 0; i < G_N_ELEMENTS(r->parts); i++) {
 		r->parts[i].has_list = 0;
-		g_clear_pointer(&r->parts[i].list_after, g_free);
+		if (on)
+			g_clear_pointer(&r->parts[i].list_after, g_free);
 		/*
 		 * A helper starts with the operators' part alone: one request
 		 * is enough to find out whether the store answers.
@@ -247,7 +255,9 @@
 	}
 	pr->in_flight = 1;
 	pr->suspended = 0;
-	if (pr->has_list)
+	pr->is_watch = pr->has_list;
+	pr->asked_in = r->period;
+	if (pr->is_watch)
 		platform_watch(pr->store, pr->part, pr->watch_from,
 		    pr->paused ? WATCH_WAIT_MS - TARGETS_PAUSE_MS
 			       : WATCH_WAIT_MS,
@@ -271,6 +281,14 @@
 	r->era = MAX(r->era, p->era);
 }
 
+/* Records that entries may have expired, so that removals are uncertain. */
+static void
+note_failure(struct store_reader *r)
+{
+	r->failed_at = base_now_ms();
+	r->relist_due = 1;
+}
+
 /* A request failed: schedules its retry, unless nothing is needed. */
 static void
 on_failure(struct part_reader *pr, int err, const struct platform_page *p)
@@ -281,8 +299,7 @@
 	if (pr->failures == 0)
 		base_log(G_LOG_LEVEL_MESSAGE, "store-lost",
 		    "question=%s error=%d", part_names[pr->part], err);
-	r->failed_at = base_now_ms();
-	r->relist_due = 1;
+	note_failure(r);
 	if (err == PLATFORM_ECOMPACTED)
 		pr->has_list = 0;
 	g_clear_pointer(&pr->list_after, g_free);
@@ -354,7 +371,26 @@
 	http_timer_set(pr->timer, pr->paused ? TARGETS_PAUSE_MS : 0);
 }
 
-/* A request ended.  A helper's first answer starts the targets' list. */
+/*
+ * A request ended that was sent before the reader last started to watch.  Its
+ * items are as good as any, but it completes no list of the present period and
+ * gives no revision to watch from.
+ */
+static void
+on_superseded(struct part_reader *pr, int err, const struct platform_page *p)
+{
+	struct store_reader *r = pr->reader;
+
+	if (err == PLATFORM_OK)
+		r->calls.items(r->calls.arg, p);
+	else
+		note_failure(r);
+}
+
+/*
+ * A request ended; what its answer means depends on what was asked.  A helper's
+ * first answer starts the targets' list.
+ */
 static void
 on_page(void *arg, int err, const struct platform_page *p)
 {
@@ -363,6 +399,10 @@
 
 	pr->in_flight = 0;
 	note_era(pr, p);
+	if (pr->asked_in != r->period) {
+		on_superseded(pr, err, p);
+		return;
+	}
 	if (err != PLATFORM_OK) {
 		on_failure(pr, err, p);
 		return;
@@ -378,7 +418,7 @@
 		http_timer_set(r->parts[PLATFORM_TARGETS].timer, 0);
 	}
 	r->calls.items(r->calls.arg, p);
-	if (!pr->has_list)
+	if (!pr->is_watch)
 		on_list(pr, p);
 	else if (r->watching)
 		on_changes(pr, p);
--- a/test/test_store_reader.c
+++ b/test/test_store_reader.c
@@ -1,4 +1,7 @@
-/* Reading the platform's store: the rate of requests while it fails. */
+/*
+ * Reading the platform's store: the rate of requests while it fails, and what
+ * their answers are taken for.
+ */
 #include <unistd.h>
 
 #include "../side/side.h"
@@ -21,9 +24,17 @@
 	struct store_reader *reader;
 	int needed, listed;
 	int calls_listed; /* requests until the first list was complete */
+	int incomplete;	  /* lists of a part that lacked its expected item */
+};
+
+/* Items that stay in the store during a test, by enum platform_part. */
+static const char *const kept_names[] = {
+	[PLATFORM_OPERATORS] = "kept-dc",
+	[PLATFORM_TARGETS] = "kept",
 };
 
 static int total_calls(const struct fixture *);
+static void put_target(struct fixture *, const char *);
 
 /* Requests that the store has received, stale lists included. */
 static int
@@ -45,10 +56,10 @@
 {
 	struct fixture *w = arg;
 
-	(void)part;
-	(void)names;
 	(void)as_of;
 	(void)exact;
+	if (!g_hash_table_contains(names, kept_names[part]))
+		w->incomplete++;
 	if (w->listed++ == 0)
 		w->calls_listed = total_calls(w);
 }
@@ -72,6 +83,16 @@
 	return ((struct fixture *)arg)->needed;
 }
 
+/* Writes the entry of a target. */
+static void
+put_target(struct fixture *w, const char *id)
+{
+	const struct store_target t = { id, "svc", "127.0.0.1:99", "dc",
+		"ready", 0, 0 };
+
+	store_put_target(w->store, &t);
+}
+
 static void
 fixture_start(struct fixture *w, enum store_fault fault)
 {
@@ -85,6 +106,8 @@
 	    PORT_BASE + (int)(getpid() % PORT_SPAN));
 	w->store = store_new(w->base, addr, 50);
 	store_put_config(w->store, 1, "svc", "/run/");
+	store_put(w->store, "op/evacuate/kept-dc", "{}");
+	put_target(w, "kept");
 	store_set_fault(w->store, fault);
 	w->needed = 1;
 	w->reader = store_reader_new(w->base, addr, &calls);
@@ -159,7 +182,50 @@
 	fixture_stop(&w);
 }
 
+/*
+ * Failure: a node that stopped to read the store and soon began again took the
+ * events of a watch of the earlier period for a complete list, and with them
+ * ended evacuations and removed targets that were still in the store.  A reader
+ * starts anew after a delay, or for another node with one part alone.
+ */
+static void
+late_watch_answer_is_no_list(void)
+{
+	const struct {
+		int nwatchers, helping;
+		enum store_fault fault; /* of the requests that follow */
+	} cases[] = {
+		{ 59, 0, STORE_NO_FAULT },
+		{ 0, 1, STORE_BUSY },
+	};
+	struct fixture w;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_start(&w, STORE_NO_FAULT);
+		store_reader_watch(w.reader, 1, 0, 0);
+		rig_loop(w.base, 300);
+		CU_ASSERT(store_reader_synced_at(w.reader) > 0);
+		/* Both watches are waiting. */
+		w.listed = 0;
+		store_reader_watch(w.reader, 0, 0, 0);
+		store_reader_watch(
+		    w.reader, 1, cases[i].nwatchers, cases[i].helping);
+		store_set_fault(w.store, cases[i].fault);
+		store_put(w.store, "op/evacuate/other-dc", "{}");
+		put_target(&w, "other");
+		rig_loop(w.base, 200);
+		store_set_fault(w.store, STORE_NO_FAULT);
+		rig_loop(w.base, 6000);
+		CU_ASSERT_EQUAL(w.incomplete, 0);
+		/* Each part was listed anew. */
+		CU_ASSERT(w.listed >= 2);
+		fixture_stop(&w);
+	}
+}
+
 static const struct test tests[] = {
+	{ "late watch answer is no list", late_watch_answer_is_no_list },
 	{ "retries stop once state is known",
 	    retries_stop_once_state_is_known },
 	{ "one of many polls rarely", one_of_many_polls_rarely },
