Revisions of the store are ordered by its era first

What callers saw: after the store came back from a copy some seconds old, a confirmed version was never in force (CONFIG), and routes that it added were refused (DENIED), until nodes started again. Targets that said that they leave went on getting requests.

Cause: the revision alone ordered items: read ones, those sent between nodes, and removals. A restore sets revisions back and gives them out again, so what is written after it is dropped while the revision held is as great.

Change: struct view_revision is the era, from the header Store-Era, and the number, with one comparison; it is stored, compared and sent as a whole. The first lists of an era may be older than what was read before the restore. Until an era is settled, their items are marked as copied and are ordered by what they say of their own age: a configuration by its version, an entry by its start and the number of its report; a removal keeps those of what it removed. What a watch or a settled list brings is true. The order depends on the two items alone, so nodes end with the same ones. A change of era supersedes what was asked before and lists both parts anew, at once and when it has settled; an item of an earlier era that a list lacks is removed only then. An answer of an earlier era counts as a failed request. A subscriber that does not read learns of an era from its publisher.

The order of entries is now decided before they reach the view, so its test is replaced by test_held, which has the same cases and more.

Unit tests passed; test_held, test_restore, test_store_reader, test_store, test_platform, test_follow, test_feed and test_relay also under the address and undefined behaviour sanitizers.

--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -125,7 +125,7 @@
 	}
 	/* Before the first full list the number of nodes is unknown. */
 	retry_quota_share(quota, s->retry_ratio, s->retry_slack,
-	    e->proxy->view->listed_revision > 0 ? e->nodes_max : 0);
+	    e->proxy->view->listed_revision.number > 0 ? e->nodes_max : 0);
 	return quota;
 }
 
--- a/proxy/guard.c
+++ b/proxy/guard.c
@@ -408,7 +408,7 @@
 		return;
 	base_log(G_LOG_LEVEL_MESSAGE, "gate-state",
 	    "target=%s from=%s to=%s reason=\"%s\" revision=%" G_GUINT64_FORMAT,
-	    g->id, names[g->state], names[s], why, g->revision);
+	    g->id, names[g->state], names[s], why, g->revision.number);
 	g->state = s;
 	if (s == PROXY_GUARD_DRAINING)
 		refuse_waiting(g, OUTCOME_OUT);
@@ -480,7 +480,7 @@
 	g->listed = t != NULL;
 	if (t == NULL)
 		t = view_find_target(v, s->target, s->service);
-	if (t == NULL || t->revision == g->revision)
+	if (t == NULL || view_revision_compare(t->revision, g->revision) == 0)
 		return;
 	g->revision = t->revision;
 	g->slots = t->slots;
--- a/proxy/probe.c
+++ b/proxy/probe.c
@@ -213,7 +213,7 @@
 		    "id=%s before=%s cold_ms=%d", id, g->id, (int)cold);
 		crash_confirm(g);
 		g_strlcpy(g->id, id, sizeof(g->id));
-		g->revision = 0;
+		g->revision = (struct view_revision){ 0, 0 };
 		g->delisted = g->listed = 0;
 		/* The history belongs to the previous target. */
 		outlier_init(&g->outlier);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -79,7 +79,7 @@
 is_ready(const struct proxy *p)
 {
 	return !p->draining && p->view->config != NULL &&
-	       p->view->listed_revision > 0;
+	       p->view->listed_revision.number > 0;
 }
 
 /* Answers a readiness check. */
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -149,12 +149,12 @@
 	struct outlier outlier;
 	int slots; /* requests the target runs at a time, by the view */
 	enum proxy_guard_state state;
-	char id[VIEW_ID_MAX + 1]; /* of the target, by its status check */
-	int64_t born_ms;	  /* start of the target, by the view */
-	uint64_t revision;	  /* of the view's record applied last */
-	int dc_out;		  /* the data centre is out */
-	int listed;		  /* the target is in the view */
-	int delisted;		  /* it was in the view and was removed */
+	char id[VIEW_ID_MAX + 1];      /* of the target, by its status check */
+	int64_t born_ms;	       /* start of the target, by the view */
+	struct view_revision revision; /* of the view's record applied last */
+	int dc_out;		       /* the data centre is out */
+	int listed;		       /* the target is in the view */
+	int delisted;		       /* it was in the view and was removed */
 	struct upstream_exchange *probe;
 	int64_t probe_sent_us;
 	struct event *probe_timer; /* probe's timeout, or delay to the next */
--- a/side/feed.c
+++ b/side/feed.c
@@ -330,7 +330,7 @@
 
 	(void)fd;
 	(void)what;
-	if (f->view->listed_revision == 0)
+	if (f->view->listed_revision.number == 0)
 		return;
 	if (f->feed.chosen_at == 0 && is_dc_empty(f) &&
 	    now - f->feed.started_at < EMPTY_LIST_MS) {
--- a/side/follow.c
+++ b/side/follow.c
@@ -12,7 +12,7 @@
 #define VERIFY_MS    3000 /* to verify a removal; requests take up to 1.5 s */
 
 static void on_items(void *, const struct platform_page *);
-static void on_listed(void *, enum platform_part, GHashTable *, uint64_t, int);
+static void on_listed(void *, const struct store_list *);
 static void on_failed(void *);
 static void on_answered(void *, enum platform_part);
 static int is_needed(void *);
@@ -22,8 +22,7 @@
 static int apply_target(struct follow *, const struct platform_item *);
 static void apply_page(struct follow *, const struct platform_page *, int);
 static int is_own_removal(struct follow *, const struct platform_item *);
-static void
-remove_missing(struct follow *, enum platform_part, GHashTable *, uint64_t);
+static void remove_missing(struct follow *, const struct store_list *);
 static void write_state(void *, GString *);
 static void apply_state(void *, const char *, size_t);
 static void on_published(void *, enum proxy_slot, const struct proxy_update *);
@@ -128,23 +127,27 @@
 	if ((c = platform_config_decode(it->value, rep)) == NULL) {
 		counter_add(CTR_REJECTED, 1);
 		base_log(G_LOG_LEVEL_WARNING, "config-rejected",
-		    "revision=%" G_GUINT64_FORMAT " errors=%d first=\"%s\"",
-		    it->revision, rep->errors, first_problem(rep, 0));
+		    "era=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
+		    " errors=%d first=\"%s\"",
+		    it->revision.era, it->revision.number, rep->errors,
+		    first_problem(rep, 0));
 	} else {
 		version = c->version;
 		accepted = view_set_config(f->view, c) == VIEW_OK;
 		if (!accepted)
 			base_log(G_LOG_LEVEL_MESSAGE, "config-older",
 			    "version=%" G_GUINT64_FORMAT
+			    " era=%" G_GUINT64_FORMAT
 			    " revision=%" G_GUINT64_FORMAT,
-			    version, it->revision);
+			    version, it->revision.era, it->revision.number);
 	}
 	if (accepted) {
 		counter_add(CTR_APPLIED, 1);
 		base_log(G_LOG_LEVEL_MESSAGE, "config-accepted",
-		    "version=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
-		    " routes=%d",
-		    version, it->revision, f->view->config->nroutes);
+		    "version=%" G_GUINT64_FORMAT " era=%" G_GUINT64_FORMAT
+		    " revision=%" G_GUINT64_FORMAT " routes=%d",
+		    version, it->revision.era, it->revision.number,
+		    f->view->config->nroutes);
 	}
 	if (accepted && rep->warnings > 0) {
 		counter_add(CTR_SOURCE_UNPARSED, rep->warnings);
@@ -164,25 +167,27 @@
 
 	if (it->value == NULL) {
 		g_hash_table_remove(f->unparsed, it->name);
-		return view_remove_target(f->view, it->name, it->revision);
+		return view_remove_target(f->view, it->name);
 	}
 	if (platform_target_decode(it, &t) != PLATFORM_OK) {
 		/* Each report rewrites the entry: log only the first time. */
 		if (g_hash_table_add(f->unparsed, g_strdup(it->name))) {
 			counter_add(CTR_SOURCE_UNPARSED, 1);
 			base_log(G_LOG_LEVEL_WARNING, "target-unusable",
-			    "id=%s revision=%" G_GUINT64_FORMAT, it->name,
-			    it->revision);
+			    "id=%s era=%" G_GUINT64_FORMAT
+			    " revision=%" G_GUINT64_FORMAT,
+			    it->name, it->revision.era, it->revision.number);
 		}
-		return view_remove_target(f->view, it->name, it->revision);
+		return view_remove_target(f->view, it->name);
 	}
 	g_hash_table_remove(f->unparsed, it->name);
 	if (!view_set_target(f->view, &t))
 		return t.cold_ms > 0;
 	base_log(G_LOG_LEVEL_MESSAGE, "target",
 	    "id=%s service=%s addr=%s state=%d slots=%d cold_ms=%d "
-	    "revision=%" G_GUINT64_FORMAT,
-	    t.id, t.service, t.addr, t.state, t.slots, t.cold_ms, t.revision);
+	    "era=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT,
+	    t.id, t.service, t.addr, t.state, t.slots, t.cold_ms,
+	    t.revision.era, t.revision.number);
 	return 1;
 }
 
@@ -190,7 +195,7 @@
 static int
 apply_item(struct follow *f, const struct platform_item *it)
 {
-	if (it->kind == PLATFORM_OTHER || !follow_hold(f, it))
+	if (it->kind == PLATFORM_OTHER || follow_hold(f, it) != ITEM_NEWER)
 		return 0;
 	switch (it->kind) {
 	case PLATFORM_CONFIG:
@@ -199,8 +204,10 @@
 		if (!view_set_out(f->view, it->name, it->value != NULL))
 			return 0;
 		base_log(G_LOG_LEVEL_MESSAGE, "data-centre",
-		    "name=%s out=%d revision=%" G_GUINT64_FORMAT, it->name,
-		    it->value != NULL, it->revision);
+		    "name=%s out=%d era=%" G_GUINT64_FORMAT
+		    " revision=%" G_GUINT64_FORMAT,
+		    it->name, it->value != NULL, it->revision.era,
+		    it->revision.number);
 		return 1;
 	case PLATFORM_TARGET:
 		return apply_target(f, it);
@@ -224,9 +231,12 @@
 {
 	GPtrArray *changed = g_ptr_array_new();
 	struct platform_item *it;
+	int is_new_era = p->as_of.era > f->held_revision.era;
 	GString *text;
 	guint i;
 
+	if (is_new_era)
+		f->held_revision = p->as_of;
 	for (i = 0; i < p->items->len; i++) {
 		it = &g_array_index(p->items, struct platform_item, i);
 		if (from_node && is_own_removal(f, it)) {
@@ -234,14 +244,19 @@
 			 * Published, but not applied until the store confirms
 			 * it, which it never does if this node is cut off.
 			 */
-			if (follow_is_newer(f, it))
+			if (follow_order(f, it) == ITEM_NEWER)
 				g_ptr_array_add(changed, it);
 			f->verify_until = base_now_ms() + VERIFY_MS;
 		} else if (apply_item(f, it)) {
 			g_ptr_array_add(changed, it);
+			/* The restored store may lack it. */
+			if (from_node &&
+			    it->revision.era < f->held_revision.era)
+				store_reader_recheck(f->reader);
 		}
 	}
-	if (changed->len > 0) {
+	/* The era alone tells subscribers that the store was restored. */
+	if (changed->len > 0 || is_new_era) {
 		text = g_string_new(NULL);
 		state_pack(changed, p->as_of, text);
 		proxy_publish(f->proxy, text->str, text->len, 0);
@@ -260,50 +275,32 @@
 	proxy_view_changed(f->proxy);
 }
 
-/* Removes held items that a complete list lacks, as of its revision. */
+/* Removes held items that a complete list lacks. */
 static void
-remove_missing(struct follow *f, enum platform_part part, GHashTable *names,
-    uint64_t as_of)
+remove_missing(struct follow *f, const struct store_list *list)
 {
-	enum platform_kind kind =
-	    part == PLATFORM_TARGETS ? PLATFORM_TARGET : PLATFORM_EVACUATION;
-	struct platform_page p = { .as_of = as_of };
-	const struct platform_item *held;
-	struct platform_item removal;
-	GHashTableIter it;
-	gpointer value;
+	struct platform_page p;
 
-	p.items = g_array_new(FALSE, FALSE, sizeof(removal));
-	g_hash_table_iter_init(&it, f->held);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		held = value;
-		if (held->kind != kind || held->value == NULL ||
-		    held->revision > as_of ||
-		    g_hash_table_contains(names, held->name))
-			continue;
-		removal = (struct platform_item){ kind, g_strdup(held->name),
-			NULL, MAX(as_of, held->revision + 1) };
-		g_array_append_val(p.items, removal);
-	}
+	platform_page_init(&p);
+	p.as_of = list->as_of;
+	follow_add_missing(f, list, p.items);
 	apply_page(f, &p, 0);
-	while (p.items->len > 0) {
-		g_free(g_array_index(p.items, struct platform_item, 0).name);
-		g_array_remove_index_fast(p.items, 0);
-	}
-	g_array_free(p.items, TRUE);
+	platform_page_clear(&p);
 }
 
 /* Reader callback: a list was read; one that is not exact removes nothing. */
 static void
-on_listed(void *arg, enum platform_part part, GHashTable *names, uint64_t as_of,
-    int exact)
+on_listed(void *arg, const struct store_list *list)
 {
 	struct follow *f = arg;
 
-	if (exact)
-		remove_missing(f, part, names, as_of);
-	if (part == PLATFORM_TARGETS)
-		f->view->listed_revision = MAX(f->view->listed_revision, as_of);
+	if (list->exact)
+		remove_missing(f, list);
+	if (follow_is_unsettled(f, list))
+		store_reader_recheck(f->reader);
+	if (list->part == PLATFORM_TARGETS &&
+	    view_revision_compare(list->as_of, f->view->listed_revision) > 0)
+		f->view->listed_revision = list->as_of;
 	proxy_view_changed(f->proxy);
 }
 
@@ -372,9 +369,11 @@
 		return;
 	}
 	base_log(G_LOG_LEVEL_DEBUG, "peer-state",
-	    "items=%u as_of=%" G_GUINT64_FORMAT, p.items->len, p.as_of);
+	    "items=%u era=%" G_GUINT64_FORMAT " as_of=%" G_GUINT64_FORMAT,
+	    p.items->len, p.as_of.era, p.as_of.number);
+	store_reader_saw_era(f->reader, p.as_of.era);
 	apply_page(f, &p, 1);
-	if (f->view->listed_revision == 0)
+	if (f->view->listed_revision.number == 0)
 		f->view->listed_revision = p.as_of;
 	platform_page_clear(&p);
 	proxy_view_changed(f->proxy);
@@ -453,7 +452,7 @@
 static int
 needs_state(const struct follow *f)
 {
-	return f->view->config == NULL || f->view->listed_revision == 0;
+	return f->view->config == NULL || f->view->listed_revision.number == 0;
 }
 
 /* Asks the peers in turn until the configuration and targets are there. */
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -72,15 +72,16 @@
 	struct view *view;
 	struct proxy *proxy;
 	struct store_reader *reader;
-	char *store;		/* address that is read */
-	GHashTable *held;	/* key to struct platform_item, as last read */
-	GHashTable *unparsed;	/* ids of targets with malformed entries */
-	uint64_t held_revision; /* greatest of the held items */
-	uint64_t reader_id;	/* random; identifies this process's answers */
-	uint64_t answer_seq;	/* number of this reader's last answer */
-	int64_t answered_at;	/* ms of that answer */
-	GHashTable *answers;	/* reader id to its newest answer */
-	int next_peer;		/* index of the next of settings->peers */
+	char *store;	      /* address that is read */
+	GHashTable *held;     /* key to struct platform_item, as last read */
+	GHashTable *unparsed; /* ids of targets with malformed entries */
+	/* Greatest of the held items, or of the era that was read last. */
+	struct view_revision held_revision;
+	uint64_t reader_id;  /* random; identifies this process's answers */
+	uint64_t answer_seq; /* number of this reader's last answer */
+	int64_t answered_at; /* ms of that answer */
+	GHashTable *answers; /* reader id to its newest answer */
+	int next_peer;	     /* index of the next of settings->peers */
 	struct event *bootstrap_timer; /* asks it for its state */
 	int draining;		       /* the node is about to stop */
 	/*
@@ -96,7 +97,8 @@
 };
 
 /* Appends items in the format in which nodes send them (state.proto). */
-void state_pack(const GPtrArray *items, uint64_t as_of, GString *out);
+void
+state_pack(const GPtrArray *items, struct view_revision as_of, GString *out);
 /*
  * Decodes such items.  Returns PLATFORM_OK and a page that the caller releases
  * with platform_page_clear(), or PLATFORM_EMALFORMED and leaves the page as it
@@ -105,10 +107,28 @@
 int state_unpack(const char *, size_t, struct platform_page *);
 
 /* held.c: the items held, and their order */
-/* Whether an item is newer than the one held under its key, if any. */
-int follow_is_newer(const struct follow *, const struct platform_item *);
-/* Holds an item if it is newer; returns whether it was. */
-int follow_hold(struct follow *, const struct platform_item *);
+enum item_order {
+	ITEM_OLDER,
+	ITEM_SAME,     /* and nothing new is known of it */
+	ITEM_CONFIRMS, /* the same; now known to be current in a later era */
+	ITEM_NEWER,
+};
+/*
+ * Orders an item and the one held under its key.  It depends on nothing but
+ * the two items.
+ */
+enum item_order
+item_order(const struct platform_item *, const struct platform_item *held);
+/* The same for an item and what the node holds; logs an older item. */
+enum item_order
+follow_order(const struct follow *, const struct platform_item *);
+/* Holds an item if it is newer or confirms the held one. */
+enum item_order follow_hold(struct follow *, const struct platform_item *);
+/* Appends a removal of each held item that a complete list lacks. */
+void follow_add_missing(
+    const struct follow *, const struct store_list *, GArray *removals);
+/* Whether items of an earlier era are held that the list names or lacks. */
+int follow_is_unsettled(const struct follow *, const struct store_list *);
 
 /*
  * Records that all changes up to a time (ms) have been applied, according to
--- a/side/side.h
+++ b/side/side.h
@@ -34,6 +34,20 @@
 
 /* ---- reading the store ---- */
 
+/* A list of a part that was read to its end. */
+struct store_list {
+	enum platform_part part;
+	GHashTable *names;	    /* of the items on all its pages */
+	struct view_revision as_of; /* of its first page */
+	/* Items that are not among the names have been removed. */
+	int exact;
+	/*
+	 * It also holds what was written again after the store was restored
+	 * and entered its era.
+	 */
+	int settled;
+};
+
 /*
  * Callbacks of a store reader, made from the event loop.  The arguments belong
  * to the reader and are valid only during the call.
@@ -42,13 +56,8 @@
 	void *arg;
 	/* Items arrived, from a page of a list or from a watch. */
 	void (*items)(void *arg, const struct platform_page *);
-	/*
-	 * The last page of a list was read; names holds the items of all its
-	 * pages, as_of is the revision of the first one.  If exact is set,
-	 * items that are not among the names have been removed from the store.
-	 */
-	void (*listed)(void *arg, enum platform_part, GHashTable *names,
-	    uint64_t as_of, int exact);
+	/* The last page of a list was read. */
+	void (*listed)(void *arg, const struct store_list *);
 	/* A request to the store failed. */
 	void (*failed)(void *arg);
 	/* The store answered a request for a part, perhaps without changes. */
@@ -92,6 +101,13 @@
  * to be retried.
  */
 void store_reader_relist(struct store_reader *);
+/*
+ * Lists both parts once more, exactly, while it watches: once what was lost in
+ * a restore of the store is written again.
+ */
+void store_reader_recheck(struct store_reader *);
+/* Another node has read in an era of the store. */
+void store_reader_saw_era(struct store_reader *, uint64_t era);
 /* Lists and watches the store at another address from now on. */
 void store_reader_set_store(struct store_reader *, const char *store);
 
--- a/side/state.c
+++ b/side/state.c
@@ -4,7 +4,7 @@
 
 /* Appends the encoded items; a NULL value is sent as a removal. */
 void
-state_pack(const GPtrArray *items, uint64_t as_of, GString *out)
+state_pack(const GPtrArray *items, struct view_revision as_of, GString *out)
 {
 	State__State s = STATE__STATE__INIT;
 	State__Item *list = g_new(State__Item, items->len + 1);
@@ -12,7 +12,8 @@
 	gsize len, at = out->len;
 	guint i;
 
-	s.as_of = as_of;
+	s.as_of = as_of.number;
+	s.as_of_era = as_of.era;
 	s.n_items = items->len;
 	s.items = g_new(State__Item *, items->len + 1);
 	for (i = 0; i < items->len; i++) {
@@ -20,7 +21,11 @@
 		state__item__init(&list[i]);
 		list[i].kind = it->kind;
 		list[i].name = it->name != NULL ? it->name : "";
-		list[i].revision = it->revision;
+		list[i].revision = it->revision.number;
+		list[i].era = it->revision.era;
+		list[i].copied = it->copied != 0;
+		list[i].removed_major = it->removed.major;
+		list[i].removed_minor = it->removed.minor;
 		list[i].removed = it->value == NULL;
 		if (it->value != NULL) {
 			list[i].value.data =
@@ -48,7 +53,7 @@
 	if (st == NULL)
 		return PLATFORM_EMALFORMED;
 	platform_page_init(p);
-	p->as_of = st->as_of;
+	p->as_of = (struct view_revision){ st->as_of_era, st->as_of };
 	for (i = 0; i < st->n_items; i++) {
 		s = st->items[i];
 		if (s->kind >= PLATFORM_OTHER)
@@ -57,7 +62,8 @@
 			s->kind == PLATFORM_CONFIG ? NULL : g_strdup(s->name),
 			s->removed ? NULL
 				   : g_bytes_new(s->value.data, s->value.len),
-			s->revision };
+			{ s->era, s->revision }, s->copied,
+			{ s->removed_major, s->removed_minor } };
 		g_array_append_val(p->items, it);
 	}
 	state__state__free_unpacked(st, NULL);
--- a/side/state.pb-c.c
+++ b/side/state.pb-c.c
@@ -97,7 +97,7 @@
   assert(message->base.descriptor == &state__state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor state__item__field_descriptors[5] =
+static const ProtobufCFieldDescriptor state__item__field_descriptors[9] =
 {
   {
     "kind",
@@ -159,18 +159,70 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(State__Item, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "copied",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(State__Item, copied),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed_major",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(State__Item, removed_major),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed_minor",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(State__Item, removed_minor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned state__item__field_indices_by_name[] = {
+  6,   /* field[6] = copied */
+  5,   /* field[5] = era */
   0,   /* field[0] = kind */
   1,   /* field[1] = name */
   4,   /* field[4] = removed */
+  7,   /* field[7] = removed_major */
+  8,   /* field[8] = removed_minor */
   3,   /* field[3] = revision */
   2,   /* field[2] = value */
 };
 static const ProtobufCIntRange state__item__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor state__item__descriptor =
 {
@@ -180,14 +232,14 @@
   "State__Item",
   "state",
   sizeof(State__Item),
-  5,
+  9,
   state__item__field_descriptors,
   state__item__field_indices_by_name,
   1,  state__item__number_ranges,
   (ProtobufCMessageInit) state__item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor state__state__field_descriptors[2] =
+static const ProtobufCFieldDescriptor state__state__field_descriptors[3] =
 {
   {
     "items",
@@ -213,15 +265,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "as_of_era",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(State__State, as_of_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned state__state__field_indices_by_name[] = {
   1,   /* field[1] = as_of */
+  2,   /* field[2] = as_of_era */
   0,   /* field[0] = items */
 };
 static const ProtobufCIntRange state__state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor state__state__descriptor =
 {
@@ -231,7 +296,7 @@
   "State__State",
   "state",
   sizeof(State__State),
-  2,
+  3,
   state__state__field_descriptors,
   state__state__field_indices_by_name,
   1,  state__state__number_ranges,
--- a/side/state.pb-c.h
+++ b/side/state.pb-c.h
@@ -35,10 +35,23 @@
   ProtobufCBinaryData value;
   uint64_t revision;
   protobuf_c_boolean removed;
+  /*
+   * of the revision; 0: unknown
+   */
+  uint64_t era;
+  /*
+   * it may stem from the copy of a restore
+   */
+  protobuf_c_boolean copied;
+  /*
+   * struct platform_stamp of what was removed
+   */
+  int64_t removed_major;
+  int64_t removed_minor;
 };
 #define STATE__ITEM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&state__item__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0, 0, 0 }
 
 
 struct  State__State
@@ -50,10 +63,11 @@
    * revision of the newest item
    */
   uint64_t as_of;
+  uint64_t as_of_era;
 };
 #define STATE__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&state__state__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, 0 }
 
 
 /* State__Item methods */
--- a/side/store_reader.c
+++ b/side/store_reader.c
@@ -21,9 +21,7 @@
  */
 #define TARGETS_PAUSE_MS 800
 #define RETRY_MS	 150 /* first pause after a failure; it doubles */
-/* Not used: a helper retries after RETRY_MAX_MS. */
-#define RETRY_HELPER_MS 600
-#define RETRY_MAX_MS	1000
+#define RETRY_MAX_MS	 1000
 /*
  * The longest pause of one of many nodes that each read the store for
  * themselves.  They are subscribed to the node of rank 0 as well and are
@@ -56,8 +54,11 @@
 	int has_list; /* a complete list was read, so changes are watched */
 	int paused;   /* a pause preceded the current watch */
 	int64_t synced_at; /* ms; all changes up to then were read, or 0 */
+	/* To be listed again, as removals or a restore may have been missed. */
+	int relist_due;
 	/* Revisions: of the last change read, of the list's first page. */
-	uint64_t watch_from, list_revision;
+	struct view_revision watch_from, list_revision;
+	int list_settled;	  /* the list was asked for in a settled era */
 	char *list_after;	  /* last key of the previous page, or NULL */
 	GHashTable *listed_names; /* items of the list that is being read */
 };
@@ -67,13 +68,12 @@
 	struct store_reader_calls calls;
 	struct part_reader parts[2]; /* by enum platform_part */
 	int watching;
-	unsigned int period; /* counts how often it has started to watch */
+	unsigned int period; /* counts starts to watch, and eras */
 	int nwatchers;	     /* nodes that also read for themselves, or 0 */
 	int helping; /* reads for another node, and no answer arrived yet */
 	int64_t failed_at; /* ms; the last failed request */
-	/* Targets are to be listed again, as removals may have been missed. */
-	int relist_due;
-	uint64_t era; /* of the store, the greatest in an answer; 0: none */
+	uint64_t era;	   /* of the store; 0: no answer has named one */
+	int64_t era_since; /* ms; the first answer in it, 0: no answer yet */
 };
 
 static const char *const part_names[] = {
@@ -82,15 +82,16 @@
 };
 
 static void on_timer(evutil_socket_t, short, void *);
-static void on_page(void *, int, const struct platform_page *);
-static void note_era(struct part_reader *, const struct platform_page *);
+static void on_page(void *, int, struct platform_page *);
 static void note_failure(struct store_reader *);
+static void enter_era(struct store_reader *, uint64_t);
+static void note_era(struct store_reader *, const char *, uint64_t);
 static void on_failure(struct part_reader *, int, const struct platform_page *);
-static void
-on_superseded(struct part_reader *, int, const struct platform_page *);
+static void on_superseded(struct part_reader *, int, struct platform_page *);
 static void on_list(struct part_reader *, const struct platform_page *);
 static void on_changes(struct part_reader *, const struct platform_page *);
 static int is_settled(const struct store_reader *);
+static int is_era_settled(const struct store_reader *);
 static int64_t max_pause_ms(const struct store_reader *);
 
 /* Creates a reader and lists both parts at once; the lists may be stale. */
@@ -150,6 +151,8 @@
 		g_clear_pointer(&pr->list_after, g_free);
 		http_timer_set(pr->timer, 0);
 	}
+	r->era = 0;
+	r->era_since = 0;
 }
 
 /* The longest pause between two failing requests, in ms. */
@@ -209,6 +212,24 @@
 		http_timer_set(pr->timer, 0);
 }
 
+/* The next list waits until the era is settled. */
+void
+store_reader_recheck(struct store_reader *r)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(r->parts); i++)
+		r->parts[i].relist_due = 1;
+}
+
+/* A reader that watches learns of it from the store soon enough. */
+void
+store_reader_saw_era(struct store_reader *r, uint64_t era)
+{
+	if (!r->watching && era > r->era)
+		note_era(r, "peer", era);
+}
+
 /* Whether the reader watches the store. */
 int
 store_reader_is_watching(const struct store_reader *r)
@@ -231,6 +252,14 @@
 	return base_now_ms() - r->failed_at >= SETTLE_MS;
 }
 
+/* Whether what a restore lost has been written again, too. */
+static int
+is_era_settled(const struct store_reader *r)
+{
+	return r->era_since != 0 && is_settled(r) &&
+	       base_now_ms() - r->era_since >= SETTLE_MS;
+}
+
 /*
  * Sends the next request: a watch, or a page of a list.  The list may be stale
  * unless a watch starts from it.
@@ -249,16 +278,18 @@
 		http_timer_set(pr->timer, RETRY_MS);
 		return;
 	}
-	if (pr->part == PLATFORM_TARGETS && r->relist_due && is_settled(r)) {
-		r->relist_due = 0;
+	if (pr->relist_due && pr->list_after == NULL && is_era_settled(r)) {
+		pr->relist_due = 0;
 		pr->has_list = 0;
 	}
+	if (!pr->has_list && pr->list_after == NULL)
+		pr->list_settled = r->watching && is_era_settled(r);
 	pr->in_flight = 1;
 	pr->suspended = 0;
 	pr->is_watch = pr->has_list;
 	pr->asked_in = r->period;
 	if (pr->is_watch)
-		platform_watch(pr->store, pr->part, pr->watch_from,
+		platform_watch(pr->store, pr->part, pr->watch_from.number,
 		    pr->paused ? WATCH_WAIT_MS - TARGETS_PAUSE_MS
 			       : WATCH_WAIT_MS,
 		    on_page, pr);
@@ -267,26 +298,54 @@
 		    on_page, pr);
 }
 
-/* Logs an answer of another era of the store than the ones before. */
+/* Records that entries may have expired, so that removals are uncertain. */
 static void
-note_era(struct part_reader *pr, const struct platform_page *p)
+note_failure(struct store_reader *r)
 {
-	struct store_reader *r = pr->reader;
+	r->failed_at = base_now_ms();
+	r->parts[PLATFORM_TARGETS].relist_due = 1;
+}
 
-	if (p->era == 0 || p->era == r->era)
+/*
+ * The store was restored from a copy: what was asked before is superseded, and
+ * both parts are listed, now and once more when all has been written again.
+ * The first era that a reader learns of changes nothing.
+ */
+static void
+enter_era(struct store_reader *r, uint64_t era)
+{
+	int is_first = r->era_since == 0;
+	struct part_reader *pr;
+	size_t i;
+
+	r->era = era;
+	r->era_since = base_now_ms();
+	if (is_first)
 		return;
-	base_log(G_LOG_LEVEL_MESSAGE, "store-era",
-	    "question=%s era=%" G_GUINT64_FORMAT " known=%" G_GUINT64_FORMAT,
-	    part_names[pr->part], p->era, r->era);
-	r->era = MAX(r->era, p->era);
+	r->period++;
+	note_failure(r);
+	store_reader_recheck(r);
+	for (i = 0; i < G_N_ELEMENTS(r->parts); i++) {
+		pr = &r->parts[i];
+		pr->has_list = 0;
+		g_clear_pointer(&pr->list_after, g_free);
+		if ((r->watching || r->calls.is_needed(r->calls.arg)) &&
+		    (!r->helping || i == PLATFORM_OPERATORS))
+			http_timer_set(pr->timer, 0);
+	}
 }
 
-/* Records that entries may have expired, so that removals are uncertain. */
+/* Logs an answer of another era; one of a later era begins that era here. */
 static void
-note_failure(struct store_reader *r)
+note_era(struct store_reader *r, const char *question, uint64_t era)
 {
-	r->failed_at = base_now_ms();
-	r->relist_due = 1;
+	if (r->era_since != 0 && era == r->era)
+		return;
+	base_log(G_LOG_LEVEL_MESSAGE, "store-era",
+	    "question=%s era=%" G_GUINT64_FORMAT " known=%" G_GUINT64_FORMAT,
+	    question, era, r->era);
+	if (era >= r->era)
+		enter_era(r, era);
 }
 
 /* A request failed: schedules its retry, unless nothing is needed. */
@@ -333,6 +392,7 @@
 {
 	struct store_reader *r = pr->reader;
 	const struct platform_item *it;
+	struct store_list list;
 	guint i;
 
 	if (pr->list_after == NULL) {
@@ -350,9 +410,12 @@
 		http_timer_set(pr->timer, 0);
 		return;
 	}
-	r->calls.listed(r->calls.arg, pr->part, pr->listed_names,
-	    pr->list_revision,
-	    r->watching && (pr->part == PLATFORM_OPERATORS || is_settled(r)));
+	list =
+	    (struct store_list){ pr->part, pr->listed_names, pr->list_revision,
+		    r->watching &&
+			(pr->part == PLATFORM_OPERATORS || is_settled(r)),
+		    pr->list_settled };
+	r->calls.listed(r->calls.arg, &list);
 	if (!r->watching)
 		return;
 	pr->has_list = 1;
@@ -365,7 +428,8 @@
 static void
 on_changes(struct part_reader *pr, const struct platform_page *p)
 {
-	pr->watch_from = MAX(pr->watch_from, p->as_of);
+	if (view_revision_compare(p->as_of, pr->watch_from) > 0)
+		pr->watch_from = p->as_of;
 	pr->synced_at = base_now_ms();
 	pr->paused = pr->part == PLATFORM_TARGETS && p->items->len > 0;
 	http_timer_set(pr->timer, pr->paused ? TARGETS_PAUSE_MS : 0);
@@ -377,10 +441,11 @@
  * gives no revision to watch from.
  */
 static void
-on_superseded(struct part_reader *pr, int err, const struct platform_page *p)
+on_superseded(struct part_reader *pr, int err, struct platform_page *p)
 {
 	struct store_reader *r = pr->reader;
 
+	platform_page_set_copied(p, 1);
 	if (err == PLATFORM_OK)
 		r->calls.items(r->calls.arg, p);
 	else
@@ -392,17 +457,23 @@
  * first answer starts the targets' list.
  */
 static void
-on_page(void *arg, int err, const struct platform_page *p)
+on_page(void *arg, int err, struct platform_page *p)
 {
 	struct part_reader *pr = arg;
 	struct store_reader *r = pr->reader;
 
 	pr->in_flight = 0;
-	note_era(pr, p);
+	if (p->as_of.era == 0)
+		platform_page_set_era(p, r->era);
+	if (p->as_of.era != 0 || err == PLATFORM_OK)
+		note_era(r, part_names[pr->part], p->as_of.era);
 	if (pr->asked_in != r->period) {
 		on_superseded(pr, err, p);
 		return;
 	}
+	/* A store that has lost what others were told of is of no use. */
+	if (p->as_of.era < r->era)
+		err = PLATFORM_EMALFORMED;
 	if (err != PLATFORM_OK) {
 		on_failure(pr, err, p);
 		return;
@@ -417,6 +488,7 @@
 		r->helping = 0;
 		http_timer_set(r->parts[PLATFORM_TARGETS].timer, 0);
 	}
+	platform_page_set_copied(p, !pr->is_watch && !pr->list_settled);
 	r->calls.items(r->calls.arg, p);
 	if (!pr->is_watch)
 		on_list(pr, p);
--- a/view/view.c
+++ b/view/view.c
@@ -3,6 +3,17 @@
 
 #include "view.h"
 
+static int is_later(const struct view_target *, const struct view_target *);
+
+/* A revision of an unknown era, 0, precedes those of all others. */
+int
+view_revision_compare(struct view_revision a, struct view_revision b)
+{
+	if (a.era != b.era)
+		return a.era < b.era ? -1 : 1;
+	return (a.number > b.number) - (a.number < b.number);
+}
+
 /* The id inside of a target is its key, so only values are freed. */
 struct view *
 view_new(void)
@@ -51,8 +62,6 @@
 		g_hash_table_insert(v->targets, held->id, held);
 		return 1;
 	}
-	if (t->revision <= held->revision)
-		return 0;
 	changed = held->state != t->state || held->slots != t->slots ||
 		  held->born_ms != t->born_ms ||
 		  strcmp(held->addr, t->addr) != 0 ||
@@ -61,14 +70,10 @@
 	return changed;
 }
 
-/* A newer entry means that the target was added again since. */
+/* The target's key is inside of it, so the id must be another string. */
 int
-view_remove_target(struct view *v, const char *id, uint64_t revision)
+view_remove_target(struct view *v, const char *id)
 {
-	const struct view_target *held = g_hash_table_lookup(v->targets, id);
-
-	if (held == NULL || held->revision > revision)
-		return 0;
 	return g_hash_table_remove(v->targets, id);
 }
 
@@ -88,7 +93,18 @@
 	return g_hash_table_remove(v->out, dc);
 }
 
-/* Of several entries, the one with the greatest revision is returned. */
+/* Whether an entry is newer than another one of the same address. */
+static int
+is_later(const struct view_target *t, const struct view_target *other)
+{
+	/* A copied entry of a later era may be that of an earlier start. */
+	if (t->revision.era != other->revision.era &&
+	    t->born_ms != other->born_ms)
+		return t->born_ms > other->born_ms;
+	return view_revision_compare(t->revision, other->revision) > 0;
+}
+
+/* Of several entries, the newest one is returned. */
 const struct view_target *
 view_find_target(const struct view *v, const char *addr, const char *service)
 {
@@ -101,7 +117,7 @@
 		t = value;
 		if (strcmp(t->addr, addr) == 0 &&
 		    strcmp(t->service, service) == 0 &&
-		    (best == NULL || t->revision > best->revision))
+		    (best == NULL || is_later(t, best)))
 			best = t;
 	}
 	return best;
--- a/view/view.h
+++ b/view/view.h
@@ -20,6 +20,15 @@
 #define VIEW_SERVICE_UNKNOWN \
 	(-1) /* handle of a service with an unparsed name */
 
+/* A revision of the platform's store. */
+struct view_revision {
+	uint64_t era;	 /* rises when the store is restored; 0: unknown */
+	uint64_t number; /* rises with each change; a restore sets it back */
+};
+
+/* Orders two revisions, by era first, as strcmp() orders strings. */
+int view_revision_compare(struct view_revision, struct view_revision);
+
 /*
  * ---- configuration ----
  *
@@ -121,16 +130,17 @@
 	char dc[VIEW_ID_MAX + 1];
 	int slots; /* requests that it runs at a time */
 	enum view_state state;
-	int cold_ms;	   /* rest of its warm-up time */
-	int64_t born_ms;   /* wall time of its start, 0 if not given */
-	uint64_t revision; /* of the store, when the entry changed */
+	int cold_ms;	 /* rest of its warm-up time */
+	int64_t born_ms; /* wall time of its start, 0 if not given */
+	struct view_revision revision; /* of the store, when it changed */
 };
 
 struct view {
 	struct view_config *config; /* or NULL */
 	GHashTable *targets;	    /* id to struct view_target, owned */
 	GHashTable *out;	    /* data centres that are out, owned */
-	uint64_t listed_revision;   /* revision of the newest complete list */
+	/* of the newest complete list; number 0: none */
+	struct view_revision listed_revision;
 	int64_t synced_at; /* all changes up to then are applied (ms), or 0 */
 	/* the store's answer on which synced_at is based */
 	uint64_t synced_reader; /* id of the node's reader that received it */
@@ -147,13 +157,13 @@
  */
 int view_set_config(struct view *, struct view_config *);
 /*
- * Adds or updates a target unless the view has the same or a newer revision.
+ * Adds or updates a target.  The caller knows which of two entries is newer.
  * Returns 1 if the target is new or its state, slots, start time, address or
  * service changed.
  */
 int view_set_target(struct view *, const struct view_target *);
-/* Removes a target unless its revision is newer; returns 1 if it did. */
-int view_remove_target(struct view *, const char *id, uint64_t revision);
+/* Removes a target; returns 1 if there was one. */
+int view_remove_target(struct view *, const char *id);
 /* Whether a data centre is out. */
 int view_is_out(const struct view *, const char *dc);
 /* Sets whether a data centre is out; returns 1 if that was a change. */
