--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -1,7 +1,8 @@
 /*
- * Shared by the parts of the follower: applying what was read (follow.c),
- * choosing the publisher of this node (feed.c), and finding another source when
- * the store does not answer a publisher (relay.c).
+ * Shared by the parts of the follower: applying what was read (follow.c), the
+ * items that are held (held.c), choosing the publisher of this node (feed.c),
+ * and finding another source when the store does not answer a publisher
+ * (relay.c).
  */
 #ifndef FOLLOW_INT_H
 #define FOLLOW_INT_H
@@ -74,10 +75,11 @@
 	struct view *view;
 	struct proxy *proxy;
 	struct store_reader *reader;
-	char *store;		/* address that is read */
-	GHashTable *held;	/* key to struct platform_item, as last read */
-	GHashTable *unparsed;	/* ids of targets with malformed entries */
-	uint64_t held_revision; /* greatest of the held items */
+	char *store;	      /* address that is read */
+	GHashTable *held;     /* key to struct platform_item, as last read */
+	GHashTable *unparsed; /* ids of targets with malformed entries */
+	/* Greatest of the held items, or of the era that was read last. */
+	struct view_revision held_revision;
 	/* Last large values, newest first; the oldest may be gone from held. */
 	struct proxy_base bases[HELD_BASES_MAX];
 	uint64_t reader_id;  /* random; identifies this process's answers */
@@ -100,7 +102,8 @@
 };
 
 /* Appends items in the format in which nodes send them (state.proto). */
-void state_pack(const GPtrArray *items, uint64_t as_of, GString *out);
+void
+state_pack(const GPtrArray *items, struct view_revision as_of, GString *out);
 /*
  * Decodes such items.  Returns PLATFORM_OK and a page that the caller releases
  * with platform_page_clear(), or PLATFORM_EMALFORMED and leaves the page as it
@@ -108,6 +111,30 @@
  */
 int state_unpack(const char *, size_t, struct platform_page *);
 
+/* held.c: the items held, and their order */
+enum item_order {
+	ITEM_OLDER,
+	ITEM_SAME,     /* and nothing new is known of it */
+	ITEM_CONFIRMS, /* the same; now known to be current in a later era */
+	ITEM_NEWER,
+};
+/*
+ * Orders an item and the one held under its key.  It depends on nothing but
+ * the two items.
+ */
+enum item_order
+item_order(const struct platform_item *, const struct platform_item *held);
+/* The same for an item and what the node holds; logs an older item. */
+enum item_order
+follow_order(const struct follow *, const struct platform_item *);
+/* Holds an item if it is newer or confirms the held one. */
+enum item_order follow_hold(struct follow *, const struct platform_item *);
+/* Appends a removal of each held item that a complete list lacks. */
+void follow_add_missing(
+    const struct follow *, const struct store_list *, GArray *removals);
+/* Whether items of an earlier era are held that the list names or lacks. */
+int follow_is_unsettled(const struct follow *, const struct store_list *);
+
 /*
  * publish.c: the state that this node sends to others.  The functions with a
  * void pointer are callbacks of struct proxy_state_calls, with the follower as
--- a/side/publish.c
+++ b/side/publish.c
@@ -17,11 +17,15 @@
 static uint64_t item_digest(const char *, const struct platform_item *);
 static GHashTable *digest_set(const struct proxy_held *);
 
-/* Digest of an item; it differs for any other revision, key or value. */
+/* Digest of an item; it differs if any part of the item does. */
 static uint64_t
 item_digest(const char *key, const struct platform_item *it)
 {
-	uint64_t h = XXH64(key, strlen(key), it->revision);
+	const uint64_t numbers[] = { it->revision.era, it->revision.number,
+		(uint64_t)it->copied, (uint64_t)it->removed.major,
+		(uint64_t)it->removed.minor };
+	uint64_t h =
+	    XXH64(key, strlen(key), XXH64(numbers, sizeof(numbers), 0));
 	const void *value;
 	gsize len;
 
--- a/test/test_link_lost.c
+++ b/test/test_link_lost.c
@@ -49,7 +49,8 @@
 		 LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 4,
 		 (struct sockaddr *)&sin, sizeof(sin))) == NULL)
 		g_error("the peer cannot listen");
-	t.revision = r->nodes[0].view->listed_revision + 1;
+	t.revision = r->nodes[0].view->listed_revision;
+	t.revision.number++;
 	g_strlcpy(t.id, "mute", sizeof(t.id));
 	g_strlcpy(t.service, "svc", sizeof(t.service));
 	g_strlcpy(t.addr, p->target, sizeof(t.addr));
--- a/test/test_links.c
+++ b/test/test_links.c
@@ -109,8 +109,10 @@
 	rig_run(&w.rig, SETTLE_MS);
 	for (i = 1; i < NODES; i++) {
 		CU_ASSERT_EQUAL(follow_rig_config_version(&w, order[i]), 3);
-		CU_ASSERT_EQUAL(w.follows[order[i]]->held_revision,
-		    w.follows[order[1]]->held_revision);
+		CU_ASSERT_EQUAL(
+		    view_revision_compare(w.follows[order[i]]->held_revision,
+			w.follows[order[1]]->held_revision),
+		    0);
 	}
 	follow_rig_stop(&w);
 }
--- a/test/test_page.c
+++ b/test/test_page.c
@@ -67,7 +67,8 @@
 				continue;
 			}
 			/* It is not newer than all that is written later. */
-			CU_ASSERT(it->revision <= p.as_of);
+			CU_ASSERT(
+			    view_revision_compare(it->revision, p.as_of) <= 0);
 			if (it->value != NULL)
 				CU_ASSERT_EQUAL(platform_target_decode(it, &t),
 				    PLATFORM_EMALFORMED);
@@ -124,9 +125,9 @@
 		{ DEEP, PLATFORM_EMALFORMED },
 		{ DEEP DEEP_END, PLATFORM_EMALFORMED },
 	};
-	struct platform_item it = {
-		.kind = PLATFORM_TARGET, .name = (char *)"t", .revision = 3
-	};
+	struct platform_item it = { .kind = PLATFORM_TARGET,
+		.name = (char *)"t",
+		.revision = { 0, 3 } };
 	char name[200];
 	struct view_target t;
 	size_t i;
