An answer without the id of its request is no answer to it

What callers saw, at other operators: a server wrote an earlier refusal once more on a kept connection; callers were told "not run, try again" of requests that the server had run or was running, or such a request ran at a second one.

Cause: an answer without an id was taken for the answer to whatever request the connection carried. A refusal, a 421 or the late answer to a status check that arrived just after the next request had been sent thus ended that one as not run, while its own answer was still to come. The other way round, the late answer to a request was taken for that to a status check.

Change: a target echoes the id of a request, and a status check has none; any other answer is dropped and its connection not kept. A dropped answer that ends with its connection ends the exchange too, instead of at the deadline.

Test: test_proxy_answers.

Not covered: an answer to a status check that is written once more and taken for the next check's, and teaselnode, whose targets echo no id. Its requests that must run once use a connection of their own; others can get what an earlier one left on a kept connection.

--- a/proxy/upstream.c
+++ b/proxy/upstream.c
@@ -71,7 +71,7 @@
 is_stray(const struct upstream_exchange *, const struct http_message *);
 static void deliver_body(struct upstream_exchange *);
 static void handle_partial(struct upstream_exchange *);
-static void handle_answer(struct upstream_exchange *);
+static int handle_answer(struct upstream_exchange *);
 static int is_complete_at_eof(struct upstream_exchange *, struct evbuffer *);
 static void on_read(struct bufferevent *, void *);
 static void on_event(struct bufferevent *, short, void *);
@@ -311,13 +311,16 @@
 	finish_exchange(x, r, NULL);
 }
 
-/* Whether the answer carries the id of another request. */
+/*
+ * Whether the answer belongs to another request.  A target echoes the id of a
+ * request, and a status check has none.
+ */
 static int
 is_stray(const struct upstream_exchange *x, const struct http_message *m)
 {
 	const char *id = http_find(m, x->up->names->id);
 
-	return x->id != NULL && id != NULL && strcmp(id, x->id) != 0;
+	return strcmp(id != NULL ? id : "", x->id != NULL ? x->id : "") != 0;
 }
 
 /* Delivers the bytes of a streamed body that have been read. */
@@ -374,8 +377,8 @@
 	    BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
 
-/* Handles a complete answer; one to another request is dropped. */
-static void
+/* Ends the exchange with a complete answer; drops a stray one and returns 0. */
+static int
 handle_answer(struct upstream_exchange *x)
 {
 	struct http_message *m;
@@ -388,10 +391,10 @@
 		http_message_free(m);
 		http_parse_next(&x->parse, HTTP_RESPONSE);
 		x->parse.no_body = x->is_head;
-		on_read(x->bev, x);
-		return;
+		return 0;
 	}
 	finish_exchange(x, UPSTREAM_ANSWER, m);
+	return 1;
 }
 
 /* Parses input; on an idle connection it belongs to no request: closes that. */
@@ -409,10 +412,11 @@
 	}
 	if (x->credit <= 0)
 		return;
-	err = http_parse_feed(&x->parse, bufferevent_get_input(bev));
-	if (err == HTTP_OK)
-		handle_answer(x);
-	else if (err != HTTP_EINCOMPLETE)
+	while ((err = http_parse_feed(&x->parse, bufferevent_get_input(bev))) ==
+	       HTTP_OK)
+		if (handle_answer(x))
+			return;
+	if (err != HTTP_EINCOMPLETE)
 		finish_exchange(x, UPSTREAM_BROKEN, NULL);
 	else
 		handle_partial(x);
@@ -443,12 +447,11 @@
 	 * An answer without length ends with its connection.  Some of its bytes
 	 * may still be waiting for credit.
 	 */
-	if (x->calls != NULL && (what & BEV_EVENT_EOF) &&
-	    is_complete_at_eof(x, bufferevent_get_input(bev)))
-		handle_answer(x);
-	else
-		connection_lost(
-		    x, what & BEV_EVENT_ERROR ? EVUTIL_SOCKET_ERROR() : 0);
+	while (x->calls != NULL && (what & BEV_EVENT_EOF) &&
+	       is_complete_at_eof(x, bufferevent_get_input(bev)))
+		if (handle_answer(x))
+			return;
+	connection_lost(x, what & BEV_EVENT_ERROR ? EVUTIL_SOCKET_ERROR() : 0);
 }
 
 /* The connect timeout or the idle timeout has expired. */
--- a/test/rig.h
+++ b/test/rig.h
@@ -47,7 +47,8 @@
 	char caller[VIEW_ID_MAX + 1]; /* caller named in the last request */
 	/* A scripted target sends fixed bytes in place of an answer. */
 	struct evconnlistener *listener;
-	const char *script; /* "ID" stands for the id of the request */
+	const char *script;	  /* "ID" stands for the id of the request */
+	const char *check_prefix; /* sent before answers to checks, or NULL */
 	enum rig_conn_end then;
 	int open; /* open connections that have carried a request */
 };
--- a/test/rig_target.c
+++ b/test/rig_target.c
@@ -192,7 +192,8 @@
 
 	if (strcmp(m->path, "/health") == 0) {
 		evbuffer_add_printf(out,
-		    "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+		    "%sHTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+		    t->check_prefix != NULL ? t->check_prefix : "",
 		    platform_headers.target, t->id);
 		return 0;
 	}
