Test every part of a target's answer

Report of other operators: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body.

teaselside does not do so: each proper part of an answer with a length, in chunks, of a refusal and of a head without length, ended by a close or a reset, at the node beside the target and over a link, of a request that may be repeated and one that must run once, becomes a 502. A head without length that is closed properly is a whole answer, as the protocol has it.

The test fails if the end of a connection is taken for the end of any message that has begun (tried in a copy: is_complete_at_eof() without the check of http_parse_end()).

--- a/test/test_proxy_answers.c
+++ b/test/test_proxy_answers.c
@@ -1,6 +1,7 @@
 /* Answers of a target that belong to no request, or end too early. */
 #include <stdio.h>
 
+#include "../proxy/proxy_int.h"
 #include "rig.h"
 #include "test.h"
 
@@ -122,7 +123,84 @@
 	rig_stop(&r);
 }
 
+/*
+ * Sends a request to a node, whose target or that of another node writes a part
+ * of an answer; returns the status that the caller gets.
+ */
+static int
+status_of_part(struct rig *r, int node, const char *path, const char *part,
+    enum rig_conn_end then)
+{
+	struct rig_call c;
+	int status;
+
+	r->nodes[0].target.script = part;
+	r->nodes[0].target.then = then;
+	rig_call(r, &c, node, path, "ID", 900);
+	rig_wait(r, &c);
+	status = rig_status(&c);
+	rig_call_end(&c);
+	/* The failures of the parts before do not count. */
+	outlier_init(&r->nodes[0].proxy->guard.outlier);
+	return status;
+}
+
+/*
+ * Failure: a target stopped in its answer's head or body and closed, and the
+ * caller got a success with an empty or a short body.  Every part of an answer
+ * is tried, next to the target and over a link.
+ */
+static void
+part_of_an_answer_is_no_answer(void)
+{
+	static const struct {
+		const char *text;
+		int until_close; /* whole once its connection is closed */
+	} answers[] = {
+		{ OK, 0 },
+		{ "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Seal: s\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+		    0 },
+		{ SHED("503", "X-Attempt-Id: ID\r\n"), 0 },
+		{ "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Seal: s\r\n"
+		  "\r\n",
+		    1 },
+	};
+	static const enum rig_conn_end ends[] = { RIG_CLOSE, RIG_RESET };
+	static const char *const kinds[] = { "/once/", "/run/" };
+	struct rig r;
+	char *part, path[16];
+	int node, status, i, at, parts, n = 0;
+	enum rig_conn_end end;
+
+	rig_start(&r, 2);
+	rig_script(&r, 0, "", RIG_CLOSE);
+	/* What node 1 receives goes to node 0. */
+	rig_list_target(&r, 1, "svc", VIEW_DRAINING);
+	/* All combinations of an answer, its end, the node and the kind. */
+	for (i = 0; i < (int)G_N_ELEMENTS(answers) * 8; i++) {
+		end = ends[i / 4 % 2];
+		node = i / 2 % 2;
+		parts = (int)strlen(answers[i / 8].text);
+		if (answers[i / 8].until_close && end == RIG_RESET)
+			parts++;
+		for (at = 0; at < parts; at++) {
+			part = g_strndup(answers[i / 8].text, (gsize)at);
+			g_snprintf(
+			    path, sizeof(path), "%s%d", kinds[i % 2], n++);
+			status = status_of_part(&r, node, path, part, end);
+			if (status != 502)
+				printf(
+				    "case %d, %d bytes: %d\n", i, at, status);
+			CU_ASSERT_EQUAL(status, 502);
+			g_free(part);
+		}
+	}
+	rig_stop(&r);
+}
+
 static const struct test tests[] = {
+	{ "part of an answer is no answer", part_of_an_answer_is_no_answer },
 	{ "answer to no request is dropped", answer_to_no_request_is_dropped },
 	{ "status check drops other answers",
 	    status_check_drops_other_answers },
