teaselnode: an empty answer needs a length, too

What callers saw, at other operators: a server stopped in its answer and closed, and clients got a 200 with an empty body, framed as whole.

Cause: a body that ends with its connection is taken for truncated, as its end is not marked, but an empty one was excepted. A target that stops right after a head without length thus gave a whole, empty answer.

Change: without a length or chunks an answer is broken, unless it has no body by its status or method.

--- a/upstream/exchange.c
+++ b/upstream/exchange.c
@@ -18,7 +18,7 @@
 static void copy_headers(ne_request *, struct exchange_job *);
 static enum exchange status_result(ne_request *, const struct exchange_job *);
 static enum exchange error_result(int, const struct exchange_job *);
-static int is_framed(ne_request *, const struct exchange_job *, size_t);
+static int is_framed(ne_request *, const struct exchange_job *);
 
 /* Creates an empty job, which the submitter fills with its request. */
 struct exchange_job *
@@ -132,18 +132,17 @@
 
 /*
  * Whether the end of the answer is marked.  A body that ends with its
- * connection cannot be distinguished from a truncated one.
+ * connection, even an empty one, cannot be distinguished from a truncated one.
  */
 static int
-is_framed(ne_request *req, const struct exchange_job *j, size_t len)
+is_framed(ne_request *req, const struct exchange_job *j)
 {
 	int status = ne_get_status(req)->code;
 
 	if (strcmp(j->method, "HEAD") == 0 || status == HTTP_NO_CONTENT ||
 	    status == HTTP_NOT_MODIFIED)
 		return 1;
-	return len == 0 ||
-	       ne_get_response_header(req, "Content-Length") != NULL ||
+	return ne_get_response_header(req, "Content-Length") != NULL ||
 	       ne_get_response_header(req, "Transfer-Encoding") != NULL;
 }
 
@@ -196,7 +195,7 @@
 		j->status = ne_get_status(req)->code;
 		copy_headers(req, j);
 		ne = read_answer(req, j, body);
-		if (ne == NE_OK && !is_framed(req, j, body->len))
+		if (ne == NE_OK && !is_framed(req, j))
 			ne = NE_ERROR;
 	}
 	if (ne == NE_OK)
