Test a target that is missing for a moment

That cuts no request: what the target runs is answered, next to it and over a link, what waits is refused as not run, and it gets work again once it is listed. So a list that is wrongly taken for complete is no cause of LOST.

--- a/test/test_proxy_guard.c
+++ b/test/test_proxy_guard.c
@@ -110,7 +110,54 @@
 	rig_stop(&r);
 }
 
+/*
+ * A target that goes missing from the view for a moment, as a list that lacks
+ * it removes it: what it runs is answered, next to it and over a link, and what
+ * waits is refused as not run.  No connection is closed.
+ */
+static void
+missing_target_ends_its_requests(void)
+{
+	enum {
+		RUNNING = 4,
+		CALLS = 6
+	}; /* the target has four slots */
+	struct rig r;
+	struct rig_call c[CALLS];
+	int i, n[2] = { 0, 0 };
+
+	rig_start(&r, 2);
+	r.nodes[0].target.work_ms = 300;
+	/* What node 1 receives goes to node 0. */
+	rig_list_target(&r, 1, "svc", VIEW_DRAINING);
+	for (i = 0; i < CALLS; i++) {
+		rig_call(&r, &c[i], i % 2, "/once/x", "m", 900);
+		rig_run(&r, 10);
+	}
+	CU_ASSERT_EQUAL(r.nodes[0].target.runs, RUNNING);
+	for (i = 0; i < r.nnodes; i++) {
+		CU_ASSERT_EQUAL(
+		    view_remove_target(r.nodes[i].view, "t0", G_MAXUINT64), 1);
+		proxy_view_changed(r.nodes[i].proxy);
+	}
+	rig_run(&r, 50);
+	rig_list_target(&r, 0, "svc", VIEW_READY);
+	for (i = 0; i < CALLS; i++) {
+		rig_wait(&r, &c[i]);
+		n[0] += rig_status(&c[i]) == 200;
+		n[1] += rig_status(&c[i]) == 503;
+		rig_call_end(&c[i]);
+	}
+	CU_ASSERT_EQUAL(n[0], RUNNING);
+	CU_ASSERT_EQUAL(n[1], CALLS - RUNNING);
+	CU_ASSERT_EQUAL(r.nodes[0].target.runs, RUNNING);
+	CU_ASSERT_EQUAL(count_served(&r, 0, "/run/x", 1), 1);
+	rig_stop(&r);
+}
+
 static const struct test tests[] = {
+	{ "missing target ends its requests",
+	    missing_target_ends_its_requests },
 	{ "resetting target is ejected", resetting_target_is_ejected },
 	{ "shedding target is used", shedding_target_is_used },
 	{ "resends count as retries", resends_count_as_retries },
