Test that odd entries hide no change from nodes

The end of the report on odd entries, seen from the nodes: with one item whose key holds a NUL, or stands twice, nodes no longer saw that a target leaves, nor that its entry was removed.

--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -62,6 +62,58 @@
 	follow_rig_stop(&w);
 }
 
+/*
+ * Failure: nodes stopped following the store when it held one odd entry.  The
+ * last two items are malformed themselves, by what their keys hold.
+ */
+static void
+odd_entries_hide_no_change(void)
+{
+	static const char deep[] = "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[";
+	static const struct {
+		const char *key, *value;
+	} odd[] = {
+		{ "servers/deep", deep },
+		{ "servers/large",
+		    "{\"Address\":\"127.0.0.1:99999999999\",\"Info\":{"
+		    "\"Service\":\"svc\",\"Zone\":\"north\",\"Slots\":1e400},"
+		    "\"Status\":{\"State\":\"ready\",\"WarmupLeftMs\":0}}" },
+		{ "servers/port",
+		    "{\"Address\":\"127.0.0.1:65536\",\"Info\":{\"Service\":"
+		    "\"svc\",\"Zone\":\"north\",\"Slots\":4},\"Status\":{"
+		    "\"State\":\"ready\",\"WarmupLeftMs\":0}}" },
+		{ "servers/nul\\u0000", "{}" },
+		{ "servers/two\",\"Key\":\"servers/three", "{}" },
+	};
+	struct follow_rig w;
+	size_t k;
+	int i;
+
+	follow_rig_start(&w);
+	for (k = 0; k < G_N_ELEMENTS(odd); k++)
+		store_put(w.store, odd[k].key, odd[k].value);
+	follow_rig_put_target(&w, 0, "draining");
+	rig_run(&w.rig, 1500);
+	for (i = 0; i < FOLLOW_RIG_NODES; i++) {
+		const struct view *v = w.rig.nodes[i].view;
+		const struct view_target *t =
+		    g_hash_table_lookup(v->targets, "t0");
+
+		CU_ASSERT(t != NULL && t->state == VIEW_DRAINING);
+		CU_ASSERT_EQUAL(
+		    g_hash_table_size(v->targets), FOLLOW_RIG_NODES);
+	}
+	/* Lists with these items are complete as well. */
+	store_compact(w.store);
+	store_remove_target(w.store, "t0");
+	store_compact(w.store);
+	rig_run(&w.rig, 6000);
+	for (i = 0; i < FOLLOW_RIG_NODES; i++)
+		CU_ASSERT_EQUAL(g_hash_table_size(w.rig.nodes[i].view->targets),
+		    FOLLOW_RIG_NODES - 1);
+	follow_rig_stop(&w);
+}
+
 /* Changes whose history was compacted are found by new lists. */
 static void
 compacted_history_is_listed_again(void)
@@ -256,6 +308,7 @@
 }
 
 static const struct test tests[] = {
+	{ "odd entries hide no change", odd_entries_hide_no_change },
 	{ "stale list hides no target", stale_list_hides_no_target },
 	{ "lost answers delay updates briefly",
 	    lost_answers_delay_updates_briefly },
