Clamp the time that a target announces for idle connections

The time in a Keep-Alive header was multiplied without a bound, which is undefined for a large one; with this compiler the connection was closed instead of kept.

--- a/proxy/upstream.c
+++ b/proxy/upstream.c
@@ -247,7 +247,9 @@
 
 	if (v == NULL || (t = strstr(v, "timeout=")) == NULL)
 		return IDLE_MAX_MS;
-	return g_ascii_strtoll(t + strlen("timeout="), NULL, 10) *
+	/* The number may be too large for a multiplication. */
+	return CLAMP(g_ascii_strtoll(t + strlen("timeout="), NULL, 10), 0,
+		   G_MAXINT32) *
 	       BASE_MS_PER_S;
 }
 
--- a/test/test_proxy_answers.c
+++ b/test/test_proxy_answers.c
@@ -103,6 +103,49 @@
 	}
 }
 
+/* Failure: a Keep-Alive time too large for 64 bits had an undefined value. */
+static void
+odd_keep_alive_times_are_clamped(void)
+{
+	static const struct {
+		const char *time;
+		int kept; /* the second request reuses the connection */
+	} cases[] = {
+		{ "5", 1 },
+		{ "9223372036854775807", 1 },
+		{ "99999999999999999999", 1 },
+		{ "0", 0 },
+		{ "-9223372036854775808", 0 },
+		{ "x", 0 },
+	};
+	struct rig r;
+	struct rig_call c;
+	char *text;
+	size_t i;
+	int k;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		text =
+		    g_strdup_printf("HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n"
+				    "X-Server-Seal: s\r\nKeep-Alive: "
+				    "timeout=%s\r\nContent-Length: 0\r\n\r\n",
+			cases[i].time);
+		rig_start(&r, 1);
+		/* A connection that is used again is reset. */
+		rig_script(&r, 0, text, RIG_RESET_REUSED);
+		for (k = 0; k < 2; k++) {
+			rig_call(&r, &c, 0, "/once/x", "k", 300);
+			rig_wait(&r, &c);
+			CU_ASSERT_EQUAL(rig_status(&c),
+			    k == 1 && cases[i].kept ? 502 : 200);
+			rig_call_end(&c);
+			rig_run(&r, 10);
+		}
+		rig_stop(&r);
+		g_free(text);
+	}
+}
+
 /* A request without an id gets the answer without one. */
 static void
 request_without_id_is_answered(void)
@@ -204,6 +247,8 @@
 	{ "answer to no request is dropped", answer_to_no_request_is_dropped },
 	{ "status check drops other answers",
 	    status_check_drops_other_answers },
+	{ "odd keep alive times are clamped",
+	    odd_keep_alive_times_are_clamped },
 	{ "request without id is answered", request_without_id_is_answered },
 };
 
