--- a/base/log.c
+++ b/base/log.c
@@ -138,13 +138,17 @@
 base_log(GLogLevelFlags level, const char *event, const char *fmt, ...)
 {
 	va_list ap;
-	char *msg;
+	char *msg, *c;
 
 	if (!(level & log_mask))
 		return;
 	va_start(ap, fmt);
 	msg = g_strdup_vprintf(fmt, ap);
 	va_end(ap);
+	/* Names and texts may come from anyone; a record is one line. */
+	for (c = msg; *c != '\0'; c++)
+		if (g_ascii_iscntrl(*c))
+			*c = '?';
 	g_log_structured(
 	    log_program, level, "EVENT", event, "MESSAGE", "%s", msg);
 	g_free(msg);
