Soak: answers of the old era arrive after a restore

The store of the soak was refused or silent before a restore, so no answer written before it could arrive after it. In a quarter of the restores it now goes on writing answers, about all keys or one part, which are sent only up to a second after the restore; those that follow the restore wait as well.

--- a/soak/restore.c
+++ b/soak/restore.c
@@ -13,7 +13,7 @@
 #define LAPSE_MS	4500 /* three reports of a target */
 #define AGAIN_ONE_IN	3    /* restores soon followed by one more */
 #define AGAIN_MAX_MS	3000
-#define DOWN_KINDS	3
+#define LATE_MAX_MS	1000 /* until answers that are held back are sent */
 
 static int below(struct soak *, int);
 static void save(struct soak *, int64_t);
@@ -21,9 +21,14 @@
 static void come_back(struct soak *, int64_t);
 static void remove_gone(struct soak *);
 
-/* What nodes are answered while the store is down. */
-static const enum store_fault down_faults[DOWN_KINDS] = { STORE_SILENT,
-	STORE_BUSY, STORE_DOWN };
+/*
+ * What nodes are answered while the store is down; without a fault, answers are
+ * written but arrive only after the restore.
+ */
+static const enum store_fault down_faults[] = { STORE_SILENT, STORE_BUSY,
+	STORE_DOWN, STORE_NO_FAULT };
+/* Keys that the answers held back are about. */
+static const char *const late_prefixes[] = { "", "op/", "servers/" };
 
 /* A random number from 0 to n - 1. */
 static int
@@ -51,20 +56,30 @@
 go_down(struct soak *s, int64_t now)
 {
 	struct restore *r = &s->restore;
-	enum store_fault fault = down_faults[below(s, DOWN_KINDS)];
+	enum store_fault fault =
+	    down_faults[below(s, G_N_ELEMENTS(down_faults))];
 	int i;
 
 	if (below(s, 2))
 		operator_put_config(s, below(s, SERVICES));
 	r->down_at = 0;
 	r->back_at = now + 1 + below(s, DOWN_MAX_MS);
+	if (r->late_at != 0)
+		store_send_delayed(s->store);
+	r->late_at = 0;
+	if (fault == STORE_NO_FAULT) {
+		store_delay_answers(s->store,
+		    late_prefixes[below(s, G_N_ELEMENTS(late_prefixes))]);
+		r->late_at = r->back_at + below(s, LATE_MAX_MS);
+	}
 	for (i = 0; i < s->nnodes; i++) {
 		store_set_address_fault(
 		    s->store, s->nodes[i].store_address, fault);
-		s->nodes[i].heal_store_at = r->back_at;
+		s->nodes[i].heal_store_at = MAX(r->back_at, r->late_at);
 	}
-	printf("%" G_GINT64_FORMAT " restore fault=%s down_ms=%d\n",
-	    base_wall_ms(), store_fault_names[fault], (int)(r->back_at - now));
+	printf("%" G_GINT64_FORMAT " restore fault=%s down_ms=%d late_ms=%d\n",
+	    base_wall_ms(), store_fault_names[fault], (int)(r->back_at - now),
+	    r->late_at != 0 ? (int)(r->late_at - r->back_at) : 0);
 }
 
 /* Faults of the addresses end with the next fleet_tick(). */
@@ -139,7 +154,9 @@
 
 	if (r->back_at != 0)
 		come_back(s, now);
-	r->save_at = r->down_at = 0;
+	if (r->late_at != 0)
+		store_send_delayed(s->store);
+	r->save_at = r->down_at = r->late_at = 0;
 }
 
 /* Takes the steps that are due. */
@@ -164,6 +181,10 @@
 		go_down(s, now);
 	if (r->back_at != 0 && now >= r->back_at)
 		come_back(s, now);
+	if (r->late_at != 0 && now >= r->late_at) {
+		r->late_at = 0;
+		store_send_delayed(s->store);
+	}
 }
 
 /* Remembers a target whose entry is removed, as a copy may still have it. */
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -281,7 +281,7 @@
 	GRand *rand;
 	int every_ms; /* mean time between two; 0: none */
 	/* Times of the next steps, or 0. */
-	int64_t save_at, down_at, back_at, operator_at, lapse_at;
+	int64_t save_at, down_at, back_at, late_at, operator_at, lapse_at;
 	int has_copy;
 	int change;	 /* a change follows once the operator wrote again */
 	GPtrArray *gone; /* ids of targets removed since the copy */
