--- a/test/test_proxy_guard.c
+++ b/test/test_proxy_guard.c
@@ -136,8 +136,7 @@
 	}
 	CU_ASSERT_EQUAL(r.nodes[0].target.runs, RUNNING);
 	for (i = 0; i < r.nnodes; i++) {
-		CU_ASSERT_EQUAL(
-		    view_remove_target(r.nodes[i].view, "t0", G_MAXUINT64), 1);
+		CU_ASSERT_EQUAL(view_remove_target(r.nodes[i].view, "t0"), 1);
 		proxy_view_changed(r.nodes[i].proxy);
 	}
 	rig_run(&r, 50);
