A node does not exit before other nodes know that it does

What callers saw: 502 (may have run) for requests that no target was given, on sites whose grace is longer than 8.7 s.

Cause: the goaway follows the grace (30 % of it), the earliest exit a time of its own (2.6 s). With a grace of 10 s an idle node was gone before it told anyone.

Change: the exit waits until the goaways have had time to arrive.

Test: other_nodes_are_told_before_the_exit failed before.

--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -17,6 +17,7 @@
  * shutdown; the rest is for the work it has accepted.
  */
 #define GUARD_GRACE_PERCENT 30
+#define GOAWAY_MS	    500 /* for goaways to arrive, before the process may exit */
 /* After this percentage of grace_ms, requests without an answer are refused. */
 #define ANSWER_GRACE_PERCENT 94
 
@@ -146,6 +147,7 @@
 	proxy_guard_set_state(
 	    &p->guard, PROXY_GUARD_DRAINING, "the node leaves");
 	links_drain(&p->links);
+	p->exit_after = base_now_ms() + GOAWAY_MS;
 }
 
 /* Refuses all pending calls, as the process is killed soon. */
@@ -185,12 +187,15 @@
 }
 
 /*
- * The time between the two steps lets the requests arrive that are on their way
- * on new connections.
+ * Other nodes must have been told first, or requests on their way are lost with
+ * the process.  The time between the two steps lets the requests arrive that
+ * are on their way on new connections.
  */
 int
 proxy_close_callers(struct proxy *p)
 {
+	if (p->exit_after == 0 || base_now_ms() < p->exit_after)
+		return 0;
 	if (http_server_stop_listening(p->entry.server))
 		return 0;
 	return http_server_close_idle(p->entry.server) == 0;
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -151,7 +151,8 @@
 /* Whether no request or answer is pending. */
 int proxy_idle(const struct proxy *);
 /*
- * Closes the callers' connections before the process exits: first the
+ * Closes the callers' connections before the process exits, once other nodes
+ * have been told that it does: first the
  * listener, then, when called again, what is idle.  Returns whether all are
  * closed.
  */
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -320,7 +320,8 @@
 	int draining;
 	int64_t last_call_at; /* ms; new calls are refused from then, or 0 */
 	struct event *guard_drain_timer; /* end of new work for the target */
-	int64_t last_answer_at;		 /* ms; deadline of all calls, or 0 */
+	int64_t exit_after;	/* ms; peers have been told by then, or 0 */
+	int64_t last_answer_at; /* ms; deadline of all calls, or 0 */
 	struct event *last_answer_timer;
 	struct proxy_state_calls state;
 	struct entry entry;
--- a/test/test_link_lost.c
+++ b/test/test_link_lost.c
@@ -4,6 +4,7 @@
 
 #include <event2/listener.h>
 
+#include "../proxy/proxy_int.h"
 #include "rig.h"
 #include "test.h"
 
@@ -125,7 +126,34 @@
 	}
 }
 
+/*
+ * Guards against requests that are lost with a process that exits before it has
+ * told other nodes, however long its grace is.
+ */
+static void
+other_nodes_are_told_before_the_exit(void)
+{
+	struct rig r;
+	int i;
+
+	rig_start(&r, 2);
+	r.nodes[1].settings.grace_ms = 2000;
+	proxy_drain(r.nodes[1].proxy);
+	rig_run(&r, 50);
+	CU_ASSERT(proxy_idle(r.nodes[1].proxy));
+	for (i = 0; i < 3; i++)
+		CU_ASSERT_EQUAL(proxy_close_callers(r.nodes[1].proxy), 0);
+	CU_ASSERT_PTR_NOT_NULL(r.nodes[1].proxy->links.listener);
+	for (i = 0; i < 100 && !proxy_close_callers(r.nodes[1].proxy); i++)
+		rig_run(&r, 20);
+	CU_ASSERT(i < 100);
+	CU_ASSERT_PTR_NULL(r.nodes[1].proxy->links.listener);
+	rig_stop(&r);
+}
+
 static const struct test tests[] = {
+	{ "other nodes are told before the exit",
+	    other_nodes_are_told_before_the_exit },
 	{ "lost link leaves the connection open",
 	    lost_link_leaves_the_connection_open },
 };
