A removal says which report of a target it removed

Cause: the store's removal does not say what it removed, so each node took that from the entry it held. A subscriber's may be older, as the last report of a target that has become warm is not published. The copy's entry then counted as newer than the removal there, and the target was back.

Change: what a node publishes carries the stamp that it holds itself.

Test: removal_has_the_stamp_of_the_last_report failed at both subscribers.

--- a/side/follow.c
+++ b/side/follow.c
@@ -249,6 +249,8 @@
 				g_ptr_array_add(changed, it);
 			f->verify_until = base_now_ms() + VERIFY_MS;
 		} else if (apply_item(f, it)) {
+			/* Subscribers may hold an earlier report. */
+			it->removed = follow_removed(f, it);
 			g_ptr_array_add(changed, it);
 			/* The restored store may lack it. */
 			if (from_node &&
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -129,6 +129,9 @@
 follow_order(const struct follow *, const struct platform_item *);
 /* Holds an item if it is newer or confirms the held one. */
 enum item_order follow_hold(struct follow *, const struct platform_item *);
+/* Stamp of what a held removal removed; zeros for another item. */
+struct platform_stamp
+follow_removed(const struct follow *, const struct platform_item *);
 /* Appends a removal of each held item that a complete list lacks. */
 void follow_add_missing(
     const struct follow *, const struct store_list *, GArray *removals);
--- a/side/held.c
+++ b/side/held.c
@@ -153,6 +153,18 @@
 	return order;
 }
 
+/* A removal that the store tells of does not say what it removed. */
+struct platform_stamp
+follow_removed(const struct follow *f, const struct platform_item *it)
+{
+	const struct platform_item *held;
+	char *key = platform_item_key(it);
+
+	held = g_hash_table_lookup(f->held, key);
+	g_free(key);
+	return held != NULL ? held->removed : it->removed;
+}
+
 /* Whether lists of a part name the items of that kind. */
 static int
 is_listed_kind(const struct platform_item *it, enum platform_part part)
--- a/test/test_restore.c
+++ b/test/test_restore.c
@@ -11,6 +11,7 @@
 	"{\"Address\":\"127.0.0.77:1\",\"Info\":{\"Service\":\"other\"," \
 	"\"Zone\":\"north\",\"Slots\":4},\"Status\":{\"State\":\"" state \
 	"\",\"Sequence\":" #sequence ",\"WarmupLeftMs\":0},\"born\":7}"
+
 /* The state of target x in a node's view, or -1 if it is not there. */
 static int
 state_of_x(struct follow_rig *w, int node)
@@ -71,6 +72,36 @@
 	return ok;
 }
 
+/*
+ * Guards against a subscriber that takes a removed target back from the copy: a
+ * removal says which report it removed, also if that was never published.
+ */
+static void
+removal_has_the_stamp_of_the_last_report(void)
+{
+	static const char cold[] =
+	    "{\"Address\":\"127.0.0.77:1\",\"Info\":{\"Service\":\"other\","
+	    "\"Zone\":\"north\",\"Slots\":4},\"Status\":{\"State\":\"ready\","
+	    "\"Sequence\":5,\"WarmupLeftMs\":900},\"born\":7}";
+	const struct platform_item *held;
+	struct follow_rig w;
+	int i;
+
+	follow_rig_start(&w);
+	store_put(w.store, "servers/x", cold);
+	rig_run(&w.rig, PAUSE_MS);
+	store_put(w.store, "servers/x", ENTRY("ready", 6));
+	rig_run(&w.rig, PAUSE_MS);
+	store_remove(w.store, "servers/x");
+	rig_run(&w.rig, PAUSE_MS);
+	for (i = 0; i < w.rig.nnodes; i++) {
+		held = g_hash_table_lookup(w.follows[i]->held, "servers/x");
+		CU_ASSERT(held != NULL && held->value == NULL &&
+			  held->removed.major == 7 && held->removed.minor == 6);
+	}
+	follow_rig_stop(&w);
+}
+
 /*
  * Fault: the store comes back from a copy, and the next version gets a revision
  * that the nodes hold already; they dropped it.
@@ -372,6 +403,8 @@
 }
 
 static const struct test tests[] = {
+	{ "removal has the stamp of the last report",
+	    removal_has_the_stamp_of_the_last_report },
 	{ "version after restore is applied",
 	    version_after_restore_is_applied },
 	{ "target that leaves after restore is left",
