A process that exits does not discard the answers it has sent

Cause: links were reset at the exit, which discards what the kernel has not yet delivered; a node counts as idle once its own buffers are empty.

Change: a draining node closes the links of other nodes in order. What a peer has sent and this node has not read still resets the link.

Test: answers_outlive_the_process failed before.

--- a/proxy/links.c
+++ b/proxy/links.c
@@ -165,7 +165,11 @@
 	} else {
 		g_hash_table_remove(l->links->in, l);
 		link_serve_end(l);
-		http_reset(l->bev);
+		/* A reset discards answers that the peer has yet to read. */
+		if (l->links->listener == NULL)
+			bufferevent_free(l->bev);
+		else
+			http_reset(l->bev);
 	}
 	g_hash_table_destroy(l->jobs);
 	link_drop_bases(l);
--- a/test/test_link_lost.c
+++ b/test/test_link_lost.c
@@ -1,10 +1,11 @@
 /* Links between nodes that are lost while requests are on them. */
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <event2/listener.h>
 
-#include "../proxy/proxy_int.h"
+#include "../proxy/link_int.h"
 #include "rig.h"
 #include "test.h"
 
@@ -151,7 +152,78 @@
 	rig_stop(&r);
 }
 
+/* Writes a request for the target of service "svc" to a raw link. */
+static void
+write_request(struct link *l, uint32_t stream)
+{
+	Link__Frame f = LINK__FRAME__INIT;
+	Link__Request q = LINK__REQUEST__INIT;
+	Link__Header id = LINK__HEADER__INIT, *headers[] = { &id };
+
+	id.name = (char *)platform_headers.id;
+	id.value = "a";
+	q.headers = headers;
+	q.n_headers = 1;
+	f.stream = stream;
+	f.body_case = LINK__FRAME__BODY_REQUEST;
+	f.request = &q;
+	q.method = "GET";
+	q.path = "/run/x";
+	q.service = "svc";
+	q.id = "a";
+	q.remaining_ms = 900;
+	link_write_frame(l, &f);
+}
+
+/*
+ * Guards against answers that are lost with the process that has sent them, as
+ * the peer had not read them when it closed the link.
+ */
+static void
+answers_outlive_the_process(void)
+{
+	struct sockaddr_in sin;
+	struct link l = { 0 };
+	Link__Frame *in;
+	struct rig r;
+	int fd, i, answered = 0, small = 2048;
+
+	rig_start(&r, 1);
+	address_resolve(r.nodes[0].settings.links, &sin);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	CU_ASSERT_EQUAL_FATAL(
+	    connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	evutil_make_socket_nonblocking(fd);
+	l.bev = bufferevent_socket_new(r.base, fd, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_disable(l.bev, EV_READ);
+	bufferevent_enable(l.bev, EV_WRITE);
+	for (i = 1; i <= 150; i++) {
+		write_request(&l, (uint32_t)i);
+		rig_run(&r, 6);
+	}
+	r.nodes[0].settings.grace_ms = 100;
+	proxy_drain(r.nodes[0].proxy);
+	rig_run(&r, 60);
+	CU_ASSERT(proxy_idle(r.nodes[0].proxy));
+	rig_restart(&r, 0);
+	bufferevent_enable(l.bev, EV_READ);
+	for (i = 0; i < 300 && answered < r.nodes[0].target.runs; i++) {
+		rig_run(&r, 5);
+		while (link_read_frame(&l, &in) > 0) {
+			answered += in->body_case == LINK__FRAME__BODY_ANSWER &&
+				    in->answer->outcome == OUTCOME_ANSWERED;
+			link__frame__free_unpacked(in, NULL);
+		}
+	}
+	CU_ASSERT(answered > 0);
+	CU_ASSERT_EQUAL(answered, r.nodes[0].target.runs);
+	bufferevent_free(l.bev);
+	rig_stop(&r);
+}
+
 static const struct test tests[] = {
+	{ "answers outlive the process", answers_outlive_the_process },
 	{ "other nodes are told before the exit",
 	    other_nodes_are_told_before_the_exit },
 	{ "lost link leaves the connection open",
