--- a/review/1/case.c
+++ b/review/1/case.c
@@ -6,10 +6,10 @@
  */
 #include "../stand/mesh.h"
 
-#define ENTRY	  0 /* takes the clients' requests; must go on */
-#define KILLED	  1 /* beside the server of the long answer */
-#define CLIENTS	  6 /* with kept connections */
-#define LONG_SIZE (2 * 1024 * 1024)
+#define ENTRY	   0 /* takes the clients' requests; must go on */
+#define KILLED	   1 /* beside the server of the long answer */
+#define CLIENTS	   6 /* with kept connections */
+#define LONG_SIZE  (2 * 1024 * 1024)
 #define CLOSED_MAX 3 /* the rule allows so many */
 
 int
--- a/review/stand/mesh.c
+++ b/review/stand/mesh.c
@@ -12,10 +12,10 @@
 
 #define TICK_MS	      20
 #define REPORT_MS     1000 /* between two reports of a server */
-#define RESTART_MS    400  /* until the platform starts an ended process again */
+#define RESTART_MS    400 /* until the platform starts an ended process again */
 #define READY_WAIT_MS 8000
-#define TIMEOUT_MS    4000 /* TimeoutMs of all routes */
-#define GOAL_MS	      1000 /* TargetLatencyMs of all routes */
+#define TIMEOUT_MS    4000	  /* TimeoutMs of all routes */
+#define GOAL_MS	      1000	  /* TargetLatencyMs of all routes */
 #define LONG_BYTES    (64 * 1024) /* longer answers are sent in pieces */
 #define PIECE_MS      50
 #define BODY_MAX      (64 * 1024 * 1024)
@@ -242,8 +242,8 @@
 {
 	store_remove_target(n->mesh->store, n->id);
 	n->leaving = 1;
-	mesh_note(n->mesh, "store: the entry of server %s of node %d is removed",
-	    n->id, n->i);
+	mesh_note(n->mesh,
+	    "store: the entry of server %s of node %d is removed", n->id, n->i);
 }
 
 /* Ends the server. */
@@ -286,7 +286,8 @@
 	g_string_append_printf(t,
 	    "],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":1048576,"
 	    "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":10000},"
-	    "\"VirtualHosts\":[{\"Host\":\"mesh.example\",\"PathRules\":[%s]}]}",
+	    "\"VirtualHosts\":[{\"Host\":\"mesh.example\",\"PathRules\":[%s]}]"
+	    "}",
 	    routes->str);
 	store_put(m->store, "op/config", t->str);
 	mesh_note(m, "store: version %d is acknowledged", version);
@@ -329,8 +330,8 @@
 		store_reply(m->store, w->exchange, w->prefix, 503, "{}");
 		g_ptr_array_remove_index(m->store->watches, i);
 	}
-	mesh_note(m, "store: %s node %d", refuse ? "refuses" : "serves again",
-	    n->i);
+	mesh_note(
+	    m, "store: %s node %d", refuse ? "refuses" : "serves again", n->i);
 }
 
 /* ---- processes ---- */
@@ -521,8 +522,8 @@
 	struct http_message *a;
 	struct mesh_request *r;
 
-	while (http_parse_feed(&c->parse, bufferevent_get_input(bev)) ==
-	       HTTP_OK) {
+	while (
+	    http_parse_feed(&c->parse, bufferevent_get_input(bev)) == HTTP_OK) {
 		a = http_parse_take(&c->parse);
 		http_parse_next(&c->parse, HTTP_RESPONSE);
 		r = g_queue_pop_head(&c->waiting);
@@ -629,13 +630,13 @@
 		n->i = i;
 		n->zone = zones[i];
 		n->service = services[i];
-		g_snprintf(n->host, sizeof(n->host), "127.%d.2.%d", m->net,
-		    i + 1);
+		g_snprintf(
+		    n->host, sizeof(n->host), "127.%d.2.%d", m->net, i + 1);
 		g_snprintf(
 		    n->config, sizeof(n->config), "%s/node%d.json", m->dir, i);
 		g_snprintf(n->log, sizeof(n->log), "%s/node%d.log", m->dir, i);
-		g_snprintf(n->id, sizeof(n->id), "i-%d%04d", i,
-		    (int)getpid() % 10000);
+		g_snprintf(
+		    n->id, sizeof(n->id), "i-%d%04d", i, (int)getpid() % 10000);
 		n->born_wall_ms = g_get_real_time() / 1000;
 		n->report_at = base_now_ms() + REPORT_MS * i / nnodes;
 		if (!open_server(n))
@@ -667,8 +668,7 @@
 	for (i = 0; i < m->nnodes; i++)
 		mesh_start(&m->nodes[i]);
 	for (i = 0; i < m->nnodes; i++) {
-		g_snprintf(
-		    addr, sizeof(addr), "%s:8302", m->nodes[i].host);
+		g_snprintf(addr, sizeof(addr), "%s:8302", m->nodes[i].host);
 		probe = http_client_new(m->base, addr);
 		for (ready = 0; !ready && base_now_ms() < give_up;) {
 			http_client_get(probe, "/ready", 500, on_ready, &ready);
--- a/review/stand/mesh.h
+++ b/review/stand/mesh.h
@@ -35,7 +35,7 @@
 	char config[256], log[256];
 	const char *zone, *service;
 	/* the process */
-	pid_t pid;	  /* 0: it does not run */
+	pid_t pid; /* 0: it does not run */
 	int64_t started_at;
 	int64_t start_at; /* next start, or 0 */
 	int killed;	  /* it was killed by the case */
@@ -56,7 +56,7 @@
 	int64_t sent_at, ran_at, ended_at; /* or 0 */
 	int runs, ran_on; /* the latter: node beside the last server */
 	int status;	  /* of the answer, or 0 */
-	int cut; /* the connection ended without a complete answer */
+	int cut;	  /* the connection ended without a complete answer */
 };
 
 /* A client's connection to the process of a node. */
@@ -77,7 +77,7 @@
 	int nnodes;
 	int trouble; /* 0: the case runs without its disruption */
 	char dir[64];
-	int net;	      /* the addresses are 127.net.* */
+	int net; /* the addresses are 127.net.* */
 	const char *program;
 	const char *seeds; /* text of the settings' list of peers */
 	FILE *record;
@@ -123,7 +123,7 @@
  * Sends GET /service/wMS/bBYTES/: the server works for so long, and answers
  * with so many bytes, long answers at 64 KB each 50 ms.
  */
-struct mesh_request *mesh_get(
-    struct mesh_client *, const char *service, int work_ms, int bytes);
+struct mesh_request *
+mesh_get(struct mesh_client *, const char *service, int work_ms, int bytes);
 
 #endif
