--- a/review/stand/mesh.h
+++ b/review/stand/mesh.h
@@ -125,5 +125,8 @@
  */
 struct mesh_request *
 mesh_get(struct mesh_client *, const char *service, int work_ms, int bytes);
+/* The same, but the server resets the connection halfway. */
+struct mesh_request *mesh_get_broken(
+    struct mesh_client *, const char *service, int work_ms, int bytes);
 
 #endif
