--- a/review/stand/mesh.c
+++ b/review/stand/mesh.c
@@ -18,7 +18,6 @@
 #define GOAL_MS	      1000	  /* TargetLatencyMs of all routes */
 #define LONG_BYTES    (64 * 1024) /* longer answers are sent in pieces */
 #define PIECE_MS      50
-#define BROKEN_PATH   "/broken/" /* the answer breaks off at half */
 #define BODY_MAX      (64 * 1024 * 1024)
 
 /* A request that a server runs. */
@@ -28,7 +27,6 @@
 	struct event *timer;
 	char id[MESH_ID_MAX];
 	int left, begun; /* bytes to send; the head was sent */
-	int break_at;	 /* bytes left at which the answer breaks off, or 0 */
 };
 
 static void on_tick(evutil_socket_t, short, void *);
@@ -136,8 +134,6 @@
 		r->exchange = x;
 		g_strlcpy(r->id, id, sizeof(r->id));
 		r->left = b != NULL ? atoi(b + 2) : 0;
-		if (strstr(m->path, BROKEN_PATH) != NULL)
-			r->break_at = r->left / 2;
 		r->timer = evtimer_new(n->mesh->base, on_work_done, r);
 		http_exchange_set(x, r);
 		http_timer_set(r->timer, w != NULL ? atoi(w + 2) : 0);
@@ -175,15 +171,6 @@
 		r->left -= n;
 	}
 	g_free(bytes);
-	if (r->begun && r->left < r->break_at) {
-		mesh_note(r->node->mesh,
-		    "server %s of node %d breaks off the "
-		    "answer to %s",
-		    r->node->id, r->node->i, r->id);
-		http_reply_end(r->exchange, 0);
-		run_free(r);
-		return;
-	}
 	if (r->begun && r->left > 0) {
 		http_timer_set(r->timer, PIECE_MS);
 		return;
@@ -365,7 +352,7 @@
 	    "\"grace_ms\": 6000, \"cold_ratio\": 1.5, \"cold_slack\": 5,\n"
 	    "\"retry_window_ms\": 10000, \"retry_ratio\": 0.2,\n"
 	    "\"retry_slack\": 60, \"log\": \"info\"}\n",
-	    n->i, n->zone, n->service, n->host, n->host, n->host, n->host,
+	    n->i, n->zone, n->service, n->host, n->host, n->links_host, n->host,
 	    n->host, m->net, n->i + 1, m->seeds);
 	if (!g_file_set_contents(tmp, text, -1, NULL) ||
 	    rename(tmp, n->config) != 0)
@@ -497,9 +484,8 @@
 }
 
 /* Sends a request behind those that wait on the connection. */
-static struct mesh_request *
-send_get(struct mesh_client *c, const char *service, int work_ms, int bytes,
-    int is_broken)
+struct mesh_request *
+mesh_get(struct mesh_client *c, const char *service, int work_ms, int bytes)
 {
 	struct mesh_request *r = g_new0(struct mesh_request, 1);
 	struct mesh *m = c->mesh;
@@ -519,31 +505,15 @@
 		http_parse_next(&c->parse, HTTP_RESPONSE);
 	g_queue_push_tail(&c->waiting, r);
 	evbuffer_add_printf(bufferevent_get_output(c->bev),
-	    "GET /%s/w%d/b%d%s HTTP/1.1\r\nHost: mesh.example\r\n"
+	    "GET /%s/w%d/b%d/ HTTP/1.1\r\nHost: mesh.example\r\n"
 	    "%s: %s\r\n%s: %d\r\n\r\n",
-	    service, work_ms, bytes, is_broken ? BROKEN_PATH : "/",
-	    platform_headers.id, r->id, platform_headers.remaining_ms,
-	    TIMEOUT_MS);
+	    service, work_ms, bytes, platform_headers.id, r->id,
+	    platform_headers.remaining_ms, TIMEOUT_MS);
 	mesh_note(m, "client of node %d sends %s to %s, work %d ms, %d bytes",
 	    c->node, r->id, service, work_ms, bytes);
 	return r;
 }
 
-/* The server answers it. */
-struct mesh_request *
-mesh_get(struct mesh_client *c, const char *service, int work_ms, int bytes)
-{
-	return send_get(c, service, work_ms, bytes, 0);
-}
-
-/* The server breaks its answer off halfway. */
-struct mesh_request *
-mesh_get_broken(
-    struct mesh_client *c, const char *service, int work_ms, int bytes)
-{
-	return send_get(c, service, work_ms, bytes, 1);
-}
-
 /* Answers arrive in the order of the requests. */
 static void
 on_client_read(struct bufferevent *bev, void *arg)
@@ -662,6 +632,7 @@
 		n->service = services[i];
 		g_snprintf(
 		    n->host, sizeof(n->host), "127.%d.2.%d", m->net, i + 1);
+		g_strlcpy(n->links_host, n->host, sizeof(n->links_host));
 		g_snprintf(
 		    n->config, sizeof(n->config), "%s/node%d.json", m->dir, i);
 		g_snprintf(n->log, sizeof(n->log), "%s/node%d.log", m->dir, i);
--- a/review/stand/mesh.h
+++ b/review/stand/mesh.h
@@ -32,6 +32,8 @@
 	struct mesh *mesh;
 	int i;
 	char host[ADDRESS_MAX];
+	/* Where its process listens for links; the host, or behind a proxy. */
+	char links_host[ADDRESS_MAX];
 	char config[256], log[256];
 	const char *zone, *service;
 	/* the process */
@@ -125,8 +127,5 @@
  */
 struct mesh_request *
 mesh_get(struct mesh_client *, const char *service, int work_ms, int bytes);
-/* The same, but the server resets the connection halfway. */
-struct mesh_request *mesh_get_broken(
-    struct mesh_client *, const char *service, int work_ms, int bytes);
 
 #endif
