--- a/review/stand/mesh.c
+++ b/review/stand/mesh.c
@@ -10,7 +10,8 @@
 
 #include "mesh.h"
 
-#define TICK_MS	      20
+#define TICK_MS	      10
+#define MEMORY_MB     260  /* MemoryMb of a machine */
 #define REPORT_MS     1000 /* between two reports of a server */
 #define RESTART_MS    400 /* until the platform starts an ended process again */
 #define READY_WAIT_MS 8000
@@ -284,7 +285,7 @@
 		    GOAL_MS, m->nodes[i].service);
 	}
 	g_string_append_printf(t,
-	    "],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":1048576,"
+	    "],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":67108864,"
 	    "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":10000},"
 	    "\"VirtualHosts\":[{\"Host\":\"mesh.example\",\"PathRules\":[%s]}]"
 	    "}",
@@ -348,12 +349,12 @@
 	    "\n\"target\": \"%s:8301\", \"callers\": \"%s:8304\",\n"
 	    "\"links\": \"%s:8300\", \"ready\": \"%s:8302\",\n"
 	    "\"metrics\": \"%s:7620\", \"store\": \"127.%d.1.%d:8309\",\n"
-	    "\"peers\": [%s], \"beat_ms\": 1500, \"memory_mb\": 260,\n"
+	    "\"peers\": [%s], \"beat_ms\": 1500, \"memory_mb\": %d,\n"
 	    "\"grace_ms\": 6000, \"cold_ratio\": 1.5, \"cold_slack\": 5,\n"
 	    "\"retry_window_ms\": 10000, \"retry_ratio\": 0.2,\n"
 	    "\"retry_slack\": 60, \"log\": \"info\"}\n",
 	    n->i, n->zone, n->service, n->host, n->host, n->links_host, n->host,
-	    n->host, m->net, n->i + 1, m->seeds);
+	    n->host, m->net, n->i + 1, m->seeds, MEMORY_MB);
 	if (!g_file_set_contents(tmp, text, -1, NULL) ||
 	    rename(tmp, n->config) != 0)
 		exit(mesh_end(m, MESH_CANNOT_RUN));
@@ -401,6 +402,30 @@
 	kill(n->pid, sig);
 }
 
+/* Kills a process that uses more memory than its machine has. */
+static void
+check_memory(struct mesh_node *n)
+{
+	char *path = g_strdup_printf("/proc/%d/statm", (int)n->pid), *text;
+	long pages = 0;
+
+	if (n->pid > 0 && g_file_get_contents(path, &text, NULL, NULL)) {
+		if (sscanf(text, "%*d %ld", &pages) != 1)
+			pages = 0;
+		g_free(text);
+	}
+	g_free(path);
+	n->memory_mb = (int)(pages * (sysconf(_SC_PAGESIZE) / 1024) / 1024);
+	n->peak_mb = MAX(n->peak_mb, n->memory_mb);
+	if (n->memory_mb <= MEMORY_MB || n->killed)
+		return;
+	mesh_note(n->mesh, "process of node %d uses %d MB of %d, and is killed",
+	    n->i, n->memory_mb, MEMORY_MB);
+	n->over_memory++;
+	n->killed = 1;
+	kill(n->pid, SIGKILL);
+}
+
 /* Notes an ended process, and schedules its restart. */
 static void
 reap(struct mesh_node *n)
@@ -432,6 +457,7 @@
 	(void)what;
 	for (i = 0; i < m->nnodes; i++) {
 		n = &m->nodes[i];
+		check_memory(n);
 		reap(n);
 		if (n->start_at != 0 && now >= n->start_at)
 			mesh_start(n);
@@ -484,11 +510,14 @@
 }
 
 /* Sends a request behind those that wait on the connection. */
-struct mesh_request *
-mesh_get(struct mesh_client *c, const char *service, int work_ms, int bytes)
+static struct mesh_request *
+send_request(struct mesh_client *c, const char *method, const char *service,
+    int work_ms, int bytes, size_t len)
 {
 	struct mesh_request *r = g_new0(struct mesh_request, 1);
 	struct mesh *m = c->mesh;
+	struct evbuffer *out;
+	char *body;
 
 	g_snprintf(r->id, sizeof(r->id), "r%04d", ++m->nids);
 	r->node = c->node;
@@ -504,16 +533,38 @@
 	if (g_queue_is_empty(&c->waiting))
 		http_parse_next(&c->parse, HTTP_RESPONSE);
 	g_queue_push_tail(&c->waiting, r);
-	evbuffer_add_printf(bufferevent_get_output(c->bev),
-	    "GET /%s/w%d/b%d/ HTTP/1.1\r\nHost: mesh.example\r\n"
-	    "%s: %s\r\n%s: %d\r\n\r\n",
-	    service, work_ms, bytes, platform_headers.id, r->id,
+	out = bufferevent_get_output(c->bev);
+	evbuffer_add_printf(out,
+	    "%s /%s/w%d/b%d/ HTTP/1.1\r\nHost: mesh.example\r\n"
+	    "%s: %s\r\n%s: %d\r\n",
+	    method, service, work_ms, bytes, platform_headers.id, r->id,
 	    platform_headers.remaining_ms, TIMEOUT_MS);
-	mesh_note(m, "client of node %d sends %s to %s, work %d ms, %d bytes",
-	    c->node, r->id, service, work_ms, bytes);
+	if (len > 0)
+		evbuffer_add_printf(out, "Content-Length: %zu\r\n", len);
+	evbuffer_add_printf(out, "\r\n");
+	body = g_malloc0(len + 1);
+	evbuffer_add(out, body, len);
+	g_free(body);
+	mesh_note(m,
+	    "client of node %d sends %s to %s, work %d ms, %d bytes, body %zu",
+	    c->node, r->id, service, work_ms, bytes, len);
 	return r;
 }
 
+/* A request without a body. */
+struct mesh_request *
+mesh_get(struct mesh_client *c, const char *service, int work_ms, int bytes)
+{
+	return send_request(c, "GET", service, work_ms, bytes, 0);
+}
+
+/* The same with a body. */
+struct mesh_request *
+mesh_put(struct mesh_client *c, const char *service, int work_ms, size_t len)
+{
+	return send_request(c, "PUT", service, work_ms, 100, len);
+}
+
 /* Answers arrive in the order of the requests. */
 static void
 on_client_read(struct bufferevent *bev, void *arg)
@@ -616,7 +667,7 @@
 	m->seeds = "";
 	m->began = base_now_ms();
 	m->base = event_base_new();
-	m->limits = (struct http_limits){ 65536, 1048576, 60000, 60000, 0 };
+	m->limits = (struct http_limits){ 65536, BODY_MAX, 60000, 60000, 0 };
 	m->requests = g_ptr_array_new_with_free_func(g_free);
 	m->clients = g_ptr_array_new_with_free_func(client_free);
 	m->nnodes = nnodes;
--- a/review/stand/mesh.h
+++ b/review/stand/mesh.h
@@ -41,7 +41,9 @@
 	int64_t started_at;
 	int64_t start_at; /* next start, or 0 */
 	int killed;	  /* it was killed by the case */
-	int own_ends;	  /* it ended by itself so many times */
+	int memory_mb, peak_mb;
+	int over_memory; /* it was killed for its memory so many times */
+	int own_ends;	 /* it ended by itself so many times */
 	/* the server */
 	struct http_server *server; /* NULL: down */
 	char id[MESH_ID_MAX];
@@ -127,5 +129,8 @@
  */
 struct mesh_request *
 mesh_get(struct mesh_client *, const char *service, int work_ms, int bytes);
+/* Sends PUT with a body of len bytes. */
+struct mesh_request *
+mesh_put(struct mesh_client *, const char *service, int work_ms, size_t len);
 
 #endif
