--- a/review/5/case.c
+++ b/review/5/case.c
@@ -1,82 +1,101 @@
 /*
- * The platform's store is down while processes start (platform_down), and the
- * list of seeds in their settings becomes shorter.  No process may end by
- * itself, least of all three times on several machines.
+ * The platform's store turns away the machines that read it for two zones
+ * (platform_down, nodes) while a server leaves that never reports draining: its
+ * entry is removed, and it serves on for DrainMs and a little longer.  Machines
+ * that are served by the store, and are in touch, may not send it requests
+ * later than DrainMs after the store has acknowledged the removal.
  */
-#include <stdlib.h>
+#include <string.h>
 
 #include "../stand/mesh.h"
 
-#define ROUNDS	  4
-#define CHANGE_MS 500  /* from the start of the processes to the change */
-#define BACK_MS	  800  /* from the change until there are three seeds again */
-#define DOWN_MS	  7500 /* of the store, from the start */
-#define ENDS_MAX  3    /* by itself, on one machine */
-#define MACHINES  2    /* on so many machines it is a fault of the day */
+#define DRAIN_MS  2000
+#define SERVES_MS 4500 /* after the removal: DrainMs and a little longer */
+#define CALM_MS	  6000 /* all machines are in touch by then */
+#define REFUSE_MS 5000
+#define PERIOD_MS 40 /* between two requests of a client */
 
-/* Sets the seeds of all nodes, as the platform does. */
+/* Sends requests from two machines for ms. */
 static void
-set_seeds(struct mesh *m, int n)
+send_requests(struct mesh *m, const int *from, const char *service, int ms)
 {
-	GString *text = g_string_new(NULL);
+	struct mesh_client *c[2];
+	int64_t until = base_now_ms() + ms;
 	int i;
 
-	/* Addresses of machines that are down: nothing listens there. */
-	for (i = 0; i < n; i++)
-		g_string_append_printf(text, "%s\"127.%d.9.%d:8303\"",
-		    i > 0 ? ", " : "", m->net, i + 1);
-	m->seeds = g_string_free(text, FALSE);
-	for (i = 0; i < m->nnodes; i++)
-		mesh_write_settings(&m->nodes[i]);
-	mesh_note(m, "settings: %d seeds", n);
-}
-
-/* Waits until all processes run that the platform starts again. */
-static void
-wait_for_restarts(struct mesh *m)
-{
-	int i;
-
-	for (i = 0; i < m->nnodes; i++)
-		while (m->nodes[i].pid == 0)
-			mesh_run(m, 10);
+	for (i = 0; i < 2; i++)
+		c[i] = mesh_client_open(m, from[i]);
+	while (base_now_ms() < until) {
+		for (i = 0; i < 2; i++) {
+			if (c[i]->bev == NULL)
+				c[i] = mesh_client_open(m, from[i]);
+			if (g_queue_get_length(&c[i]->waiting) == 0)
+				mesh_get(c[i], service, 10, 100);
+		}
+		mesh_run(m, PERIOD_MS);
+	}
+	for (i = 0; i < 2; i++)
+		mesh_client_close(c[i]);
 }
 
 int
 main(int argc, char **argv)
 {
-	static const char *const zones[] = { "a", "a", "b", "b" };
-	static const char *const services[] = { "front", "back", "front",
-		"back" };
-	int64_t up_at;
+	static const char *const zones[] = { "a", "a", "a", "a", "b", "b", "b",
+		"b" };
+	static const char *const services[] = { "desk", "desk", "desk", "shop",
+		"desk", "desk", "shop", "shop" };
+	const struct mesh_request *r;
+	int reads[MESH_NODES_MAX] = { 0 }, from[2] = { -1, -1 };
+	int leaver = -1, i, nreaders = 0, late = 0;
+	int64_t removed_at;
 	struct mesh m;
-	int i, machines = 0;
 
 	mesh_init(&m, argc, argv, G_N_ELEMENTS(zones), zones, services);
 	mesh_put_config(&m, 1);
-	set_seeds(&m, 3);
-	if (m.trouble)
-		store_set_fault(m.store, STORE_BUSY);
-	mesh_note(&m, "store: %s", m.trouble ? "down" : "up");
-	up_at = base_now_ms() + DOWN_MS;
-	for (i = 0; i < m.nnodes; i++)
-		mesh_start(&m.nodes[i]);
-	for (i = 0; i < ROUNDS; i++) {
-		mesh_run(&m, CHANGE_MS);
-		set_seeds(&m, 1);
-		mesh_run(&m, BACK_MS);
-		set_seeds(&m, 3);
-		wait_for_restarts(&m);
+	mesh_start_all(&m);
+	mesh_run(&m, CALM_MS);
+	/* A machine that reads has a watch open most of the time. */
+	for (i = 0; i < 20 * m.nnodes; i++) {
+		reads[i % m.nnodes] |= mesh_reads_store(&m.nodes[i % m.nnodes]);
+		if (i % m.nnodes == 0)
+			mesh_run(&m, 60);
 	}
-	if (up_at > base_now_ms())
-		mesh_run(&m, (int)(up_at - base_now_ms()));
-	store_set_fault(m.store, STORE_NO_FAULT);
-	mesh_note(&m, "store: up");
-	mesh_run(&m, 2000);
 	for (i = 0; i < m.nnodes; i++) {
-		mesh_note(&m, "node %d: its process ended by itself %d times",
-		    i, m.nodes[i].own_ends);
-		machines += m.nodes[i].own_ends >= ENDS_MAX;
+		nreaders += reads[i];
+		if (reads[i] || strcmp(zones[i], "a") != 0)
+			continue;
+		if (leaver < 0 && strcmp(services[i], "desk") == 0)
+			leaver = i;
+		else if (from[1] < 0)
+			from[1] = i;
+	}
+	from[0] = leaver;
+	mesh_note(&m,
+	    "%d machines read the store; the server of node %d leaves",
+	    nreaders, leaver);
+	if (nreaders != 2 || leaver < 0 || from[1] < 0)
+		return mesh_end(&m, MESH_CANNOT_RUN);
+	for (i = 0; i < m.nnodes && m.trouble; i++)
+		if (reads[i])
+			mesh_refuse_store(&m.nodes[i], 1);
+	send_requests(&m, from, "desk", 100);
+	mesh_remove_entry(&m.nodes[leaver]);
+	removed_at = base_now_ms();
+	send_requests(&m, from, "desk", SERVES_MS);
+	mesh_stop_server(&m.nodes[leaver]);
+	mesh_run(&m, REFUSE_MS - SERVES_MS);
+	for (i = 0; i < m.nnodes && m.trouble; i++)
+		if (reads[i])
+			mesh_refuse_store(&m.nodes[i], 0);
+	for (i = 0; i < (int)m.requests->len; i++) {
+		r = g_ptr_array_index(m.requests, i);
+		late += r->ran_on == leaver && r->runs > 0 &&
+			r->ran_at > removed_at + DRAIN_MS;
 	}
-	return mesh_end(&m, machines >= MACHINES ? MESH_BROKEN : MESH_HELD);
+	mesh_note(&m,
+	    "%d requests reached the server later than %d ms after the store "
+	    "had acknowledged that it is gone",
+	    late, DRAIN_MS);
+	return mesh_end(&m, late > 0 ? MESH_BROKEN : MESH_HELD);
 }
--- a/review/stand/mesh.c
+++ b/review/stand/mesh.c
@@ -461,7 +461,7 @@
 		reap(n);
 		if (n->start_at != 0 && now >= n->start_at)
 			mesh_start(n);
-		if (n->server != NULL && !n->leaving && now >= n->report_at)
+		if (!n->leaving && now >= n->report_at)
 			report(n);
 	}
 }
