Links: a closed link leaves its jobs before any of them ends

Cause: link_close() ended the jobs of a link one by one, while the others still named the link, whose connection was gone. The end of a broken answer closes its caller's connection, which cancels the request behind it on the same link.

Change: jobs and subscriptions leave the link first, the link is released, and then they are ended from a queue that a cancelled job leaves. No callback runs while a link is half torn down.

--- a/proxy/link_client.c
+++ b/proxy/link_client.c
@@ -5,23 +5,36 @@
 
 static struct job *find_job(struct link *, uint32_t);
 
-/* Ends jobs of a lost link: not delivered if it never opened, else unknown. */
+/* Jobs of a lost link: not delivered if it never opened, else unknown. */
 void
-link_fail_jobs(struct link *l)
+link_detach_jobs(struct link *l)
 {
-	struct job_result r = { .outcome = l->connected ? OUTCOME_UNKNOWN
-							: OUTCOME_UNDELIVERED };
 	GHashTableIter it;
 	gpointer value;
 	struct job *j;
 
-	for (;;) {
-		g_hash_table_iter_init(&it, l->jobs);
-		if (!g_hash_table_iter_next(&it, NULL, &value))
-			break;
+	g_hash_table_iter_init(&it, l->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		j = value;
-		g_hash_table_iter_remove(&it);
 		j->link = NULL;
+		j->is_lost = 1;
+		j->lost_as =
+		    l->connected ? OUTCOME_UNKNOWN : OUTCOME_UNDELIVERED;
+		g_queue_push_tail(&l->links->lost, j);
+	}
+	g_hash_table_remove_all(l->jobs);
+}
+
+/* The queue is read anew for each job, as callbacks may cancel others in it. */
+void
+links_end_lost(struct links *ls)
+{
+	struct job_result r = { 0 };
+	struct job *j;
+
+	while ((j = g_queue_pop_head(&ls->lost)) != NULL) {
+		j->is_lost = 0;
+		r.outcome = j->lost_as;
 		j->done(j, &r);
 	}
 }
@@ -85,7 +98,10 @@
 	Link__Cancel c = LINK__CANCEL__INIT;
 	struct link *l = j->link;
 
-	(void)ls;
+	if (j->is_lost) {
+		j->is_lost = 0;
+		g_queue_remove(&ls->lost, j);
+	}
 	if (l == NULL)
 		return;
 	g_hash_table_remove(l->jobs, GUINT_TO_POINTER(j->stream));
--- a/proxy/link_int.h
+++ b/proxy/link_int.h
@@ -57,8 +57,13 @@
 void link_on_answer(struct link *, uint32_t stream, const Link__Answer *);
 void link_on_piece(struct link *, uint32_t stream, const Link__Piece *);
 void link_on_end(struct link *, uint32_t stream, const Link__End *);
-/* Ends all jobs of a lost link as undelivered or unknown. */
-void link_fail_jobs(struct link *);
+/*
+ * Moves the jobs of a link that closes to the queue of lost ones, and ends
+ * these.  Ending a job may cancel others, and open links: the link must have
+ * been released before.
+ */
+void link_detach_jobs(struct link *);
+void links_end_lost(struct links *);
 /* Whether a job is streaming an answer, which no retry can replace. */
 int link_is_streaming(struct link *);
 
@@ -69,8 +74,13 @@
 int link_is_publisher(const struct link *);
 /* Releases the bases of updates. */
 void link_drop_bases(struct link *);
-/* Clears subscriptions to the peer of a lost link, and reports their loss. */
-void link_drop_publisher(struct link *);
+/*
+ * Clears subscriptions to the peer of a lost link; returns their slots, a bit
+ * for each.
+ */
+unsigned int link_clear_publisher(struct link *);
+/* Reports the loss of the subscriptions in these slots. */
+void links_report_lost(struct links *, unsigned int slots);
 
 /*
  * feed_codec.c: compression of updates.  The base is a dictionary or NULL.  The
--- a/proxy/link_state.c
+++ b/proxy/link_state.c
@@ -225,20 +225,33 @@
 	link_send_suspects(l, 1);
 }
 
-/* Clears subscriptions to the peer of a lost link, and reports their loss. */
-void
-link_drop_publisher(struct link *l)
+/* Clears subscriptions to the peer of a lost link, and returns their slots. */
+unsigned int
+link_clear_publisher(struct link *l)
 {
-	const struct proxy_state_calls *s = &l->links->proxy->state;
+	unsigned int slots = 0;
 	int i;
 
 	for (i = 0; i < PROXY_SLOT_COUNT; i++) {
 		if (l->links->publishers[i] != l)
 			continue;
 		l->links->publishers[i] = NULL;
-		if (s->publisher_lost != NULL)
-			s->publisher_lost(s->arg, (enum proxy_slot)i);
+		slots |= 1U << i;
 	}
+	return slots;
+}
+
+/* Reports lost subscriptions, unless a callback has replaced one already. */
+void
+links_report_lost(struct links *ls, unsigned int slots)
+{
+	const struct proxy_state_calls *s = &ls->proxy->state;
+	int i;
+
+	for (i = 0; i < PROXY_SLOT_COUNT; i++)
+		if ((slots & 1U << i) != 0 && ls->publishers[i] == NULL &&
+		    s->publisher_lost != NULL)
+			s->publisher_lost(s->arg, (enum proxy_slot)i);
 }
 
 /* Handles the state that another node sent. */
@@ -287,7 +300,7 @@
 			base_log(G_LOG_LEVEL_WARNING, "feed",
 			    "unreadable base=%" G_GUINT64_FORMAT,
 			    feed->against);
-			link_drop_publisher(l);
+			links_report_lost(l->links, link_clear_publisher(l));
 			return;
 		}
 	}
--- a/proxy/links.c
+++ b/proxy/links.c
@@ -48,6 +48,7 @@
 	ls->proxy = p;
 	ls->out = g_hash_table_new(g_str_hash, g_str_equal);
 	ls->in = g_hash_table_new(NULL, NULL);
+	g_queue_init(&ls->lost);
 	ls->timer = event_new(p->base, -1, EV_PERSIST, on_timer, ls);
 	evtimer_add(ls->timer, &tv);
 	if (address_resolve(p->settings->links, &sin) != BASE_OK)
@@ -146,27 +147,31 @@
 	return l;
 }
 
-/* Closes a link, and fails or cancels its jobs. */
+/*
+ * Closes a link, and cancels its jobs or ends them.  Ending one calls back into
+ * links, so this is done when nothing refers to the link any more.
+ */
 static void
 link_close(struct link *l, const char *why)
 {
+	struct links *ls = l->links;
+	unsigned int slots = 0;
+
 	base_log(G_LOG_LEVEL_MESSAGE, "link-closed",
 	    "peer=%s reason=\"%s\" jobs=%u", l->addr != NULL ? l->addr : "-",
 	    why, g_hash_table_size(l->jobs));
-	/* Removed first, as callbacks may open a link to the same peer. */
 	if (l->addr != NULL) {
-		g_hash_table_remove(l->links->out, l->addr);
+		g_hash_table_remove(ls->out, l->addr);
 		if (l->leaving)
-			peers_set_leaving(l->links->proxy, l->addr, 0);
-		link_drop_publisher(l);
+			peers_set_leaving(ls->proxy, l->addr, 0);
+		slots = link_clear_publisher(l);
+		link_detach_jobs(l);
 		http_reset(l->bev);
-		l->bev = NULL;
-		link_fail_jobs(l);
 	} else {
-		g_hash_table_remove(l->links->in, l);
+		g_hash_table_remove(ls->in, l);
 		link_serve_end(l);
 		/* A reset discards answers that the peer has yet to read. */
-		if (l->links->listener == NULL)
+		if (ls->listener == NULL)
 			bufferevent_free(l->bev);
 		else
 			http_reset(l->bev);
@@ -175,6 +180,8 @@
 	link_drop_bases(l);
 	g_free(l->addr);
 	g_free(l);
+	links_report_lost(ls, slots);
+	links_end_lost(ls);
 }
 
 /* Another node has opened a link. */
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -67,6 +67,8 @@
 	uint32_t stream;   /* its number on the link */
 	int64_t sent_at;   /* ms */
 	size_t uncredited; /* bytes sent to the caller, not yet credited */
+	int is_lost;	   /* in the queue of lost jobs */
+	enum call_outcome lost_as;
 };
 
 /* ---- upstream: connections to the target beside the node ---- */
@@ -202,6 +204,7 @@
 	struct evconnlistener *listener;
 	GHashTable *out;     /* address to struct link, opened by this node */
 	GHashTable *in;	     /* of struct link, opened by other nodes */
+	GQueue lost; /* of struct job whose link was closed, not ended yet */
 	struct event *timer; /* of the checks for silent links */
 	struct link *publishers[PROXY_SLOT_COUNT]; /* subscribed to, or NULL */
 	uint64_t base_number; /* of the last published base, for deltas */
--- a/test/test_link_lost.c
+++ b/test/test_link_lost.c
@@ -222,8 +222,140 @@
 	rig_stop(&r);
 }
 
+/* How a link ends. */
+enum link_end { LINK_CLOSED, LINK_RESET, LINK_MALFORMED, LINK_SILENT };
+
+/* Makes a link of the peer's connection, to write frames to it. */
+static void
+mute_peer_link(struct rig *r, struct mute_peer *p, struct link *l)
+{
+	memset(l, 0, sizeof(*l));
+	l->bev = bufferevent_socket_new(r->base, p->link, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_enable(l->bev, EV_READ | EV_WRITE);
+	p->link = -1;
+}
+
+/* Writes a head, and n bytes of a body of that length; -1: of no length. */
+static void
+write_pieces(struct link *l, uint32_t stream, int64_t length, size_t n)
+{
+	Link__Header seal = LINK__HEADER__INIT, *headers[] = { &seal };
+	Link__Frame f = LINK__FRAME__INIT;
+	Link__Answer a = LINK__ANSWER__INIT;
+	Link__Piece p = LINK__PIECE__INIT;
+	uint8_t *bytes = g_malloc0(n);
+
+	seal.name = (char *)platform_headers.seal;
+	seal.value = "s";
+	f.stream = stream;
+	f.body_case = LINK__FRAME__BODY_ANSWER;
+	f.answer = &a;
+	a.outcome = OUTCOME_ANSWERED;
+	a.status = 200;
+	a.more = 1;
+	a.length = length;
+	a.headers = headers;
+	a.n_headers = 1;
+	link_write_frame(l, &f);
+	f.body_case = LINK__FRAME__BODY_PIECE;
+	f.piece = &p;
+	p.data.data = bytes;
+	p.data.len = n;
+	link_write_frame(l, &f);
+	g_free(bytes);
+}
+
+/* Ends a link; a silent one ends as the node gives it up. */
+static void
+end_link(struct link *l, enum link_end how)
+{
+	static const uint32_t too_long = G_MAXUINT32;
+
+	switch (how) {
+	case LINK_CLOSED:
+		bufferevent_free(l->bev);
+		break;
+	case LINK_RESET:
+		http_reset(l->bev);
+		break;
+	case LINK_MALFORMED:
+		evbuffer_add(bufferevent_get_output(l->bev), &too_long,
+		    sizeof(too_long));
+		break;
+	case LINK_SILENT:
+		bufferevent_disable(l->bev, EV_READ);
+		break;
+	}
+}
+
+/* Sends requests for a path on one connection, none of which waits. */
+static void
+call_pipelined(struct rig *r, struct rig_call *c, const char *path, int n)
+{
+	GString *text = g_string_new(NULL);
+	int i;
+
+	for (i = 0; i < n; i++)
+		g_string_append_printf(text,
+		    "GET %s HTTP/1.1\r\nHost: rig\r\n%s: p%d\r\n"
+		    "%s: 3500\r\n\r\n",
+		    path, platform_headers.id, i, platform_headers.remaining_ms);
+	rig_send_raw(r, c, 0, text->str);
+	g_string_free(text, TRUE);
+}
+
+/*
+ * Guards against a crash when a link is lost: the end of a broken answer closes
+ * its caller's connection, which cancels the requests behind it on that link.
+ */
+static void
+lost_link_cancels_requests_behind_a_broken_answer(void)
+{
+	static const enum link_end ends[] = { LINK_CLOSED, LINK_RESET,
+		LINK_MALFORMED, LINK_SILENT };
+	struct mute_peer peer;
+	struct rig_call c, other;
+	struct link l;
+	struct rig r;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(ends); i++) {
+		rig_start(&r, 1);
+		r.nodes[0].view->config->routes[0].timeout_ms = 4000;
+		rig_list_target(&r, 0, "other", VIEW_READY);
+		mute_peer_start(&r, &peer);
+		call_pipelined(&r, &c, "/run/x", 4);
+		rig_call(&r, &other, 0, "/run/y", "other", 3500);
+		rig_run(&r, 100);
+		CU_ASSERT_FATAL(peer.link >= 0);
+		mute_peer_link(&r, &peer, &l);
+		write_pieces(&l, 1, 200000, 100000);
+		rig_run(&r, 50);
+		rig_list_target(&r, 0, "svc", VIEW_READY);
+		end_link(&l, ends[i]);
+		rig_wait(&r, &other);
+		/* The other caller's request is sent to another target. */
+		CU_ASSERT_EQUAL(rig_status(&other), 200);
+		CU_ASSERT_FALSE(other.ended);
+		rig_run(&r, 50);
+		/* An answer that is not complete must not look so. */
+		CU_ASSERT(c.answer == NULL && c.ended);
+		CU_ASSERT_EQUAL(r.nodes[0].target.runs, 1);
+		CU_ASSERT_EQUAL(
+		    g_hash_table_size(r.nodes[0].proxy->entry.requests), 0);
+		rig_call_end(&c);
+		rig_call_end(&other);
+		if (ends[i] == LINK_MALFORMED || ends[i] == LINK_SILENT)
+			bufferevent_free(l.bev);
+		evconnlistener_free(peer.listener);
+		rig_stop(&r);
+	}
+}
+
 static const struct test tests[] = {
 	{ "answers outlive the process", answers_outlive_the_process },
+	{ "lost link cancels requests behind a broken answer",
+	    lost_link_cancels_requests_behind_a_broken_answer },
 	{ "other nodes are told before the exit",
 	    other_nodes_are_told_before_the_exit },
 	{ "lost link leaves the connection open",
