Entry: a body of the stated length is complete without its end frame

Cause: the entry took only the end frame for the end of a streamed answer, though the head states the body's length.

A body that is one byte short, or of no stated length, still resets the connection.

Change: the entry counts what is left of the body; with nothing left, the answer is complete, whatever becomes of its link.

--- a/proxy/entry_int.h
+++ b/proxy/entry_int.h
@@ -22,6 +22,7 @@
 	int offers, sends; /* offers to guards; requests sent to targets */
 	int may_have_run;  /* some target may have run it */
 	int status;	   /* HTTP status of a streamed answer */
+	int64_t body_left; /* bytes to come of its body; below 0: unknown */
 	enum call_outcome last_outcome; /* of the last offer */
 	struct http_message *failure;	/* 5xx kept in case retries fail */
 	struct event *timer;
--- a/proxy/offer.c
+++ b/proxy/offer.c
@@ -117,6 +117,7 @@
 
 	r->sends++;
 	r->status = m->status;
+	r->body_left = m->length;
 	histogram_add(HIST_FIRST_BYTE, base_now_ms() - r->arrived);
 	http_reply_begin(r->exchange, m);
 }
@@ -127,6 +128,8 @@
 {
 	struct request *r = j->arg;
 
+	if (r->body_left > 0)
+		r->body_left -= MIN(r->body_left, (int64_t)len);
 	http_reply_piece(r->exchange, bytes, len);
 }
 
@@ -145,11 +148,14 @@
 		links_credit(&e->proxy->links, &r->job, n);
 }
 
-/* Ends a streamed answer; an incomplete one resets the caller's connection. */
+/*
+ * Ends a streamed answer; an incomplete one resets the caller's connection.  A
+ * body of the length that its head states is complete, though its end was lost.
+ */
 static void
 finish_stream(struct request *r, const struct job_result *res)
 {
-	int whole = res->outcome == OUTCOME_ANSWERED;
+	int whole = res->outcome == OUTCOME_ANSWERED || r->body_left == 0;
 
 	counter_add(whole ? CTR_ANSWERED : CTR_ANSWERS_TRUNCATED, 1);
 	if (whole)
--- a/test/test_link_lost.c
+++ b/test/test_link_lost.c
@@ -223,14 +223,20 @@
 }
 
 /* How a link ends. */
-enum link_end { LINK_CLOSED, LINK_RESET, LINK_MALFORMED, LINK_SILENT };
+enum link_end {
+	LINK_CLOSED,
+	LINK_RESET,
+	LINK_MALFORMED,
+	LINK_SILENT
+};
 
 /* Makes a link of the peer's connection, to write frames to it. */
 static void
 mute_peer_link(struct rig *r, struct mute_peer *p, struct link *l)
 {
 	memset(l, 0, sizeof(*l));
-	l->bev = bufferevent_socket_new(r->base, p->link, BEV_OPT_CLOSE_ON_FREE);
+	l->bev =
+	    bufferevent_socket_new(r->base, p->link, BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_enable(l->bev, EV_READ | EV_WRITE);
 	p->link = -1;
 }
@@ -299,7 +305,8 @@
 		g_string_append_printf(text,
 		    "GET %s HTTP/1.1\r\nHost: rig\r\n%s: p%d\r\n"
 		    "%s: 3500\r\n\r\n",
-		    path, platform_headers.id, i, platform_headers.remaining_ms);
+		    path, platform_headers.id, i,
+		    platform_headers.remaining_ms);
 	rig_send_raw(r, c, 0, text->str);
 	g_string_free(text, TRUE);
 }
@@ -352,8 +359,55 @@
 	}
 }
 
+/*
+ * Guards against a complete answer that resets its caller's connection, as the
+ * frame that ends it is lost with the link.  The next request on the connection
+ * is sent to another target.
+ */
+static void
+complete_body_without_its_end_is_whole(void)
+{
+	static const struct {
+		int64_t length;
+		size_t sent;
+		int whole;
+	} cases[] = { { 60000, 60000, 1 }, { 60000, 59999, 0 },
+		{ -1, 60000, 0 } };
+	struct mute_peer peer;
+	struct rig_call c;
+	struct link l;
+	struct rig r;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		rig_start(&r, 1);
+		r.nodes[0].view->config->routes[0].timeout_ms = 4000;
+		rig_list_target(&r, 0, "other", VIEW_READY);
+		mute_peer_start(&r, &peer);
+		rig_call(&r, &c, 0, "/run/x", "a", 3500);
+		rig_run(&r, 100);
+		CU_ASSERT_FATAL(peer.link >= 0);
+		mute_peer_link(&r, &peer, &l);
+		write_pieces(&l, 1, cases[i].length, cases[i].sent);
+		rig_run(&r, 100);
+		CU_ASSERT_EQUAL(c.answer != NULL, cases[i].whole);
+		rig_list_target(&r, 0, "svc", VIEW_READY);
+		call_again(&c, "b");
+		rig_run(&r, 50);
+		bufferevent_free(l.bev);
+		rig_wait(&r, &c);
+		CU_ASSERT_EQUAL(c.ended, !cases[i].whole);
+		CU_ASSERT_EQUAL(rig_status(&c), cases[i].whole ? 200 : 0);
+		rig_call_end(&c);
+		evconnlistener_free(peer.listener);
+		rig_stop(&r);
+	}
+}
+
 static const struct test tests[] = {
 	{ "answers outlive the process", answers_outlive_the_process },
+	{ "complete body without its end is whole",
+	    complete_body_without_its_end_is_whole },
 	{ "lost link cancels requests behind a broken answer",
 	    lost_link_cancels_requests_behind_a_broken_answer },
 	{ "other nodes are told before the exit",
