--- a/side/follow.c
+++ b/side/follow.c
@@ -168,7 +168,13 @@
 
 	if (it->value == NULL) {
 		g_hash_table_remove(f->unparsed, it->name);
-		return view_remove_target(f->view, it->name);
+		if (!view_remove_target(f->view, it->name))
+			return 0;
+		base_log(G_LOG_LEVEL_MESSAGE, "target-removed",
+		    "id=%s era=%" G_GUINT64_FORMAT
+		    " revision=%" G_GUINT64_FORMAT,
+		    it->name, it->revision.era, it->revision.number);
+		return 1;
 	}
 	if (platform_target_decode(it, &t) != PLATFORM_OK) {
 		/* Each report rewrites the entry: log only the first time. */
