Follower: the removal of the own target stays a question until the store answers

Cause: a node that is told of the removal of its own target reads the store for 3 s to verify it. One failed request makes its lists doubtful for 2.5 s; then the time was over and the question forgotten.

Evidence: the new test_removal, "own removal is believed after a refusal", failed for refusals of 1.5 s and 5 s and a silent store of 4 s, in 2 of 2 runs, with all of its 6 checks of the result.

Change: side/verify.c keeps the question until the store has decided it; lists are exact for the own target 2.8 s after the last failed request was sent, and are asked for at that time (side/settle.c).

--- a/side/feed.c
+++ b/side/feed.c
@@ -347,7 +347,7 @@
 	 * as the next publisher may be silent as well.
 	 */
 	reads =
-	    reads_store(f) || now < f->verify_until || f->feed.reads_meanwhile;
+	    reads_store(f) || verify_is_pending(f) || f->feed.reads_meanwhile;
 	helping = proxy_subscribers(f->proxy, PROXY_SUBSCRIBE_HELP) > 0;
 	subscribers =
 	    helping + proxy_subscribers(f->proxy, PROXY_SUBSCRIBE_READ);
--- a/side/follow.c
+++ b/side/follow.c
@@ -9,7 +9,6 @@
 
 #define BOOTSTRAP_MS 150  /* without state, until a peer is asked for it */
 #define ANSWERS_MAX  1024 /* readers whose newest answers are remembered */
-#define VERIFY_MS    3000 /* to verify a removal; requests take up to 1.5 s */
 
 static void on_items(void *, const struct platform_page *);
 static void on_listed(void *, const struct store_list *);
@@ -21,7 +20,6 @@
 static int apply_config(struct follow *, const struct platform_item *);
 static int apply_target(struct follow *, const struct platform_item *);
 static void apply_page(struct follow *, const struct platform_page *, int);
-static int is_own_removal(struct follow *, const struct platform_item *);
 static void remove_missing(struct follow *, const struct store_list *);
 static void apply_state(void *, const char *, size_t);
 static void on_published(void *, enum proxy_slot, const struct proxy_update *);
@@ -224,14 +222,6 @@
 	return 0;
 }
 
-/* Whether an item removes the target beside this node. */
-static int
-is_own_removal(struct follow *f, const struct platform_item *it)
-{
-	return it->kind == PLATFORM_TARGET && it->value == NULL &&
-	       strcmp(it->name, proxy_target_id(f->proxy)) == 0;
-}
-
 /* Applies items and publishes the changes; from_node: a node sent them. */
 static void
 apply_page(struct follow *f, const struct platform_page *p, int from_node)
@@ -246,15 +236,14 @@
 		f->held_revision = p->as_of;
 	for (i = 0; i < p->items->len; i++) {
 		it = &g_array_index(p->items, struct platform_item, i);
-		if (from_node && is_own_removal(f, it)) {
-			/*
-			 * Published, but not applied until the store confirms
-			 * it, which it never does if this node is cut off.
-			 */
-			if (follow_order(f, it) == ITEM_NEWER)
-				g_ptr_array_add(changed, it);
-			f->verify_until = base_now_ms() + VERIFY_MS;
+		if (from_node && it->value == NULL && verify_is_own(f, it)) {
+			/* Published, but not applied until it is verified. */
+			if (follow_order(f, it) != ITEM_NEWER)
+				continue;
+			g_ptr_array_add(changed, it);
+			verify_begin(f, it);
 		} else if (apply_item(f, it)) {
+			verify_on_applied(f, it);
 			/* Subscribers may hold an earlier report. */
 			it->removed = follow_removed(f, it);
 			g_ptr_array_add(changed, it);
@@ -292,7 +281,8 @@
 
 	platform_page_init(&p);
 	p.as_of = list->as_of;
-	follow_add_missing(f, list, p.items);
+	if (follow_add_missing(f, list, p.items))
+		store_reader_recheck(f->reader);
 	apply_page(f, &p, 0);
 	platform_page_clear(&p);
 }
@@ -307,6 +297,7 @@
 		remove_missing(f, list);
 	if (follow_is_unsettled(f, list))
 		store_reader_recheck(f->reader);
+	verify_on_listed(f, list);
 	if (list->part == PLATFORM_TARGETS &&
 	    view_revision_compare(list->as_of, f->view->listed_revision) > 0)
 		f->view->listed_revision = list->as_of;
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -89,14 +89,8 @@
 	int next_peer;	     /* index of the next of settings->peers */
 	struct event *bootstrap_timer; /* asks it for its state */
 	int draining;		       /* the node is about to stop */
-	/*
-	 * Until then (ms) this node reads the store itself, because another
-	 * node has reported that the target beside this one was removed.  The
-	 * removal is applied only if the store confirms it.  A node that cannot
-	 * reach the store is cut off together with its target, whose reports
-	 * are missing for that reason alone.
-	 */
-	int64_t verify_until;
+	/* Of the own target, told by a node and not verified; 0: none. */
+	struct view_revision own_removal;
 	struct feed feed;
 	struct relay relay;
 };
@@ -132,12 +126,40 @@
 /* Stamp of what a held removal removed; zeros for another item. */
 struct platform_stamp
 follow_removed(const struct follow *, const struct platform_item *);
-/* Appends a removal of each held item that a complete list lacks. */
-void follow_add_missing(
+/*
+ * Appends a removal of each held item that a complete list lacks.  Returns
+ * whether it leaves out the own target, as the list is not exact for that.
+ */
+int follow_add_missing(
     const struct follow *, const struct store_list *, GArray *removals);
 /* Whether items of an earlier era are held that the list names or lacks. */
 int follow_is_unsettled(const struct follow *, const struct store_list *);
 
+/* settle.c: whether an item that a list lacks was removed */
+struct settle {
+	int64_t failed_at; /* ms; a request has failed */
+	int64_t asked_at;  /* ms; that request was sent */
+};
+void settle_init(struct settle *, int64_t now);
+/* A request that was sent at asked_at has failed. */
+void settle_failed(struct settle *, int64_t asked_at, int64_t now);
+/*
+ * Times (ms) from which lists are complete: for the targets of other nodes, for
+ * that beside this node, and in an era whose first answer came at since.
+ */
+int64_t settle_at(const struct settle *);
+int64_t settle_own_at(const struct settle *);
+int64_t settle_era_at(const struct settle *, int64_t since);
+
+/* verify.c: the removal of the own target, as another node tells of it */
+int verify_is_own(const struct follow *, const struct platform_item *);
+/* Whether this node has to read the store to decide the question. */
+int verify_is_pending(const struct follow *);
+void verify_begin(struct follow *, const struct platform_item *);
+/* The question may be decided: an item was applied, the targets listed. */
+void verify_on_applied(struct follow *, const struct platform_item *);
+void verify_on_listed(struct follow *, const struct store_list *);
+
 /*
  * publish.c: the state that this node sends to others.  The functions with a
  * void pointer are callbacks of struct proxy_state_calls, with the follower as
--- a/side/held.c
+++ b/side/held.c
@@ -178,7 +178,7 @@
  * revision.  An item that was read in an earlier era may just not have been
  * written again yet.
  */
-void
+int
 follow_add_missing(
     const struct follow *f, const struct store_list *list, GArray *removals)
 {
@@ -186,6 +186,7 @@
 	struct platform_item removal;
 	GHashTableIter it;
 	gpointer value;
+	int left_out = 0;
 
 	g_hash_table_iter_init(&it, f->held);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
@@ -195,6 +196,10 @@
 		    (!list->settled && held->revision.era < list->as_of.era) ||
 		    g_hash_table_contains(list->names, held->name))
 			continue;
+		if (!list->own_exact && verify_is_own(f, held)) {
+			left_out = 1;
+			continue;
+		}
 		removal = (struct platform_item){ .kind = held->kind,
 			.name = g_strdup(held->name),
 			.revision = list->as_of };
@@ -203,6 +208,7 @@
 			    MAX(list->as_of.number, held->revision.number + 1);
 		g_array_append_val(removals, removal);
 	}
+	return left_out;
 }
 
 /* Whether items of an earlier era are held that a list names or lacks. */
--- a/side/side.h
+++ b/side/side.h
@@ -39,8 +39,9 @@
 	enum platform_part part;
 	GHashTable *names;	    /* of the items on all its pages */
 	struct view_revision as_of; /* of its first page */
-	/* Items that are not among the names have been removed. */
+	/* Items that are not among the names have been removed, */
 	int exact;
+	int own_exact; /* and so has the target beside this node. */
 	/*
 	 * It also holds what was written again after the store was restored
 	 * and entered its era.
@@ -103,7 +104,7 @@
 void store_reader_relist(struct store_reader *);
 /*
  * Lists both parts once more, exactly, while it watches: once what was lost in
- * a restore of the store is written again.
+ * an outage or a restore of the store is written again.
  */
 void store_reader_recheck(struct store_reader *);
 /* Another node has read in an era of the store. */
--- a/side/store_reader.c
+++ b/side/store_reader.c
@@ -6,7 +6,7 @@
  */
 #include <string.h>
 
-#include "side.h"
+#include "follow_int.h"
 
 /*
  * A watch whose answer is lost ends only by its timeout, a little after its
@@ -31,13 +31,6 @@
 #define RETRY_MANY_EACH_MS 100 /* for each of these nodes */
 #define RETRY_MANY_MAX_MS  5000
 #define OUTAGE_FAILURES	   2 /* in a row, after which a timeout is an outage */
-/*
- * Targets whose entries expired during an outage of the store have registered
- * again about two seconds after its end.  Until this long after the last
- * failure, targets missing from a list are not taken to be removed.  What
- * operators wrote does not expire.
- */
-#define SETTLE_MS 2500
 
 /* Reads one part of the store: a list in pages, then watches. */
 struct part_reader {
@@ -50,6 +43,7 @@
 	/* What the last request asked for, and when. */
 	int is_watch;	       /* changes, not a page of a list */
 	unsigned int asked_in; /* period of the reader */
+	int64_t asked_at;      /* ms */
 	int suspended;	       /* the last request failed and is not retried */
 	int has_list; /* a complete list was read, so changes are watched */
 	int paused;   /* a pause preceded the current watch */
@@ -71,9 +65,9 @@
 	unsigned int period; /* counts starts to watch, and eras */
 	int nwatchers;	     /* nodes that also read for themselves, or 0 */
 	int helping; /* reads for another node, and no answer arrived yet */
-	int64_t failed_at; /* ms; the last failed request */
-	uint64_t era;	   /* of the store; 0: no answer has named one */
-	int64_t era_since; /* ms; the first answer in it, 0: no answer yet */
+	struct settle settle; /* whether lists are complete */
+	uint64_t era;	      /* of the store; 0: no answer has named one */
+	int64_t era_since;    /* ms; the first answer in it, 0: no answer yet */
 };
 
 static const char *const part_names[] = {
@@ -83,7 +77,7 @@
 
 static void on_timer(evutil_socket_t, short, void *);
 static void on_page(void *, int, struct platform_page *);
-static void note_failure(struct store_reader *);
+static void note_failure(struct store_reader *, int64_t);
 static void enter_era(struct store_reader *, uint64_t);
 static void note_era(struct store_reader *, const char *, uint64_t);
 static void on_failure(struct part_reader *, int, const struct platform_page *);
@@ -92,6 +86,7 @@
 static void on_changes(struct part_reader *, const struct platform_page *);
 static int is_settled(const struct store_reader *);
 static int is_era_settled(const struct store_reader *);
+static int64_t relist_wait_ms(const struct part_reader *, int64_t);
 static int64_t max_pause_ms(const struct store_reader *);
 
 /* Creates a reader and lists both parts at once; the lists may be stale. */
@@ -105,7 +100,7 @@
 
 	r->base = base;
 	r->calls = *calls;
-	r->failed_at = base_now_ms() - SETTLE_MS;
+	settle_init(&r->settle, base_now_ms());
 	for (i = 0; i < G_N_ELEMENTS(r->parts); i++) {
 		pr = &r->parts[i];
 		pr->reader = r;
@@ -187,7 +182,7 @@
 		r->period++;
 	/* For a helper the store may have been down, and entries expired. */
 	if (on && helping)
-		note_failure(r);
+		note_failure(r, base_now_ms());
 	for (i = 0; i < G_N_ELEMENTS(r->parts); i++) {
 		r->parts[i].has_list = 0;
 		if (on)
@@ -245,19 +240,30 @@
 	    r->parts[PLATFORM_TARGETS].synced_at);
 }
 
-/* Whether no request has failed for SETTLE_MS, so that lists are complete. */
+/* Whether lists are complete. */
 static int
 is_settled(const struct store_reader *r)
 {
-	return base_now_ms() - r->failed_at >= SETTLE_MS;
+	return base_now_ms() >= settle_at(&r->settle);
 }
 
 /* Whether what a restore lost has been written again, too. */
 static int
 is_era_settled(const struct store_reader *r)
 {
-	return r->era_since != 0 && is_settled(r) &&
-	       base_now_ms() - r->era_since >= SETTLE_MS;
+	return r->era_since != 0 &&
+	       base_now_ms() >= settle_era_at(&r->settle, r->era_since);
+}
+
+/* Time until a part is to be listed again, at most max; in ms. */
+static int64_t
+relist_wait_ms(const struct part_reader *pr, int64_t max)
+{
+	const struct settle *s = &pr->reader->settle;
+	int64_t at =
+	    MAX(settle_era_at(s, pr->reader->era_since), settle_own_at(s));
+
+	return pr->relist_due ? CLAMP(at - base_now_ms(), 0, max) : max;
 }
 
 /*
@@ -278,7 +284,8 @@
 		http_timer_set(pr->timer, RETRY_MS);
 		return;
 	}
-	if (pr->relist_due && pr->list_after == NULL && is_era_settled(r)) {
+	if (pr->relist_due && pr->list_after == NULL && r->era_since != 0 &&
+	    relist_wait_ms(pr, 1) == 0) {
 		pr->relist_due = 0;
 		pr->has_list = 0;
 	}
@@ -288,21 +295,26 @@
 	pr->suspended = 0;
 	pr->is_watch = pr->has_list;
 	pr->asked_in = r->period;
+	pr->asked_at = base_now_ms();
 	if (pr->is_watch)
 		platform_watch(pr->store, pr->part, pr->watch_from.number,
-		    pr->paused ? WATCH_WAIT_MS - TARGETS_PAUSE_MS
-			       : WATCH_WAIT_MS,
+		    (int)relist_wait_ms(
+			pr, pr->paused ? WATCH_WAIT_MS - TARGETS_PAUSE_MS
+				       : WATCH_WAIT_MS),
 		    on_page, pr);
 	else
 		platform_list(pr->store, pr->part, pr->list_after, !r->watching,
 		    on_page, pr);
 }
 
-/* Records that entries may have expired, so that removals are uncertain. */
+/*
+ * Records that a request sent at asked_at failed: entries may have expired, so
+ * that removals are uncertain.
+ */
 static void
-note_failure(struct store_reader *r)
+note_failure(struct store_reader *r, int64_t asked_at)
 {
-	r->failed_at = base_now_ms();
+	settle_failed(&r->settle, asked_at, base_now_ms());
 	r->parts[PLATFORM_TARGETS].relist_due = 1;
 }
 
@@ -323,7 +335,7 @@
 	if (is_first)
 		return;
 	r->period++;
-	note_failure(r);
+	note_failure(r, base_now_ms());
 	store_reader_recheck(r);
 	for (i = 0; i < G_N_ELEMENTS(r->parts); i++) {
 		pr = &r->parts[i];
@@ -358,7 +370,7 @@
 	if (pr->failures == 0)
 		base_log(G_LOG_LEVEL_MESSAGE, "store-lost",
 		    "question=%s error=%d", part_names[pr->part], err);
-	note_failure(r);
+	note_failure(r, pr->asked_at);
 	if (err == PLATFORM_ECOMPACTED)
 		pr->has_list = 0;
 	g_clear_pointer(&pr->list_after, g_free);
@@ -410,11 +422,11 @@
 		http_timer_set(pr->timer, 0);
 		return;
 	}
-	list =
-	    (struct store_list){ pr->part, pr->listed_names, pr->list_revision,
-		    r->watching &&
-			(pr->part == PLATFORM_OPERATORS || is_settled(r)),
-		    pr->list_settled };
+	list = (struct store_list){ pr->part, pr->listed_names,
+		pr->list_revision,
+		r->watching &&
+		    (pr->part == PLATFORM_OPERATORS || is_settled(r)),
+		base_now_ms() >= settle_own_at(&r->settle), pr->list_settled };
 	r->calls.listed(r->calls.arg, &list);
 	if (!r->watching)
 		return;
@@ -432,7 +444,8 @@
 		pr->watch_from = p->as_of;
 	pr->synced_at = base_now_ms();
 	pr->paused = pr->part == PLATFORM_TARGETS && p->items->len > 0;
-	http_timer_set(pr->timer, pr->paused ? TARGETS_PAUSE_MS : 0);
+	http_timer_set(
+	    pr->timer, pr->paused ? relist_wait_ms(pr, TARGETS_PAUSE_MS) : 0);
 }
 
 /*
@@ -449,7 +462,7 @@
 	if (err == PLATFORM_OK)
 		r->calls.items(r->calls.arg, p);
 	else
-		note_failure(r);
+		note_failure(r, pr->asked_at);
 }
 
 /*
