Reader: what a list lacks was removed, unless the store was away for all

Cause: after any failed request of its own, and whenever it was asked to read for another node, a reader doubted for 2.5 s that what its lists lack had been removed.

Change: an entry of a live server expires only in an outage of two reporting intervals. The time of the store's last answer to any node is known, so lists are doubted only after a gap as long (side/settle.c). For the target beside the node its own answers count. The pauses between failing requests have moved to side/pause.c.

The test "expired targets stay after outage" had an outage of 1.5 s, in which no entry that is reported every 1.5 s can expire after three intervals; it now lasts two intervals, with the same checks.

--- a/side/follow.c
+++ b/side/follow.c
@@ -57,7 +57,7 @@
 	proxy_set_state(p, &state);
 	f->bootstrap_timer = evtimer_new(base, on_bootstrap, f);
 	evtimer_add(f->bootstrap_timer, &tv);
-	f->reader = store_reader_new(base, s->store, &calls);
+	f->reader = store_reader_new(base, s->store, s->beat_ms, &calls);
 	feed_start(f);
 	return f;
 }
@@ -82,6 +82,7 @@
 void
 follow_settings_changed(struct follow *f)
 {
+	store_reader_set_interval(f->reader, f->settings->beat_ms);
 	if (strcmp(f->store, f->settings->store) == 0)
 		return;
 	g_free(f->store);
@@ -282,7 +283,7 @@
 	platform_page_init(&p);
 	p.as_of = list->as_of;
 	if (follow_add_missing(f, list, p.items))
-		store_reader_recheck(f->reader);
+		store_reader_await_targets(f->reader);
 	apply_page(f, &p, 0);
 	platform_page_clear(&p);
 }
@@ -413,6 +414,7 @@
 		g_hash_table_remove_all(f->answers);
 	g_hash_table_replace(f->answers, g_memdup2(&reader, sizeof(reader)),
 	    g_memdup2(&answer, sizeof(answer)));
+	store_reader_saw_answer(f->reader, at);
 	if (at > f->view->synced_at) {
 		f->view->synced_at = at;
 		f->view->synced_reader = reader;
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -135,21 +135,50 @@
 /* Whether items of an earlier era are held that the list names or lacks. */
 int follow_is_unsettled(const struct follow *, const struct store_list *);
 
-/* settle.c: whether an item that a list lacks was removed */
+/* settle.c: whether an item that a list lacks was removed.  Times in ms. */
 struct settle {
-	int64_t failed_at; /* ms; a request has failed */
-	int64_t asked_at;  /* ms; that request was sent */
+	int expiry_ms; /* shortest outage that expires an entry */
+	/* Last answers of the store: to any node, to this one. */
+	int64_t answered_at, own_answered_at;
+	int64_t asked_at; /* this node's last request that failed was sent */
+	/* Lists are complete from then on: but for the own target, for it. */
+	int64_t complete_at, own_complete_at;
 };
 void settle_init(struct settle *, int64_t now);
-/* A request that was sent at asked_at has failed. */
-void settle_failed(struct settle *, int64_t asked_at, int64_t now);
+/* Sets the interval of the targets' reports to the store. */
+void settle_set_interval(struct settle *, int report_ms);
+/* The store has answered a node; one that comes after an outage begins anew. */
+void settle_answered(struct settle *, int64_t at);
+void settle_own_answered(struct settle *, int64_t now);
+void settle_begin(struct settle *, int64_t now);
+/* A request of this node that was sent at asked_at has failed. */
+void settle_failed(struct settle *, int64_t asked_at);
+/* Whether lists are complete: for other targets, for the own one. */
+int settle_is_complete(const struct settle *, int64_t now);
+int settle_is_own_complete(const struct settle *, int64_t now);
 /*
- * Times (ms) from which lists are complete: for the targets of other nodes, for
- * that beside this node, and in an era whose first answer came at since.
+ * Times from which they are in an era whose first answer came at since: for
+ * other targets, for all, and for all with no request having failed lately.
  */
-int64_t settle_at(const struct settle *);
-int64_t settle_own_at(const struct settle *);
 int64_t settle_era_at(const struct settle *, int64_t since);
+int64_t settle_all_at(const struct settle *, int64_t since);
+int64_t settle_calm_at(const struct settle *, int64_t since);
+
+/* pause.c: pauses between requests to a store that fails */
+struct pause {
+	int failures; /* in a row, before this one */
+	int err;      /* of the request, enum platform_err */
+	int helping;  /* it was asked for another node */
+	int64_t max_ms, retry_after_ms;
+};
+int64_t pause_min_ms(void);
+/*
+ * The longest pause if that many nodes read for themselves (0: few do), or if a
+ * list is awaited that decides whether an item was removed.
+ */
+int64_t pause_max_ms(int nwatchers, int awaited);
+/* The pause until a failed request is retried; it is drawn at random. */
+int64_t pause_next_ms(const struct pause *);
 
 /* verify.c: the removal of the own target, as another node tells of it */
 int verify_is_own(const struct follow *, const struct platform_item *);
--- a/side/settle.c
+++ b/side/settle.c
@@ -1,7 +1,11 @@
 /*
  * Whether an item that a complete list lacks was removed.  A target's entry
- * also expires while its server cannot reach the store.
+ * also expires while its server cannot reach the store, which takes an outage
+ * of some length.  As long as the store has answered any node within that time,
+ * what its lists lack was removed.
  */
+#include <string.h>
+
 #include "follow_int.h"
 
 /*
@@ -14,44 +18,99 @@
  * until then, and three seconds later the node counts as connected.
  */
 #define OWN_SETTLE_MS 2800
+/*
+ * An entry expires after three reporting intervals without a report.  Its last
+ * report may be one interval old when an outage begins.
+ */
+#define EXPIRY_INTERVALS 2
 
 /* A reader that starts takes what it reads for complete. */
 void
 settle_init(struct settle *s, int64_t now)
 {
-	s->failed_at = now - SETTLE_MS;
+	memset(s, 0, sizeof(*s));
+	s->answered_at = s->own_answered_at = now;
 	s->asked_at = now - OWN_SETTLE_MS;
 }
 
-/* A request that was sent at asked_at has failed. */
+/* Shorter outages expire no entry. */
+void
+settle_set_interval(struct settle *s, int report_ms)
+{
+	s->expiry_ms = EXPIRY_INTERVALS * report_ms;
+}
+
+/* The store has answered a node at a time (ms). */
+void
+settle_answered(struct settle *s, int64_t at)
+{
+	if (at - s->answered_at >= s->expiry_ms)
+		settle_begin(s, at);
+	s->answered_at = MAX(s->answered_at, at);
+}
+
+/*
+ * The store has answered this node.  If it could not for long enough, the VM
+ * may have been cut off, and the target's entry have expired.
+ */
+void
+settle_own_answered(struct settle *s, int64_t now)
+{
+	settle_answered(s, now);
+	if (s->asked_at > s->own_answered_at &&
+	    now - s->own_answered_at >= s->expiry_ms)
+		s->own_complete_at = s->asked_at + OWN_SETTLE_MS;
+	s->own_answered_at = now;
+}
+
+/* From now on, entries that expired are written again. */
+void
+settle_begin(struct settle *s, int64_t now)
+{
+	s->complete_at = MAX(s->complete_at, now + SETTLE_MS);
+}
+
+/* A request of this node that was sent at a time (ms) has failed. */
 void
-settle_failed(struct settle *s, int64_t asked_at, int64_t now)
+settle_failed(struct settle *s, int64_t asked_at)
 {
-	s->failed_at = now;
 	s->asked_at = asked_at;
 }
 
-/* Time from which lists are complete. */
-int64_t
-settle_at(const struct settle *s)
+/* Whether lists are complete. */
+int
+settle_is_complete(const struct settle *s, int64_t now)
 {
-	return s->failed_at + SETTLE_MS;
+	return now >= s->complete_at && now - s->answered_at < s->expiry_ms;
 }
 
 /*
  * The same for the target beside this node, whose server is cut off together
  * with it.
  */
-int64_t
-settle_own_at(const struct settle *s)
+int
+settle_is_own_complete(const struct settle *s, int64_t now)
 {
-	return s->asked_at + OWN_SETTLE_MS;
+	return now >= s->own_complete_at;
 }
 
-/* The same after the store was restored, when its first answer came at since.
- */
+/* Time from which lists are complete in an era that began at since. */
 int64_t
 settle_era_at(const struct settle *s, int64_t since)
 {
-	return MAX(since + SETTLE_MS, settle_at(s));
+	return MAX(since + SETTLE_MS, s->complete_at);
+}
+
+/* Time from which they are complete for all targets. */
+int64_t
+settle_all_at(const struct settle *s, int64_t since)
+{
+	return MAX(settle_era_at(s, since), s->own_complete_at);
+}
+
+/* The same, and requests have not failed for a while. */
+int64_t
+settle_calm_at(const struct settle *s, int64_t since)
+{
+	return MAX(settle_all_at(s, since), s->asked_at + OWN_SETTLE_MS);
 }
--- a/side/side.h
+++ b/side/side.h
@@ -74,19 +74,19 @@
 
 /*
  * Creates a reader and lists both parts of the store once.  These lists may be
- * stale.  It does not watch until store_reader_watch() is called.
+ * stale.  It does not watch until store_reader_watch() is called.  Targets
+ * report to the store every report_ms.
  */
-struct store_reader *store_reader_new(
-    struct event_base *, const char *store, const struct store_reader_calls *);
+struct store_reader *store_reader_new(struct event_base *, const char *store,
+    int report_ms, const struct store_reader_calls *);
 void store_reader_free(struct store_reader *);
 /*
  * Starts (on != 0) or stops watching the store.  If many nodes read the store
  * for themselves because none can read for them, nwatchers is how many: the
  * reader then starts after a random delay and retries a failing store less
  * often.  Otherwise nwatchers is 0.  If helping is set when it starts, it reads
- * on behalf of a node that the store does not answer.  It then retries less
- * often, too, and takes targets that its lists lack to be removed only after no
- * request has failed for a while.
+ * on behalf of a node that the store does not answer, and then retries less
+ * often, too.
  */
 void
 store_reader_watch(struct store_reader *, int on, int nwatchers, int helping);
@@ -107,6 +107,11 @@
  * an outage or a restore of the store is written again.
  */
 void store_reader_recheck(struct store_reader *);
+/* Lists the targets once more, as soon as the list decides what was removed. */
+void store_reader_await_targets(struct store_reader *);
+/* The store has answered another node at a time of base_now_ms(). */
+void store_reader_saw_answer(struct store_reader *, int64_t at);
+void store_reader_set_interval(struct store_reader *, int report_ms);
 /* Another node has read in an era of the store. */
 void store_reader_saw_era(struct store_reader *, uint64_t era);
 /* Lists and watches the store at another address from now on. */
--- a/side/store_reader.c
+++ b/side/store_reader.c
@@ -20,17 +20,6 @@
  * leaving target must not get any requests.
  */
 #define TARGETS_PAUSE_MS 800
-#define RETRY_MS	 150 /* first pause after a failure; it doubles */
-#define RETRY_MAX_MS	 1000
-/*
- * The longest pause of one of many nodes that each read the store for
- * themselves.  They are subscribed to the node of rank 0 as well and are
- * updated as soon as that can read again.
- */
-#define RETRY_MANY_MIN_MS  2000
-#define RETRY_MANY_EACH_MS 100 /* for each of these nodes */
-#define RETRY_MANY_MAX_MS  5000
-#define OUTAGE_FAILURES	   2 /* in a row, after which a timeout is an outage */
 
 /* Reads one part of the store: a list in pages, then watches. */
 struct part_reader {
@@ -65,6 +54,7 @@
 	unsigned int period; /* counts starts to watch, and eras */
 	int nwatchers;	     /* nodes that also read for themselves, or 0 */
 	int helping; /* reads for another node, and no answer arrived yet */
+	int awaited; /* a list decides whether an item was removed */
 	struct settle settle; /* whether lists are complete */
 	uint64_t era;	      /* of the store; 0: no answer has named one */
 	int64_t era_since;    /* ms; the first answer in it, 0: no answer yet */
@@ -84,14 +74,12 @@
 static void on_superseded(struct part_reader *, int, struct platform_page *);
 static void on_list(struct part_reader *, const struct platform_page *);
 static void on_changes(struct part_reader *, const struct platform_page *);
-static int is_settled(const struct store_reader *);
 static int is_era_settled(const struct store_reader *);
 static int64_t relist_wait_ms(const struct part_reader *, int64_t);
-static int64_t max_pause_ms(const struct store_reader *);
 
 /* Creates a reader and lists both parts at once; the lists may be stale. */
 struct store_reader *
-store_reader_new(struct event_base *base, const char *store,
+store_reader_new(struct event_base *base, const char *store, int report_ms,
     const struct store_reader_calls *calls)
 {
 	struct store_reader *r = g_new0(struct store_reader, 1);
@@ -101,6 +89,7 @@
 	r->base = base;
 	r->calls = *calls;
 	settle_init(&r->settle, base_now_ms());
+	settle_set_interval(&r->settle, report_ms);
 	for (i = 0; i < G_N_ELEMENTS(r->parts); i++) {
 		pr = &r->parts[i];
 		pr->reader = r;
@@ -150,16 +139,6 @@
 	r->era_since = 0;
 }
 
-/* The longest pause between two failing requests, in ms. */
-static int64_t
-max_pause_ms(const struct store_reader *r)
-{
-	if (r->nwatchers == 0)
-		return RETRY_MAX_MS;
-	return CLAMP((int64_t)r->nwatchers * RETRY_MANY_EACH_MS,
-	    RETRY_MANY_MIN_MS, RETRY_MANY_MAX_MS);
-}
-
 /*
  * Starts to watch, beginning with new and exact lists, which replace a request
  * in flight; or stops after the request in flight.
@@ -171,8 +150,9 @@
 	size_t i;
 
 	r->nwatchers = nwatchers;
-	delay =
-	    nwatchers > 0 ? g_random_int_range(0, (int)max_pause_ms(r) / 2) : 0;
+	delay = nwatchers > 0
+		    ? g_random_int_range(0, (int)pause_max_ms(nwatchers, 0) / 2)
+		    : 0;
 	if (r->watching == on)
 		return;
 	base_log(G_LOG_LEVEL_MESSAGE, "reader", "watches=%d", on);
@@ -180,9 +160,6 @@
 	r->helping = helping;
 	if (on)
 		r->period++;
-	/* For a helper the store may have been down, and entries expired. */
-	if (on && helping)
-		note_failure(r, base_now_ms());
 	for (i = 0; i < G_N_ELEMENTS(r->parts); i++) {
 		r->parts[i].has_list = 0;
 		if (on)
@@ -217,6 +194,28 @@
 		r->parts[i].relist_due = 1;
 }
 
+/* A removal is to be decided, so failures are retried sooner. */
+void
+store_reader_await_targets(struct store_reader *r)
+{
+	r->parts[PLATFORM_TARGETS].relist_due = 1;
+	r->awaited = 1;
+}
+
+/* An answer that another node got shows that the store was not away. */
+void
+store_reader_saw_answer(struct store_reader *r, int64_t at)
+{
+	settle_answered(&r->settle, at);
+}
+
+/* The interval decides how long an outage must be to expire entries. */
+void
+store_reader_set_interval(struct store_reader *r, int report_ms)
+{
+	settle_set_interval(&r->settle, report_ms);
+}
+
 /* A reader that watches learns of it from the store soon enough. */
 void
 store_reader_saw_era(struct store_reader *r, uint64_t era)
@@ -240,28 +239,23 @@
 	    r->parts[PLATFORM_TARGETS].synced_at);
 }
 
-/* Whether lists are complete. */
-static int
-is_settled(const struct store_reader *r)
-{
-	return base_now_ms() >= settle_at(&r->settle);
-}
-
 /* Whether what a restore lost has been written again, too. */
 static int
 is_era_settled(const struct store_reader *r)
 {
-	return r->era_since != 0 &&
-	       base_now_ms() >= settle_era_at(&r->settle, r->era_since);
+	int64_t now = base_now_ms();
+
+	return r->era_since != 0 && settle_is_complete(&r->settle, now) &&
+	       now >= settle_era_at(&r->settle, r->era_since);
 }
 
 /* Time until a part is to be listed again, at most max; in ms. */
 static int64_t
 relist_wait_ms(const struct part_reader *pr, int64_t max)
 {
-	const struct settle *s = &pr->reader->settle;
-	int64_t at =
-	    MAX(settle_era_at(s, pr->reader->era_since), settle_own_at(s));
+	const struct store_reader *r = pr->reader;
+	int64_t at = r->awaited ? settle_all_at(&r->settle, r->era_since)
+				: settle_calm_at(&r->settle, r->era_since);
 
 	return pr->relist_due ? CLAMP(at - base_now_ms(), 0, max) : max;
 }
@@ -281,13 +275,15 @@
 	/* While both parts fail, only the operators' part is retried. */
 	if (pr->part == PLATFORM_TARGETS && pr->failures > 0 &&
 	    r->parts[PLATFORM_OPERATORS].failures > 0) {
-		http_timer_set(pr->timer, RETRY_MS);
+		http_timer_set(pr->timer, pause_min_ms());
 		return;
 	}
 	if (pr->relist_due && pr->list_after == NULL && r->era_since != 0 &&
 	    relist_wait_ms(pr, 1) == 0) {
 		pr->relist_due = 0;
 		pr->has_list = 0;
+		if (pr->part == PLATFORM_TARGETS)
+			r->awaited = 0;
 	}
 	if (!pr->has_list && pr->list_after == NULL)
 		pr->list_settled = r->watching && is_era_settled(r);
@@ -307,14 +303,11 @@
 		    on_page, pr);
 }
 
-/*
- * Records that a request sent at asked_at failed: entries may have expired, so
- * that removals are uncertain.
- */
+/* Records that a request sent at asked_at failed: the VM may be cut off. */
 static void
 note_failure(struct store_reader *r, int64_t asked_at)
 {
-	settle_failed(&r->settle, asked_at, base_now_ms());
+	settle_failed(&r->settle, asked_at);
 	r->parts[PLATFORM_TARGETS].relist_due = 1;
 }
 
@@ -335,7 +328,7 @@
 	if (is_first)
 		return;
 	r->period++;
-	note_failure(r, base_now_ms());
+	settle_begin(&r->settle, r->era_since);
 	store_reader_recheck(r);
 	for (i = 0; i < G_N_ELEMENTS(r->parts); i++) {
 		pr = &r->parts[i];
@@ -365,7 +358,8 @@
 on_failure(struct part_reader *pr, int err, const struct platform_page *p)
 {
 	struct store_reader *r = pr->reader;
-	int64_t pause, max_pause = max_pause_ms(r);
+	struct pause pause = { pr->failures, err, r->helping,
+		pause_max_ms(r->nwatchers, r->awaited), p->retry_after_ms };
 
 	if (pr->failures == 0)
 		base_log(G_LOG_LEVEL_MESSAGE, "store-lost",
@@ -374,18 +368,6 @@
 	if (err == PLATFORM_ECOMPACTED)
 		pr->has_list = 0;
 	g_clear_pointer(&pr->list_after, g_free);
-	pause = MIN((int64_t)RETRY_MS << MIN(pr->failures, 8), max_pause);
-	if (r->helping)
-		pause = max_pause;
-	/*
-	 * If many nodes get no answer, the outage is likely to last.  A watch
-	 * that is cut and whose history is then compacted gives two failures
-	 * in a row without an outage, so this takes more of them.
-	 */
-	if (err == PLATFORM_EDOWN && pr->failures >= OUTAGE_FAILURES &&
-	    max_pause > RETRY_MANY_MIN_MS)
-		pause = max_pause;
-	pause = MAX(pause, MIN(p->retry_after_ms, max_pause));
 	pr->failures++;
 	r->calls.failed(r->calls.arg);
 	/* A node that has received its state from another does not retry. */
@@ -393,9 +375,7 @@
 		pr->suspended = 1;
 		return;
 	}
-	/* Equal jitter spreads the retries of nodes that failed together. */
-	http_timer_set(
-	    pr->timer, pause / 2 + g_random_int_range(0, (int)pause / 2 + 1));
+	http_timer_set(pr->timer, pause_next_ms(&pause));
 }
 
 /* A page of a list arrived; the last one completes it. */
@@ -405,6 +385,7 @@
 	struct store_reader *r = pr->reader;
 	const struct platform_item *it;
 	struct store_list list;
+	int64_t now = base_now_ms();
 	guint i;
 
 	if (pr->list_after == NULL) {
@@ -422,16 +403,17 @@
 		http_timer_set(pr->timer, 0);
 		return;
 	}
-	list = (struct store_list){ pr->part, pr->listed_names,
-		pr->list_revision,
-		r->watching &&
-		    (pr->part == PLATFORM_OPERATORS || is_settled(r)),
-		base_now_ms() >= settle_own_at(&r->settle), pr->list_settled };
+	list =
+	    (struct store_list){ pr->part, pr->listed_names, pr->list_revision,
+		    r->watching && (pr->part == PLATFORM_OPERATORS ||
+				       settle_is_complete(&r->settle, now)),
+		    settle_is_own_complete(&r->settle, now), pr->list_settled };
+	pr->relist_due |= !list.exact;
 	r->calls.listed(r->calls.arg, &list);
 	if (!r->watching)
 		return;
 	pr->has_list = 1;
-	pr->synced_at = base_now_ms();
+	pr->synced_at = now;
 	pr->watch_from = pr->list_revision;
 	http_timer_set(pr->timer, 0);
 }
@@ -480,6 +462,8 @@
 		platform_page_set_era(p, r->era);
 	if (p->as_of.era != 0 || err == PLATFORM_OK)
 		note_era(r, part_names[pr->part], p->as_of.era);
+	if (err == PLATFORM_OK && p->as_of.era >= r->era)
+		settle_own_answered(&r->settle, base_now_ms());
 	if (pr->asked_in != r->period) {
 		on_superseded(pr, err, p);
 		return;
--- a/side/verify.c
+++ b/side/verify.c
@@ -36,7 +36,7 @@
 	    " result=told",
 	    it->name, it->revision.era, it->revision.number);
 	f->own_removal = it->revision;
-	store_reader_recheck(f->reader);
+	store_reader_await_targets(f->reader);
 	feed_check_now(f);
 }
 
@@ -78,5 +78,5 @@
 	else if (!listed && list->own_exact)
 		end(f, "confirmed");
 	else
-		store_reader_recheck(f->reader);
+		store_reader_await_targets(f->reader);
 }
--- a/test/rig_follow.c
+++ b/test/rig_follow.c
@@ -24,6 +24,7 @@
 {
 	w->settings[i].proxy = w->rig.nodes[i].settings;
 	w->settings[i].store = w->store_addr;
+	w->settings[i].beat_ms = FOLLOW_REPORT_MS;
 	w->follows[i] = follow_start(w->rig.base, &w->settings[i],
 	    w->rig.nodes[i].view, w->rig.nodes[i].proxy);
 }
--- a/test/rig_follow.h
+++ b/test/rig_follow.h
@@ -6,7 +6,8 @@
 #include "../standin/store.h"
 #include "rig.h"
 
-#define FOLLOW_RIG_NODES 3 /* started by follow_rig_start() */
+#define FOLLOW_RIG_NODES 3    /* started by follow_rig_start() */
+#define FOLLOW_REPORT_MS 1500 /* interval of the targets' reports */
 
 struct follow_rig {
 	struct rig rig;
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -140,6 +140,9 @@
 	follow_rig_stop(&w);
 }
 
+/* An outage that expires entries lasts two of their three intervals. */
+#define EXPIRY_MS (2 * FOLLOW_REPORT_MS)
+
 /*
  * Targets whose entries expired during an outage of the store stay in the view:
  * they register again within two seconds after its end.
@@ -161,7 +164,7 @@
 		store_remove(w.store, key);
 		g_free(key);
 	}
-	rig_run(&w.rig, 1500);
+	rig_run(&w.rig, EXPIRY_MS);
 	store_set_fault(w.store, STORE_NO_FAULT);
 	rig_run(&w.rig, 1200);
 	for (i = 0; i < FOLLOW_RIG_NODES; i++) {
--- a/test/test_removal.c
+++ b/test/test_removal.c
@@ -1,18 +1,20 @@
 /*
  * Removals of targets that never report that they leave, while the store turns
- * some nodes away.
+ * some nodes away or was away for all.
  */
 #include "../proxy/proxy_int.h"
 #include "../side/follow_int.h"
 #include "rig_follow.h"
 #include "test.h"
 
+/* After the store has removed a target, until it gets no requests. */
+#define PROPAGATION_MS 2000
 /* After a disturbance, until a node counts as connected to the store. */
 #define CONTACT_MS 3000
 /* After a disturbance, until entries that expired in it are back. */
 #define REGISTERED_MS 2000
 
-static const char *const dcs[] = { "north" };
+static const char *const dcs[] = { "north", "south" };
 
 /* Whether a node's view holds the target of another node. */
 static int
@@ -29,6 +31,51 @@
 	return w->rig.nodes[node].proxy->guard.state == PROXY_GUARD_DRAINING;
 }
 
+/* Age of a node's view, ms. */
+static int
+view_age(struct follow_rig *w, int node)
+{
+	return (int)(base_now_ms() - w->rig.nodes[node].view->synced_at);
+}
+
+/*
+ * Guards against DRAIN: nodes that read the store for one that it turned away
+ * doubted for seconds that targets which their lists lack had been removed.
+ */
+static void
+helpers_believe_what_their_lists_lack(void)
+{
+	/* The age of the readers' views at the removal, ms. */
+	static const struct {
+		enum store_fault fault;
+		int age_ms;
+	} cases[] = { { STORE_SILENT, 0 }, { STORE_SILENT, 1400 },
+		{ STORE_BUSY, 1400 }, { STORE_LIMIT, 1400 } };
+	int i, north[RIG_NODES_MAX], south[RIG_NODES_MAX];
+	struct follow_rig w;
+	size_t k;
+
+	for (k = 0; k < G_N_ELEMENTS(cases); k++) {
+		follow_rig_start_in(&w, 8, dcs, 2);
+		CU_ASSERT_EQUAL(follow_rig_order(&w, "north", north), 4);
+		CU_ASSERT_EQUAL(follow_rig_order(&w, "south", south), 4);
+		follow_rig_use_second_addr(&w, north[0]);
+		follow_rig_use_second_addr(&w, south[0]);
+		rig_run(&w.rig, 2800);
+		store_set_address_fault(w.store, w.address_id, cases[k].fault);
+		do
+			rig_run(&w.rig, 10);
+		while (view_age(&w, north[0]) < cases[k].age_ms &&
+		       view_age(&w, south[0]) < cases[k].age_ms);
+		store_remove_target(w.store, w.rig.nodes[north[3]].target.id);
+		rig_run(&w.rig, PROPAGATION_MS);
+		for (i = 0; i < 8; i++)
+			CU_ASSERT(!is_listed(&w, i, north[3]));
+		CU_ASSERT(is_out(&w, north[3]));
+		follow_rig_stop(&w);
+	}
+}
+
 /*
  * Guards against DRAIN: a node that was told of the removal of its own target
  * and got no answer of the store at first never believed it.
@@ -101,11 +148,39 @@
 	follow_rig_stop(&w);
 }
 
+/*
+ * Guards against DRAIN: a removal in a span that the store discarded was
+ * doubted after one failed watch, though the store had answered all the while.
+ */
+static void
+removal_in_a_discarded_span_is_believed(void)
+{
+	struct follow_rig w;
+	int i;
+
+	follow_rig_start(&w);
+	rig_run(&w.rig, 1500);
+	/* The answers to the open watches are lost. */
+	store_set_fault(w.store, STORE_SILENT);
+	store_remove_target(w.store, "t1");
+	store_compact(w.store);
+	store_set_fault(w.store, STORE_NO_FAULT);
+	rig_run(&w.rig, PROPAGATION_MS);
+	for (i = 0; i < FOLLOW_RIG_NODES; i++)
+		CU_ASSERT(!is_listed(&w, i, 1));
+	CU_ASSERT(is_out(&w, 1));
+	follow_rig_stop(&w);
+}
+
 static const struct test tests[] = {
+	{ "helpers believe what their lists lack",
+	    helpers_believe_what_their_lists_lack },
 	{ "own removal is believed after a refusal",
 	    own_removal_is_believed_after_a_refusal },
 	{ "target that expired in a cut stays in use",
 	    target_that_expired_in_a_cut_stays_in_use },
+	{ "removal in a discarded span is believed",
+	    removal_in_a_discarded_span_is_believed },
 };
 
 TEST_MAIN("removal", tests)
--- a/test/test_store_reader.c
+++ b/test/test_store_reader.c
@@ -9,6 +9,7 @@
 #include "rig.h"
 #include "test.h"
 
+#define REPORT_MS 1500 /* interval of the targets' reports */
 #define PORT_BASE 10000
 #define PORT_SPAN 20000
 
@@ -107,7 +108,7 @@
 	put_target(w, "kept");
 	store_set_fault(w->store, fault);
 	w->needed = 1;
-	w->reader = store_reader_new(w->base, addr, &calls);
+	w->reader = store_reader_new(w->base, addr, REPORT_MS, &calls);
 }
 
 static void
