Draining: only requests that can end before the process are passed on

Cause: a draining node takes requests for half of its grace, and its guard those of other nodes for 30 %, whatever time they need.

Evidence: two new tests of test_entry, with the target beside the node that stops, behind a link and as the only node's, failed before the change (15 checks of three cases, and 3).

Change: proxy/leaving.c: a request is passed on if its time limit ends before the last answer, or if such requests take less than is left; else it is refused at once, as not run. The guard refuses jobs of other nodes likewise, so that they go elsewhere.

Result: test_entry passes (3 of 3), as do test_proxy, test_proxy_guard, test_link_lost, test_stream and test_pipeline.

--- a/proxy/entry.c
+++ b/proxy/entry.c
@@ -27,6 +27,10 @@
 static int limit_or_default(int, int);
 static void refuse_unreadable(
     struct entry *, struct http_exchange *, struct http_message *);
+static void
+refuse_leaving(struct entry *, struct http_exchange *, struct http_message *);
+static int64_t time_left(const struct entry *, const struct view_route *,
+    const struct http_message *);
 static void set_deadline(struct request *, int64_t);
 
 /* Listens for callers; returns PROXY_OK or PROXY_ELISTEN. */
@@ -43,6 +47,7 @@
 	e->requests = g_hash_table_new(NULL, NULL);
 	e->retry_quotas =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	e->answer_times = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	e->server =
 	    http_server_new(p->base, p->settings->callers, &e->limits, &calls);
 	return e->server != NULL ? PROXY_OK : PROXY_ELISTEN;
@@ -55,6 +60,7 @@
 	http_server_free(e->server);
 	g_hash_table_destroy(e->requests);
 	g_hash_table_destroy(e->retry_quotas);
+	g_hash_table_destroy(e->answer_times);
 }
 
 /* Bytes that all request bodies may use together. */
@@ -184,11 +190,7 @@
 		return;
 	}
 	if (e->proxy->last_call_at > 0 && now >= e->proxy->last_call_at) {
-		base_log(G_LOG_LEVEL_INFO, "refused", "id=%s outcome=leaving",
-		    id != NULL ? id : "-");
-		entry_reply_error(
-		    exchange, e, 503, RETRY_AFTER_MIN_MS, "leaving\n");
-		http_message_free(m);
+		refuse_leaving(e, exchange, m);
 		return;
 	}
 	route = view_route(c, host != NULL ? host : "", m->path);
@@ -213,6 +215,11 @@
 		refuse_unreadable(e, exchange, m);
 		return;
 	}
+	if (!leaving_can_end(
+		e, g_str_hash(route->name), time_left(e, route, m), now)) {
+		refuse_leaving(e, exchange, m);
+		return;
+	}
 	r = g_new0(struct request, 1);
 	r->entry = e;
 	r->exchange = exchange;
@@ -264,6 +271,19 @@
 	http_message_free(m);
 }
 
+/* Refuses a request, as this node is about to stop. */
+static void
+refuse_leaving(
+    struct entry *e, struct http_exchange *exchange, struct http_message *m)
+{
+	const char *id = http_find(m, e->proxy->names->id);
+
+	base_log(G_LOG_LEVEL_INFO, "refused", "id=%s outcome=leaving",
+	    id != NULL ? id : "-");
+	entry_reply_error(exchange, e, 503, RETRY_AFTER_MIN_MS, "leaving\n");
+	http_message_free(m);
+}
+
 /*
  * Whether a pipelined request may start before the ones ahead of it are
  * answered.  If the connection then closes, the caller cannot tell if it ran,
@@ -283,16 +303,25 @@
 	return route != NULL && route->repeatable;
 }
 
+/* Time limit of a request in ms: the caller's or the route's. */
+static int64_t
+time_left(const struct entry *e, const struct view_route *route,
+    const struct http_message *m)
+{
+	int64_t left =
+	    http_find_int(m, e->proxy->names->remaining_ms, route->timeout_ms);
+
+	return MIN(left, route->timeout_ms);
+}
+
 /* Sets deadline and timer: the earliest of the caller's, route's and node's. */
 static void
 set_deadline(struct request *r, int64_t now)
 {
-	int64_t left = http_find_int(
-	    r->msg, r->entry->proxy->names->remaining_ms, r->route->timeout_ms);
+	int64_t left = time_left(r->entry, r->route, r->msg);
 	struct timeval tv;
 
 	r->arrived = now;
-	left = MIN(left, r->route->timeout_ms);
 	if (r->entry->proxy->last_answer_at > 0)
 		left = MAX(MIN(left, r->entry->proxy->last_answer_at - now), 0);
 	r->answer_by = now + left;
--- a/proxy/entry_int.h
+++ b/proxy/entry_int.h
@@ -35,6 +35,13 @@
 void entry_reply_error(struct http_exchange *, struct entry *, int status,
     int retry_after_ms, const char *why);
 
+/* leaving.c: which requests a draining node still passes on */
+/* Records the time from arrival to answer of a request, by its kind. */
+void leaving_record(struct entry *, uint32_t kind, int64_t took_ms);
+/* Whether a request can end, with left_ms until its time limit. */
+int leaving_can_end(
+    const struct entry *, uint32_t kind, int64_t left_ms, int64_t now);
+
 /* offer.c */
 /* Offers a request to the next target, or refuses it if there is none. */
 void request_offer(struct request *);
--- a/proxy/guard.c
+++ b/proxy/guard.c
@@ -86,7 +86,8 @@
 {
 	if (strcmp(j->service, g->proxy->settings->service) != 0)
 		return OUTCOME_RESTARTED;
-	if (g->dc_out || g->delisted || g->state == PROXY_GUARD_DRAINING)
+	if (g->dc_out || g->delisted || g->state == PROXY_GUARD_DRAINING ||
+	    !leaving_guard_can_end(g, j, base_now_ms()))
 		return OUTCOME_OUT;
 	if (g->state != PROXY_GUARD_UP ||
 	    !outlier_admits(&g->outlier, j->repeatable, base_now_ms()))
--- a/proxy/offer.c
+++ b/proxy/offer.c
@@ -225,6 +225,7 @@
 send_answer(struct request *r, struct http_message *m)
 {
 	http_strip_hop(m);
+	leaving_record(r->entry, r->job.kind, base_now_ms() - r->arrived);
 	counter_add(CTR_ANSWERED, 1);
 	histogram_add(HIST_ANSWER, base_now_ms() - r->arrived);
 	base_log(G_LOG_LEVEL_INFO, "answered",
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -202,8 +202,8 @@
 struct links {
 	struct proxy *proxy;
 	struct evconnlistener *listener;
-	GHashTable *out;     /* address to struct link, opened by this node */
-	GHashTable *in;	     /* of struct link, opened by other nodes */
+	GHashTable *out; /* address to struct link, opened by this node */
+	GHashTable *in;	 /* of struct link, opened by other nodes */
 	GQueue lost; /* of struct job whose link was closed, not ended yet */
 	struct event *timer; /* of the checks for silent links */
 	struct link *publishers[PROXY_SLOT_COUNT]; /* subscribed to, or NULL */
@@ -301,6 +301,7 @@
 	struct http_limits limits;
 	GHashTable *requests;	  /* of struct request */
 	GHashTable *retry_quotas; /* service to its quota, owned */
+	GHashTable *answer_times; /* kind to struct answer_time, owned */
 	int nodes_max; /* most targets listed; their nodes share the quota */
 };
 
@@ -312,6 +313,9 @@
 void entry_update(struct entry *);
 /* Ends each request whose answer has not begun, with a refusal. */
 void entry_expire_requests(struct entry *);
+/* Whether the job of another node can end before a draining node stops. */
+int leaving_guard_can_end(
+    const struct proxy_guard *, const struct job *, int64_t now);
 
 struct proxy {
 	struct event_base *base;
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -152,7 +152,99 @@
 	rig_stop(&r);
 }
 
+/* Sends a call to a node and returns the status of its answer. */
+static int
+status_at(
+    struct rig *r, int node, const char *path, const char *id, int remaining_ms)
+{
+	struct rig_call c;
+	int status;
+
+	rig_call(r, &c, node, path, id, remaining_ms);
+	rig_wait(r, &c);
+	status = rig_status(&c);
+	rig_call_end(&c);
+	return status;
+}
+
+/*
+ * Guards against LOST: a node that was about to stop passed on requests that
+ * could not end before its process did, and broke them off.
+ */
+static void
+leaving_node_takes_only_what_can_end(void)
+{
+	static const struct {
+		int nodes, target; /* of the target that works */
+	} cases[] = { { 1, 0 }, { 2, 0 }, { 2, 1 } };
+	struct rig_target *t;
+	struct rig r;
+	size_t i;
+	int runs;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		rig_start(&r, cases[i].nodes);
+		if (cases[i].nodes > 1)
+			rig_list_target(
+			    &r, !cases[i].target, "other", VIEW_READY);
+		t = &r.nodes[cases[i].target].target;
+		t->work_ms = 900;
+		CU_ASSERT_EQUAL(status_at(&r, 0, "/once/x", "a", 900 * 2), 200);
+		t->work_ms = 10;
+		CU_ASSERT_EQUAL(status_at(&r, 0, "/run/x", "b", 900), 200);
+		r.nodes[0].settings.grace_ms = 1200;
+		proxy_drain(r.nodes[0].proxy);
+		rig_run(&r, 300);
+		runs = t->runs;
+		/* 828 ms are left, and such a request takes 900. */
+		t->work_ms = 900;
+		CU_ASSERT_EQUAL(status_at(&r, 0, "/once/x", "c", 1800), 503);
+		CU_ASSERT_EQUAL(t->runs, runs);
+		/* A kind that is short enough is served. */
+		t->work_ms = 10;
+		CU_ASSERT_EQUAL(status_at(&r, 0, "/run/x", "e", 900), 200);
+		/* Its own time limit ends it before. */
+		t->work_ms = 900;
+		CU_ASSERT_EQUAL(status_at(&r, 0, "/once/x", "d", 500), 504);
+		CU_ASSERT_EQUAL(t->runs, runs + 2);
+		rig_stop(&r);
+	}
+}
+
+/*
+ * Guards against LOST: a guard that was about to stop took requests of other
+ * nodes that its target could not end before.
+ */
+static void
+leaving_guard_takes_only_what_can_end(void)
+{
+	struct rig_target *t;
+	struct rig r;
+
+	rig_start(&r, 2);
+	rig_list_target(&r, 1, "other", VIEW_READY);
+	r.nodes[1].view->config->routes[1].timeout_ms = 4000;
+	t = &r.nodes[0].target;
+	t->work_ms = 2000;
+	CU_ASSERT_EQUAL(status_at(&r, 1, "/once/x", "a", 4000), 200);
+	r.nodes[0].settings.grace_ms = 2000;
+	proxy_drain(r.nodes[0].proxy);
+	rig_run(&r, 50);
+	/* The guard takes new work for 600 ms, and has 1880 to end it. */
+	CU_ASSERT_EQUAL(status_at(&r, 1, "/once/x", "b", 4000), 503);
+	CU_ASSERT_EQUAL(t->runs, 1);
+	/* The entry offers it nothing for 250 ms. */
+	rig_run(&r, 300);
+	CU_ASSERT_EQUAL(status_at(&r, 1, "/once/x", "c", 1200), 504);
+	CU_ASSERT_EQUAL(t->runs, 2);
+	rig_stop(&r);
+}
+
 static const struct test tests[] = {
+	{ "leaving node takes only what can end",
+	    leaving_node_takes_only_what_can_end },
+	{ "leaving guard takes only what can end",
+	    leaving_guard_takes_only_what_can_end },
 	{ "stop answers waiting callers", stop_answers_waiting_callers },
 	{ "pipelined requests run", pipelined_requests_run },
 	{ "unparsed routes are refused", unparsed_routes_are_refused },
