Settle: answers may be further apart than reports

What callers would see: where targets report more often than the store answers, each answer looked like the end of an outage, so that no list was ever believed and a node went on sending to its own target after its removal. Found by reading the diff; no site has such intervals.

Cause: the shortest outage that expires an entry was two reporting intervals, with no regard to the 1.6 s that answers are apart without an outage.

Evidence: test_removal, "short reporting intervals cause no doubt", failed before the change with both of its checks.

Change: the bound is at least FOLLOW_STALE_MS. With the intervals of the sites (1.5 s) nothing changes: it is 3 s.

Result: test_removal, test_follow and test_restore pass.

--- a/side/settle.c
+++ b/side/settle.c
@@ -33,18 +33,21 @@
 	s->asked_at = now - OWN_SETTLE_MS;
 }
 
-/* Shorter outages expire no entry. */
+/*
+ * Shorter outages expire no entry.  Without an outage, answers are up to
+ * FOLLOW_STALE_MS apart.
+ */
 void
 settle_set_interval(struct settle *s, int report_ms)
 {
-	s->expiry_ms = EXPIRY_INTERVALS * report_ms;
+	s->expiry_ms = MAX(EXPIRY_INTERVALS * report_ms, FOLLOW_STALE_MS);
 }
 
 /* The store has answered a node at a time (ms). */
 void
 settle_answered(struct settle *s, int64_t at)
 {
-	if (at - s->answered_at >= s->expiry_ms)
+	if (at - s->answered_at > s->expiry_ms)
 		settle_begin(s, at);
 	s->answered_at = MAX(s->answered_at, at);
 }
@@ -81,7 +84,7 @@
 int
 settle_is_complete(const struct settle *s, int64_t now)
 {
-	return now >= s->complete_at && now - s->answered_at < s->expiry_ms;
+	return now >= s->complete_at && now - s->answered_at <= s->expiry_ms;
 }
 
 /*
--- a/test/test_removal.c
+++ b/test/test_removal.c
@@ -172,7 +172,33 @@
 	follow_rig_stop(&w);
 }
 
+/*
+ * Guards against removals that are doubted for ever, as the store answers less
+ * often than targets report.
+ */
+static void
+short_reporting_intervals_cause_no_doubt(void)
+{
+	struct follow_rig w;
+	int i, order[RIG_NODES_MAX];
+
+	follow_rig_start_in(&w, 3, dcs, 1);
+	follow_rig_order(&w, "north", order);
+	for (i = 0; i < 3; i++) {
+		w.settings[i].beat_ms = 100;
+		follow_settings_changed(w.follows[i]);
+	}
+	rig_run(&w.rig, 2500);
+	store_remove_target(w.store, w.rig.nodes[order[2]].target.id);
+	rig_run(&w.rig, PROPAGATION_MS);
+	CU_ASSERT(!is_listed(&w, order[2], order[2]));
+	CU_ASSERT(is_out(&w, order[2]));
+	follow_rig_stop(&w);
+}
+
 static const struct test tests[] = {
+	{ "short reporting intervals cause no doubt",
+	    short_reporting_intervals_cause_no_doubt },
 	{ "helpers believe what their lists lack",
 	    helpers_believe_what_their_lists_lack },
 	{ "own removal is believed after a refusal",
