Verify: a removal that the store contradicts is waited for, not listed without end

What callers would see: a node told of a removal of its own target that its list is older than listed the targets again at once, and again, without a pause: the loop was busy with the store for nothing else.

Cause: each list that did not decide the question asked for the next one, due at once.

Change: a list that names the target and is older than the removal decides nothing; the watch that goes on from it brings the removal.

--- a/side/verify.c
+++ b/side/verify.c
@@ -77,6 +77,7 @@
 		end(f, "listed");
 	else if (!listed && list->own_exact)
 		end(f, "confirmed");
-	else
+	else if (!listed)
 		store_reader_await_targets(f->reader);
+	/* Else the list is older than the removal: the watch will tell. */
 }
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -207,6 +207,8 @@
 		t->work_ms = 900;
 		CU_ASSERT_EQUAL(status_at(&r, 0, "/once/x", "d", 500), 504);
 		CU_ASSERT_EQUAL(t->runs, runs + 2);
+		/* The target's work on it ends. */
+		rig_run(&r, 500);
 		rig_stop(&r);
 	}
 }
@@ -237,6 +239,7 @@
 	rig_run(&r, 300);
 	CU_ASSERT_EQUAL(status_at(&r, 1, "/once/x", "c", 1200), 504);
 	CU_ASSERT_EQUAL(t->runs, 2);
+	rig_run(&r, 900);
 	rig_stop(&r);
 }
 
--- a/test/test_removal.c
+++ b/test/test_removal.c
@@ -196,7 +196,44 @@
 	follow_rig_stop(&w);
 }
 
+/*
+ * Guards against a node that asks the store without a pause: it was told of a
+ * removal of its own target that the store contradicts.
+ */
+static void
+contradicted_removal_causes_no_storm(void)
+{
+	GPtrArray *items = g_ptr_array_new();
+	struct platform_item removal = { .kind = PLATFORM_TARGET };
+	struct view_revision at;
+	int calls, order[RIG_NODES_MAX];
+	struct follow_rig w;
+	GString *text = g_string_new(NULL);
+
+	follow_rig_start_in(&w, 3, dcs, 1);
+	follow_rig_order(&w, "north", order);
+	rig_run(&w.rig, 3000);
+	at = w.follows[order[0]]->held_revision;
+	at.number += 1000;
+	removal.name = w.rig.nodes[order[2]].target.id;
+	removal.revision = at;
+	g_ptr_array_add(items, &removal);
+	state_pack(items, at, text);
+	calls = store_calls(w.store);
+	proxy_publish(w.rig.nodes[order[0]].proxy, text->str, text->len, 0);
+	rig_run(&w.rig, 1000);
+	CU_ASSERT(verify_is_pending(w.follows[order[2]]));
+	CU_ASSERT(!is_out(&w, order[2]));
+	/* Two nodes read; each asks each part a few times at most. */
+	CU_ASSERT(store_calls(w.store) - calls <= 12);
+	follow_rig_stop(&w);
+	g_ptr_array_free(items, TRUE);
+	g_string_free(text, TRUE);
+}
+
 static const struct test tests[] = {
+	{ "contradicted removal causes no storm",
+	    contradicted_removal_causes_no_storm },
 	{ "short reporting intervals cause no doubt",
 	    short_reporting_intervals_cause_no_doubt },
 	{ "helpers believe what their lists lack",
