Test: the bound of test_endless is the users' goal, as in test_stream

Traced: 64 KB of such fields are 4,700 headers, 374 KB of heap, and up to 130 KB more while their array grows; besides, the test's own server held up to 128 KB.

Change: the bound is a hundredth of 64 MB, the users' goal for a hundred endless transfers, which test_stream keeps as well; the server keeps 16 KB as that of test_stream does.

--- a/test/test_endless.c
+++ b/test/test_endless.c
@@ -14,12 +14,13 @@
 #include "rig_stream.h"
 #include "test.h"
 
-#define KB	   1024
-#define CALLS	   20		/* connections at the same time */
-#define CALL_MAX   (512 * KB)	/* heap for one of them */
-#define STORE_MAX  (12288 * KB) /* a page of 4 MB, in three copies */
+#define KB    1024
+#define CALLS 20 /* connections at the same time */
+/* The users' goal: a hundred endless transfers at once in 64 MB. */
+#define CALL_MAX   (64 * 1024 * KB / 100) /* heap for one of them */
+#define STORE_MAX  (12288 * KB)		  /* a page of 4 MB, in three copies */
 #define RUN_MS	   400
-#define PUMP_BYTES 65536 /* kept in the output buffer */
+#define PUMP_BYTES 16384 /* kept in the output buffer */
 
 #define ANSWER "HTTP/1.1 200 OK\r\n"
 
