Test: plain names for two tests of removals

Cause: read as a newcomer, "believe" and "for ever" are not the field's terms. Change: names and one comment; no check is touched.

--- a/test/test_removal.c
+++ b/test/test_removal.c
@@ -43,7 +43,7 @@
  * doubted for seconds that targets which their lists lack had been removed.
  */
 static void
-helpers_believe_what_their_lists_lack(void)
+helpers_accept_removals_from_their_lists(void)
 {
 	/* The age of the readers' views at the removal, ms. */
 	static const struct {
@@ -173,7 +173,7 @@
 }
 
 /*
- * Guards against removals that are doubted for ever, as the store answers less
+ * Guards against removals that are never accepted, as the store answers less
  * often than targets report.
  */
 static void
@@ -236,8 +236,8 @@
 	    contradicted_removal_causes_no_storm },
 	{ "short reporting intervals cause no doubt",
 	    short_reporting_intervals_cause_no_doubt },
-	{ "helpers believe what their lists lack",
-	    helpers_believe_what_their_lists_lack },
+	{ "helpers accept removals from their lists",
+	    helpers_accept_removals_from_their_lists },
 	{ "own removal is believed after a refusal",
 	    own_removal_is_believed_after_a_refusal },
 	{ "target that expired in a cut stays in use",
