--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -13,7 +13,7 @@
 	n=$(basename "$(dirname "$c")")
 	[ "$n" -ge 6 ] || continue
 	${CC:-cc} -std=gnu11 -D_GNU_SOURCE -O2 -g -Wall -Wextra \
-	    -Wno-unused-parameter $(pkg-config --cflags $pkgs) \
+	    -Wno-unused-parameter -Wno-missing-field-initializers $(pkg-config --cflags $pkgs) \
 	    -o "target/review/case$n" "$c" review/stand-2/*.c $objs \
 	    target/obj/libteaselstep.a $(pkg-config --libs $pkgs) \
 	    -lhttp_parser -lm -pthread
--- a/review/stand-2/stand.c
+++ b/review/stand-2/stand.c
@@ -44,25 +44,42 @@
 write_settings(struct machine *m)
 {
 	const struct stand *s = m->stand;
+	GString *seeds = g_string_new(NULL);
 	char *text;
+	int i;
 
+	for (i = 0; i < s->nseeds; i++)
+		g_string_append_printf(seeds, "%s\"127.%d.9.%d:8303\"",
+		    i > 0 ? ", " : "", s->net, i + 1);
 	text = g_strdup_printf(
 	    "{\"name\": \"vm%d\", \"data_centre\": \"%s\", "
 	    "\"service\": \"%s\", \"target\": \"%s:6000\", "
 	    "\"callers\": \"%s:8080\", \"links\": \"%s:7000\", "
 	    "\"ready\": \"%s:8081\", \"metrics\": \"%s:9400\", "
-	    "\"store\": \"127.%d.1.1:7000\", \"peers\": [], "
+	    "\"store\": \"127.%d.1.1:7000\", \"peers\": [%s], "
 	    "\"beat_ms\": %d, \"memory_mb\": 260, \"link_mbps\": 1000.0, "
 	    "\"grace_ms\": 6000, \"cold_ratio\": 1.5, \"cold_slack\": 5, "
 	    "\"retry_window_ms\": 10000, \"retry_ratio\": 0.2, "
 	    "\"retry_slack\": 60, \"log\": \"info\"}\n",
 	    m->i, m->zone, m->service, m->host, m->host, m->host, m->host,
-	    m->host, s->net, HEARTBEAT_MS);
+	    m->host, s->net, seeds->str, HEARTBEAT_MS);
 	if (!g_file_set_contents(m->config, text, -1, NULL)) {
 		fprintf(stderr, "cannot write %s\n", m->config);
 		exit(CASE_NOT_RUN);
 	}
 	g_free(text);
+	g_string_free(seeds, TRUE);
+}
+
+void
+stand_set_seeds(struct stand *s, int n)
+{
+	int i;
+
+	s->nseeds = n;
+	for (i = 0; i < s->nmachines; i++)
+		write_settings(&s->machines[i]);
+	stand_note(s, "settings: %d seeds", n);
 }
 
 static void
@@ -126,6 +143,8 @@
 			    WIFSIGNALED(status) ? WTERMSIG(status)
 						: WEXITSTATUS(status));
 			m->pid = 0;
+			m->crashes +=
+			    WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL;
 			m->start_at = base_now_ms() + RESTART_MS;
 		}
 		if (m->pid == 0 && base_now_ms() >= m->start_at)
@@ -268,6 +287,8 @@
 	event_add(s->tick, &tick);
 	event_add(evsignal_new(s->base, SIGTERM, on_signal, s), NULL);
 	event_add(evsignal_new(s->base, SIGINT, on_signal, s), NULL);
+	if (s->calls.no_wait)
+		return;
 	while (!all_ready(s))
 		if (stand_now(s) > READY_MS) {
 			fprintf(stderr, "the machines are not ready\n");
--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -56,6 +56,7 @@
 	const char *service;
 	struct server *server;
 	pid_t pid;	  /* 0: not running */
+	int crashes;	  /* times that it ended by a signal of its own */
 	int64_t start_at; /* of the process while it does not run */
 	int kills;	  /* by the platform, for its memory */
 };
@@ -69,6 +70,7 @@
 	int (*run)(struct server *, const struct http_message *);
 	/* An attempt ended. */
 	void (*ended)(struct attempt *);
+	int no_wait; /* the start does not wait until all are ready */
 };
 
 struct stand {
@@ -80,6 +82,7 @@
 	FILE *record;
 	int64_t began;
 	int trouble;   /* 0: without the disruption */
+	int nseeds;    /* in the settings */
 	int memory_mb; /* a larger process is killed; 0: not watched */
 	int next_id, next_server;
 	int sent, answered, served, closed; /* attempts */
@@ -95,6 +98,8 @@
 void stand_start(struct stand *, int argc, char **argv, int n,
     const char *const *services, const char *config,
     const struct stand_calls *);
+/* Changes the settings to n seeds: machines that are down. */
+void stand_set_seeds(struct stand *, int n);
 /* Ends all processes. */
 void stand_stop(struct stand *);
 /* Runs the event loop for a time. */
