--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,6 +1,9 @@
 #!/bin/sh
-# Runs this case against target/teaselside; see claim.txt.  Exits with 1 if the
-# rule was broken, 0 if it held, 2 if the case could not run.
+# Runs this case against target/teaselside; see claim.txt.  TROUBLE=0: without
+# the disruption.  Exits with 1 if the rule was broken, 0 if it held, 2 if the
+# case could not run.
+TROUBLE=${TROUBLE:-1}
+export TROUBLE
 here=$(cd "$(dirname "$0")" && pwd)
 n=$(basename "$here")
 cd "$here/../.." || exit 2
--- a/review/stand-2/server.c
+++ b/review/stand-2/server.c
@@ -27,6 +27,7 @@
 	GQueue queue; /* of struct conn */
 	int running, runs, sequence;
 	int draining, restart_ms, new_id;
+	int64_t told_at; /* when its entry first said that it is cold, or 0 */
 	int64_t born_wall_ms, cold_until, report_at, leave_at, start_at;
 	struct event *timer;
 };
@@ -63,12 +64,14 @@
 	m->status = status;
 	if (id != NULL)
 		http_add(m, platform_headers.id, id);
-	http_add(m, platform_headers.seal, s->id);
-	if (!ran)
+	if (ran)
+		http_add(m, platform_headers.seal, s->id);
+	else
 		http_add(m, platform_headers.not_run, "1");
 	g_byte_array_append(
 	    m->body, (const guint8 *)s->id, (guint)strlen(s->id));
-	http_write_answer(bufferevent_get_output(c->bev), m, 1, 0);
+	/* A server that is leaving says so in its answers. */
+	http_write_answer(bufferevent_get_output(c->bev), m, !s->draining, 0);
 	http_message_free(m);
 	http_message_free(c->msg);
 	c->msg = NULL;
@@ -213,6 +216,8 @@
 	char *key = g_strdup_printf("servers/%s", s->id), *value;
 
 	s->report_at = now + HEARTBEAT_MS;
+	if (s->told_at == 0 && s->cold_until > now)
+		s->told_at = now;
 	value = g_strdup_printf(
 	    "{\"Address\":\"%s\",\"Info\":{\"Service\":\"%s\","
 	    "\"Version\":\"v1\",\"Zone\":\"%s\",\"Slots\":%d},"
@@ -372,6 +377,7 @@
 server_chill(struct server *s)
 {
 	s->cold_until = base_now_ms() + WARMUP_MS;
+	s->told_at = 0;
 	stand_note(s->machine->stand, "server %s of %s is cold again", s->id,
 	    s->machine->service);
 }
@@ -381,3 +387,9 @@
 {
 	return (int)MAX(0, s->cold_until - base_now_ms());
 }
+
+int64_t
+server_told_at(const struct server *s)
+{
+	return s->told_at;
+}
--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -141,5 +141,7 @@
 void server_chill(struct server *);
 /* Time until it is warm, or 0. */
 int server_cold_ms(const struct server *);
+/* When its entry first said that it is cold, or 0. */
+int64_t server_told_at(const struct server *);
 
 #endif
