gate-refused: the assumed run time, its samples and the time queued

A refusal for load named wait, load and time left. The counter guard_refused_unmeasured_total counts refusals for load of kinds that the guard has never measured.

--- a/base/base.h
+++ b/base/base.h
@@ -105,7 +105,8 @@
 	CTR_GUARD_REFUSED,   /* requests the guard refused */
 	CTR_GUARD_LINK_FULL, /* of them, because the link is full */
 	CTR_GUARD_CALLEES,   /* of them, parents whose calls would fail */
-	CTR_GUARD_REVOKED,   /* of them, queued, as their entry asked */
+	CTR_GUARD_UNMEASURED, /* of them, for load, of kinds without samples */
+	CTR_GUARD_REVOKED,    /* of them, queued, as their entry asked */
 	CTR_GUARD_DUPLICATES, /* requests whose id the guard already holds */
 	CTR_GUARD_EXPIRED,    /* requests whose deadline passed in the queue */
 	CTR_TARGET_FAILURES,  /* failed exchanges with the target */
--- a/mesh/admit.c
+++ b/mesh/admit.c
@@ -117,6 +117,18 @@
 	return a->mean_us / US_PER_MS;
 }
 
+/* A kind that is not in the table has none. */
+int
+admit_samples(const struct admit *a, uint32_t kind)
+{
+	int i;
+
+	for (i = 0; i < a->nkinds; i++)
+		if (a->kinds[i].kind == kind)
+			return a->kinds[i].samples;
+	return 0;
+}
+
 /* Whether the failure rate of a kind is above FAILING_RATE. */
 static int
 is_failing(const struct admit *a, uint32_t kind)
--- a/proxy/guard.c
+++ b/proxy/guard.c
@@ -55,6 +55,7 @@
 {
 	struct job_result r = { .outcome = why };
 	int64_t now = base_now_ms();
+	int samples = admit_samples(&g->admit, j->kind);
 
 	counter_add(CTR_GUARD_REFUSED, 1);
 	guard_link_settle(j, NULL);
@@ -63,10 +64,15 @@
 	r.retry_after_ms = why == OUTCOME_REFUSED
 			       ? outlier_wait_ms(&g->outlier, now)
 			       : guard_busy_wait_ms(g, j, now);
+	if ((why == OUTCOME_BUSY || why == OUTCOME_LATE) && samples == 0)
+		counter_add(CTR_GUARD_UNMEASURED, 1);
 	base_log(G_LOG_LEVEL_INFO, "gate-refused",
-	    "id=%s outcome=%s target=%s load=%d wait_ms=%d left_ms=%d", j->id,
-	    outcomes[why].code, g->id, r.load, r.retry_after_ms,
-	    (int)(j->deadline - now));
+	    "id=%s outcome=%s target=%s load=%d wait_ms=%d left_ms=%d "
+	    "priority=%d work_ms=%d samples=%d queued_ms=%d",
+	    j->id, outcomes[why].code, g->id, r.load, r.retry_after_ms,
+	    (int)(j->deadline - now), j->priority,
+	    admit_work_ms(&g->admit, j->kind), samples,
+	    (int)(now - j->offered_at));
 	j->done(j, &r);
 }
 
