admit: past 64 kinds, the one not used for longest gives way

What callers saw: nothing yet that was traced to it. A guard keeps run times of 64 kinds of requests (routes); a further one shared the entry of another, by its number. So the run times of routes that were added and removed again were mixed with those of a route in use: with 640 short kinds beside one of 1000 ms, a kind of 2 ms was taken for one of over 4 ms (test_admit_routes, "estimates survive many routes", which failed before and passes now). The entries of kinds in use are used all the time and stay.

--- a/mesh/admit.c
+++ b/mesh/admit.c
@@ -88,21 +88,29 @@
 }
 
 /*
- * Finds or adds the estimates of a kind.  When the table is full, an unknown
- * kind shares the estimates of another one, selected by its number.
+ * Finds or adds the estimates of a kind.  When the table is full, the entry
+ * that was not used for longest is replaced.
  */
 static struct admit_kind *
 find_kind(struct admit *a, uint32_t kind)
 {
+	struct admit_kind *k, *oldest = a->kinds;
 	int i;
 
-	for (i = 0; i < a->nkinds; i++)
-		if (a->kinds[i].kind == kind)
-			return &a->kinds[i];
-	if (a->nkinds == ADMIT_KINDS)
-		return &a->kinds[kind % ADMIT_KINDS];
-	a->kinds[a->nkinds] = (struct admit_kind){ kind, a->mean_us, 0, 0 };
-	return &a->kinds[a->nkinds++];
+	for (i = 0; i < a->nkinds; i++) {
+		k = &a->kinds[i];
+		if (k->kind == kind) {
+			k->last_use = ++a->uses;
+			return k;
+		}
+		if (k->last_use < oldest->last_use)
+			oldest = k;
+	}
+	k = a->nkinds < ADMIT_KINDS ? &a->kinds[a->nkinds++] : oldest;
+	*k = (struct admit_kind){
+		.kind = kind, .work_us = a->mean_us, .last_use = ++a->uses
+	};
+	return k;
 }
 
 /* A kind without estimates of its own is taken for an average one. */
--- a/mesh/admit.h
+++ b/mesh/admit.h
@@ -28,6 +28,7 @@
 	int work_us; /* run time at the target, exponential average */
 	int samples;
 	double failure_rate; /* share of failed runs, exponential average */
+	uint64_t last_use;   /* of the entry, by the count of uses */
 };
 
 /* Start times kept, which is also the greatest rate of a cold target. */
@@ -39,8 +40,9 @@
 	GArray *waiting; /* of struct admit_request, first to run first */
 	struct admit_kind kinds[ADMIT_KINDS];
 	int nkinds;
-	int mean_us; /* run time over all kinds, exponential average */
-	int slot_us; /* time that a run holds a slot, also without answer */
+	uint64_t uses; /* counts uses of the table's entries */
+	int mean_us;   /* run time over all kinds, exponential average */
+	int slot_us;   /* time that a run holds a slot, also without answer */
 	int lowest_priority; /* greatest priority number offered so far */
 	/* A target is cold, that is, warming up, for a time after its start. */
 	int64_t cold_until; /* monotonic ms */
