admit: a kind that was not measured is not refused for the run times of others

Cause: without a run time of its own a kind was taken for an average one; while calls fail, that is 500 to 1000 ms, and a request needs half of it before its deadline. No guard runs it, so none ever learns better. Now only its wait counts, until it was measured. Guards report no run time of such a kind to entries.

test_guard_link, least wait is told: its targets had a long mean, and relied on its being taken for the route's own. They now measure the route itself; the bounds are as they were.

--- a/mesh/admit.c
+++ b/mesh/admit.c
@@ -21,6 +21,7 @@
 #define REFUSAL_DECAY	  128 /* a refusal lowers the failure rate by 1/128 */
 
 static struct admit_kind *find_kind(struct admit *, uint32_t);
+static int fit_ms(const struct admit *, uint32_t);
 static int is_failing(const struct admit *, uint32_t);
 static int precedes(const struct admit *, const struct admit_request *,
     const struct admit_request *, int64_t);
@@ -137,6 +138,23 @@
 	return 0;
 }
 
+/*
+ * The run times of other kinds say nothing about one that was not measured: if
+ * it were refused for them, it never would be.
+ */
+int
+admit_measured_ms(const struct admit *a, uint32_t kind)
+{
+	return admit_samples(a, kind) > 0 ? admit_work_ms(a, kind) : 0;
+}
+
+/* The least time that a request needs before its deadline. */
+static int
+fit_ms(const struct admit *a, uint32_t kind)
+{
+	return admit_measured_ms(a, kind) * MIN_FIT_PERCENT / 100;
+}
+
 /* Whether the failure rate of a kind is above FAILING_RATE. */
 static int
 is_failing(const struct admit *a, uint32_t kind)
@@ -258,12 +276,12 @@
 enum admit_verdict
 admit_offer(struct admit *a, const struct admit_request *r, int64_t now)
 {
-	int work = admit_work_ms(a, r->kind), wait;
+	int work = admit_measured_ms(a, r->kind), wait;
 	struct admit_kind *k;
 	int64_t until;
 	guint i;
 
-	if (now + work * MIN_FIT_PERCENT / 100 >= r->deadline)
+	if (now + fit_ms(a, r->kind) >= r->deadline)
 		return ADMIT_LATE;
 	wait = wait_ms(a, r->kind, r->priority, r->is_call, now);
 	if (wait > 0 && is_failing(a, r->kind)) {
@@ -297,9 +315,7 @@
 
 	for (i = 0; i < a->waiting->len; i++) {
 		*r = g_array_index(a->waiting, struct admit_request, i);
-		if (now + (int64_t)admit_work_ms(a, r->kind) * MIN_FIT_PERCENT /
-			      100 >=
-		    r->deadline) {
+		if (now + fit_ms(a, r->kind) >= r->deadline) {
 			g_array_remove_index(a->waiting, i);
 			return -1;
 		}
@@ -335,8 +351,7 @@
 		wake = next_cold_start(a, now);
 	for (i = 0; i < a->waiting->len; i++) {
 		r = &g_array_index(a->waiting, struct admit_request, i);
-		t = r->deadline -
-		    (int64_t)admit_work_ms(a, r->kind) * MIN_FIT_PERCENT / 100;
+		t = r->deadline - fit_ms(a, r->kind);
 		if (wake == 0 || t < wake)
 			wake = t;
 	}
--- a/mesh/admit.h
+++ b/mesh/admit.h
@@ -107,6 +107,8 @@
     const struct admit *, uint32_t kind, int priority, int64_t now);
 /* Estimated run time of a kind, in ms. */
 int admit_work_ms(const struct admit *, uint32_t kind);
+/* Run time of a kind that was measured, in ms; 0 if it was not. */
+int admit_measured_ms(const struct admit *, uint32_t kind);
 /* Run times of a kind on which that estimate is based; 0: of other kinds. */
 int admit_samples(const struct admit *, uint32_t kind);
 /* Running and queued requests in percent of the usable slots, even over 100. */
--- a/proxy/estimate.c
+++ b/proxy/estimate.c
@@ -11,7 +11,7 @@
 {
 	*e = (struct target_estimate){ 0 };
 	e->is_call = call_kinds_is_call(&g->call_kinds, j->kind);
-	if (g->admit.nkinds > 0)
+	if (admit_samples(&g->admit, j->kind) > 0)
 		e->work_ms = MAX(admit_work_ms(&g->admit, j->kind), 1);
 	e->wait_ms =
 	    admit_wait_ms(&g->admit, j->kind, j->priority, base_now_ms());
--- a/proxy/guard_link.c
+++ b/proxy/guard_link.c
@@ -134,7 +134,8 @@
 	int wait = admit_wait_ms(&g->admit, j->kind, j->priority, now);
 	int64_t until =
 	    j->priority < g->admit.lowest_priority ? j->deadline : j->goal;
-	int64_t over = now + wait + admit_work_ms(&g->admit, j->kind) - until;
+	int64_t over =
+	    now + wait + admit_measured_ms(&g->admit, j->kind) - until;
 
 	if (j->link_wait_ms > 0)
 		return over > 0 ? (int)MAX(MIN(over, wait), j->link_wait_ms)
--- a/test/test_guard_link.c
+++ b/test/test_guard_link.c
@@ -176,6 +176,9 @@
 	/* An answer is late by 200 ms at one, by 800 at the other. */
 	for (i = 1; i < 3; i++) {
 		a = &r.nodes[i].proxy->guard.admit;
+		/* The route's own run time, as others don't count for it. */
+		a->running = 1;
+		admit_done(a, g_str_hash("/run/"), 300000);
 		a->mean_us = 300000;
 		a->running = i == 1 ? 7 : 15;
 	}
