admit: a reserve of slots for kinds that use little of their target

Cause: within a priority a guard's queue goes by goals and lateness alone. Under lasting overload that serves those that wait up to their long limit (3000 ms), and a route with a limit of 1000 ms and a few requests is given up in the queue every time, although its runs take 1 to 2 ms. The wait told to it is that behind all others, so it is refused at once as well. Nothing shared the slots among routes.

Now kinds that used an eighth of the recent slot time or less may go ahead within their priority, those that used least first, as long as such runs hold no more than an eighth of the slots and of the slot time. Calls, which went first, wait that much longer.

test_admit, calls come first: it compared the wait of a call with that of a caller's request of the same new kind, of which it sends none. It now compares it with the kind that the test's callers send; a small kind of callers waits no longer than calls do.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 BASE = base/address.c base/clock.c base/counter.c base/error.c base/field.c base/file.c base/histogram.c \
 	base/json.c base/log.c base/queue.c base/report.c
 HTTP = http/client.c http/connect.c http/message.c http/parse.c http/pipeline.c http/server.c http/write.c
-MESH = mesh/admit.c mesh/budget.c mesh/call.c mesh/call_kinds.c mesh/callee_health.c mesh/caller_age.c mesh/egress.c mesh/egress_order.c mesh/forecast.c mesh/guard.c mesh/home.c mesh/limit.c mesh/link_admit.c mesh/member.c mesh/member_probe.c mesh/member_rumour.c \
+MESH = mesh/admit.c mesh/admit_reserve.c mesh/budget.c mesh/call.c mesh/call_kinds.c mesh/callee_health.c mesh/caller_age.c mesh/egress.c mesh/egress_order.c mesh/forecast.c mesh/guard.c mesh/home.c mesh/limit.c mesh/link_admit.c mesh/member.c mesh/member_probe.c mesh/member_rumour.c \
 	mesh/memory.c mesh/names.c mesh/outlier.c mesh/pick.c mesh/poison.c mesh/reqid.c mesh/set.c \
 	mesh/set_check.c mesh/set_diff.c mesh/set_edit.c mesh/set_read.c mesh/retry_quota.c mesh/slow_start.c mesh/version.c
 VIEW = view/config.c view/view.c
--- a/mesh/admit.c
+++ b/mesh/admit.c
@@ -1,7 +1,7 @@
 /* Admission control for a target: slots, queue order, warm-up, estimates. */
 #include <string.h>
 
-#include "admit.h"
+#include "admit_int.h"
 
 #define INITIAL_WORK_US 50000 /* estimate before the first answer */
 #define US_PER_MS	1000
@@ -20,15 +20,14 @@
 #define FAILING_RATE	  0.5 /* a kind above it gets only slots left over */
 #define REFUSAL_DECAY	  128 /* a refusal lowers the failure rate by 1/128 */
 
-static struct admit_kind *find_kind(struct admit *, uint32_t);
 static int fit_ms(const struct admit *, uint32_t);
-static int is_failing(const struct admit *, uint32_t);
 static int precedes(const struct admit *, const struct admit_request *,
     const struct admit_request *, int64_t);
 static int is_cold(const struct admit *, int64_t);
 static int64_t next_cold_start(const struct admit *, int64_t);
 static int slot_time_us(const struct admit *);
 static int count_ahead(const struct admit *, int, int, int);
+static int count_reserve_ahead(const struct admit *, int);
 static int wait_ms(const struct admit *, uint32_t, int, int, int64_t);
 
 /* One slot at a time until admit_set_slots is called. */
@@ -90,12 +89,13 @@
 
 /*
  * Finds or adds the estimates of a kind.  When the table is full, the entry
- * that was not used for longest is replaced.
+ * that was not used for longest is replaced; those of runs from the reserve are
+ * kept.
  */
-static struct admit_kind *
-find_kind(struct admit *a, uint32_t kind)
+struct admit_kind *
+admit_kind_get(struct admit *a, uint32_t kind)
 {
-	struct admit_kind *k, *oldest = a->kinds;
+	struct admit_kind *k, *oldest = NULL;
 	int i;
 
 	for (i = 0; i < a->nkinds; i++) {
@@ -104,7 +104,8 @@
 			k->last_use = ++a->uses;
 			return k;
 		}
-		if (k->last_use < oldest->last_use)
+		if (k->reserved == 0 &&
+		    (oldest == NULL || k->last_use < oldest->last_use))
 			oldest = k;
 	}
 	k = a->nkinds < ADMIT_KINDS ? &a->kinds[a->nkinds++] : oldest;
@@ -114,28 +115,34 @@
 	return k;
 }
 
-/* A kind without estimates of its own is taken for an average one. */
-int
-admit_work_ms(const struct admit *a, uint32_t kind)
+/* The estimates of a kind, or NULL. */
+const struct admit_kind *
+admit_kind_find(const struct admit *a, uint32_t kind)
 {
 	int i;
 
 	for (i = 0; i < a->nkinds; i++)
 		if (a->kinds[i].kind == kind)
-			return a->kinds[i].work_us / US_PER_MS;
-	return a->mean_us / US_PER_MS;
+			return &a->kinds[i];
+	return NULL;
+}
+
+/* A kind without estimates of its own is taken for an average one. */
+int
+admit_work_ms(const struct admit *a, uint32_t kind)
+{
+	const struct admit_kind *k = admit_kind_find(a, kind);
+
+	return (k != NULL ? k->work_us : a->mean_us) / US_PER_MS;
 }
 
 /* A kind that is not in the table has none. */
 int
 admit_samples(const struct admit *a, uint32_t kind)
 {
-	int i;
+	const struct admit_kind *k = admit_kind_find(a, kind);
 
-	for (i = 0; i < a->nkinds; i++)
-		if (a->kinds[i].kind == kind)
-			return a->kinds[i].samples;
-	return 0;
+	return k != NULL ? k->samples : 0;
 }
 
 /*
@@ -156,22 +163,19 @@
 }
 
 /* Whether the failure rate of a kind is above FAILING_RATE. */
-static int
-is_failing(const struct admit *a, uint32_t kind)
+int
+admit_is_failing(const struct admit *a, uint32_t kind)
 {
-	int i;
+	const struct admit_kind *k = admit_kind_find(a, kind);
 
-	for (i = 0; i < a->nkinds; i++)
-		if (a->kinds[i].kind == kind)
-			return a->kinds[i].failure_rate > FAILING_RATE;
-	return 0;
+	return k != NULL && k->failure_rate > FAILING_RATE;
 }
 
 /* Updates the failure rate of a kind. */
 void
 admit_record(struct admit *a, uint32_t kind, int failed)
 {
-	struct admit_kind *k = find_kind(a, kind);
+	struct admit_kind *k = admit_kind_get(a, kind);
 
 	k->failure_rate +=
 	    ((failed != 0) - k->failure_rate) / FAILURE_SMOOTHING;
@@ -188,9 +192,9 @@
     const struct admit_request *y, int64_t now)
 {
 	int late_x = x->goal <= now;
-	int failing_x = is_failing(a, x->kind);
+	int failing_x = admit_is_failing(a, x->kind);
 
-	if (failing_x != is_failing(a, y->kind))
+	if (failing_x != admit_is_failing(a, y->kind))
 		return !failing_x;
 	if (x->priority != y->priority)
 		return x->priority < y->priority;
@@ -214,7 +218,23 @@
 		n +=
 		    (r->priority < priority || (r->priority == priority &&
 						   (r->is_call || !is_call))) &&
-		    (failing || !is_failing(a, r->kind));
+		    (failing || !admit_is_failing(a, r->kind));
+	}
+	return n;
+}
+
+/* The same for a request that may be started from the reserve. */
+static int
+count_reserve_ahead(const struct admit *a, int priority)
+{
+	const struct admit_request *r;
+	int n = 0;
+	guint i;
+
+	for (i = 0; i < a->waiting->len; i++) {
+		r = &g_array_index(a->waiting, struct admit_request, i);
+		n += r->priority < priority ||
+		     (r->priority == priority && admit_is_small(a, r->kind));
 	}
 	return n;
 }
@@ -234,10 +254,14 @@
 wait_ms(const struct admit *a, uint32_t kind, int priority, int is_call,
     int64_t now)
 {
-	int ahead = count_ahead(a, priority, is_call, is_failing(a, kind)),
-	    over, wait = 0;
+	int ahead, over, wait = 0;
 	int64_t cold;
 
+	if (admit_is_small(a, kind) && admit_reserve_has_room(a))
+		ahead = count_reserve_ahead(a, priority);
+	else
+		ahead = count_ahead(
+		    a, priority, is_call, admit_is_failing(a, kind));
 	over = a->running + ahead + 1 - a->slots;
 	if (over > 0)
 		wait = (int)((int64_t)over * slot_time_us(a) / a->slots /
@@ -284,12 +308,12 @@
 	if (now + fit_ms(a, r->kind) >= r->deadline)
 		return ADMIT_LATE;
 	wait = wait_ms(a, r->kind, r->priority, r->is_call, now);
-	if (wait > 0 && is_failing(a, r->kind)) {
+	if (wait > 0 && admit_is_failing(a, r->kind)) {
 		/*
 		 * Refusals lower the failure rate, so that the kind is tried
 		 * again in case the cause of its failures is gone.
 		 */
-		k = find_kind(a, r->kind);
+		k = admit_kind_get(a, r->kind);
 		k->failure_rate -= k->failure_rate / REFUSAL_DECAY;
 		return ADMIT_BUSY;
 	}
@@ -323,8 +347,9 @@
 	if (a->waiting->len == 0 || a->running >= a->slots ||
 	    next_cold_start(a, now) > now)
 		return 0;
-	*r = g_array_index(a->waiting, struct admit_request, 0);
-	g_array_remove_index(a->waiting, 0);
+	i = admit_reserve_pick(a);
+	*r = g_array_index(a->waiting, struct admit_request, i);
+	g_array_remove_index(a->waiting, i);
 	a->running++;
 	/*
 	 * Starts are recorded even while no rate limit is set, since a target
@@ -378,12 +403,13 @@
 void
 admit_done(struct admit *a, uint32_t kind, int work_us)
 {
-	struct admit_kind *k;
+	struct admit_kind *k = admit_kind_get(a, kind);
 
 	a->running--;
+	/* A run without a time of its own counts as a usual one. */
+	admit_reserve_ended(a, k, work_us >= 0 ? work_us : k->work_us);
 	if (work_us < 0)
 		return;
-	k = find_kind(a, kind);
 	if (k->samples == 0)
 		k->work_us = work_us;
 	k->samples++;
@@ -394,9 +420,10 @@
 
 /* The run held its slot although it brought no answer. */
 void
-admit_abandoned(struct admit *a, int held_us)
+admit_abandoned(struct admit *a, uint32_t kind, int held_us)
 {
 	a->running--;
+	admit_reserve_ended(a, admit_kind_get(a, kind), held_us);
 	a->slot_us += (held_us - a->slot_us) / SLOT_SMOOTHING;
 }
 
--- a/mesh/admit.h
+++ b/mesh/admit.h
@@ -28,6 +28,8 @@
 	int work_us; /* run time at the target, exponential average */
 	int samples;
 	double failure_rate; /* share of failed runs, exponential average */
+	int64_t used_us;     /* recent slot time of its runs */
+	int reserved;	     /* its runs that were started from the reserve */
 	uint64_t last_use;   /* of the entry, by the count of uses */
 };
 
@@ -41,8 +43,14 @@
 	struct admit_kind kinds[ADMIT_KINDS];
 	int nkinds;
 	uint64_t uses; /* counts uses of the table's entries */
-	int mean_us;   /* run time over all kinds, exponential average */
-	int slot_us;   /* time that a run holds a slot, also without answer */
+	/*
+	 * Recent slot time of all runs, and of those from the reserve; and how
+	 * many of the latter are running.  See admit_reserve.c.
+	 */
+	int64_t used_us, reserved_us;
+	int reserved;
+	int mean_us; /* run time over all kinds, exponential average */
+	int slot_us; /* time that a run holds a slot, also without answer */
 	int lowest_priority; /* greatest priority number offered so far */
 	/* A target is cold, that is, warming up, for a time after its start. */
 	int64_t cold_until; /* monotonic ms */
@@ -92,7 +100,7 @@
  */
 void admit_done(struct admit *, uint32_t kind, int work_us);
 /* Frees the slot of a run that was given up without an answer. */
-void admit_abandoned(struct admit *, int held_us);
+void admit_abandoned(struct admit *, uint32_t kind, int held_us);
 /*
  * Records whether a run failed.  A kind that mostly fails, for instance since
  * the target's own calls to another service are refused, gets only slots that
--- a/proxy/guard.c
+++ b/proxy/guard.c
@@ -342,7 +342,7 @@
 	upstream_cancel(j->in_flight);
 	j->in_flight = NULL;
 	g_ptr_array_remove_fast(g->running, j);
-	admit_abandoned(&g->admit, (int)(base_now_us() - j->began_us));
+	admit_abandoned(&g->admit, j->kind, (int)(base_now_us() - j->began_us));
 	/* The target did not answer before the deadline. */
 	if (base_now_ms() >= j->deadline) {
 		record_outcome(g, OUTLIER_BROKEN);
--- a/test/test_admit.c
+++ b/test/test_admit.c
@@ -251,7 +251,7 @@
 	CU_ASSERT_EQUAL(offer_call(&s, 2, now + 40, now + 500), ADMIT_WAIT);
 	/* Callers' requests of the same priority are not ahead of it. */
 	CU_ASSERT(admit_call_wait_ms(&s.a, 2, 2, now) <
-		  admit_wait_ms(&s.a, 2, 2, now));
+		  admit_wait_ms(&s.a, 1, 2, now));
 	s.now += 250;
 	CU_ASSERT_EQUAL(offer_call(&s, 2, s.now - 1, s.now + 500), ADMIT_WAIT);
 	s.a.running = 0;
@@ -443,7 +443,7 @@
 	for (i = 0; i < 40; i++) {
 		s.a.running++;
 		if (i % 5 < 2)
-			admit_abandoned(&s.a, DEADLINE_MS * 1000);
+			admit_abandoned(&s.a, 1, DEADLINE_MS * 1000);
 		else
 			admit_done(&s.a, 1, WORK_MS * 1000);
 	}
