choose: a refusal for load concerns the refused kind alone

Cause: a guard that refuses a request for load was avoided for 25 ms by all requests of that entry. The refusal depends on the kind: its run time, limit, goal and priority. With three targets and 40 refusals a second, the requests of a heavy route closed all targets to those of others, urgent ones included.

Now an entry remembers for a target the four kinds that were refused last. Down, leaving and lost targets are avoided by all, as before.

Evidence: test_choose, busy for one route only, failed 3 of 3 times before and passes.

--- a/proxy/choose.c
+++ b/proxy/choose.c
@@ -51,6 +51,39 @@
 	return peer;
 }
 
+/*
+ * A refusal for load depends on the run time, limit and priority of the kind,
+ * so it says nothing about another one.  The earliest entry is replaced.
+ */
+void
+peer_set_busy(struct peer *peer, uint32_t kind, int64_t until)
+{
+	int i, at = 0;
+
+	for (i = 0; i < PEER_BUSY_KINDS; i++) {
+		if (peer->busy[i].kind == kind) {
+			at = i;
+			break;
+		}
+		if (peer->busy[i].until < peer->busy[at].until)
+			at = i;
+	}
+	peer->busy[at].kind = kind;
+	peer->busy[at].until = until;
+}
+
+/* Entries that have passed are kept until they are replaced. */
+int64_t
+peer_busy_until(const struct peer *peer, uint32_t kind)
+{
+	int i;
+
+	for (i = 0; i < PEER_BUSY_KINDS; i++)
+		if (peer->busy[i].kind == kind)
+			return peer->busy[i].until;
+	return 0;
+}
+
 /*
  * Writes the link address of the node beside a target: the target's host, and
  * the port of this node's own link address, which all nodes use.
@@ -202,8 +235,8 @@
 
 /* The reasons are constant strings. */
 const char *
-choose_unusable(
-    const struct listed_target *l, const GPtrArray *tried, int64_t now)
+choose_unusable(const struct listed_target *l, uint32_t kind,
+    const GPtrArray *tried, int64_t now)
 {
 	if (l->target->state != VIEW_READY)
 		return "draining";
@@ -211,7 +244,7 @@
 		return "out";
 	if (l->peer->leaving)
 		return "leaving";
-	if (l->peer->avoid_until > now)
+	if (l->peer->avoid_until > now || peer_busy_until(l->peer, kind) > now)
 		return "avoided";
 	if (tried != NULL && is_tried(tried, l->peer))
 		return "tried";
@@ -259,7 +292,7 @@
 	g_array_set_size(x->forecasts, 0);
 	for (i = 0; i < s->listed->len; i++) {
 		l = &g_array_index(s->listed, struct listed_target, i);
-		if (choose_unusable(l, tried, now) != NULL)
+		if (choose_unusable(l, j->kind, tried, now) != NULL)
 			continue;
 		if (l->is_own)
 			forecast_own(p, j, &c->query, l, &f);
--- a/proxy/offer.c
+++ b/proxy/offer.c
@@ -8,7 +8,7 @@
 
 #define OFFERS_MAX 4 /* guards that one request is offered to */
 /* How long an entry makes no offers to a guard: */
-#define BUSY_AVOID_MS	  25   /* after a refusal for load */
+#define BUSY_AVOID_MS	  25   /* after a refusal of the kind for load */
 #define DOWN_AVOID_MS	  250  /* while its target is down or draining */
 #define DOWN_AVOID_MAX_MS 4000 /* limit of the time that a guard asks for */
 #define LOST_AVOID_MS	  1000 /* after its link was lost */
@@ -124,7 +124,7 @@
 	case OUTCOME_BUSY:
 		/* One whose link is full still takes short answers. */
 		if (res->estimate.link_ms <= res->estimate.wait_ms)
-			peer->avoid_until = now + BUSY_AVOID_MS;
+			peer_set_busy(peer, r->job.kind, now + BUSY_AVOID_MS);
 		break;
 	case OUTCOME_REFUSED:
 		peer->avoid_until = now + CLAMP(res->retry_after_ms,
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -310,12 +310,18 @@
 
 /* ---- load balancing ---- */
 
+#define PEER_BUSY_KINDS 4 /* kinds that a guard refused last */
+
 /* State that an entry keeps of a target and its guard. */
 struct peer {
 	char addr[ADDRESS_MAX]; /* of the target */
 	int load;		/* percent, as last reported */
 	int64_t avoid_until;	/* ms; no offers before this time */
-	int leaving;		/* its node takes no new requests */
+	struct {
+		uint32_t kind;
+		int64_t until; /* ms; no offers of the kind before this time */
+	} busy[PEER_BUSY_KINDS];
+	int leaving; /* its node takes no new requests */
 	struct forecast_target forecast;
 	struct service_targets *service; /* that it was listed under last */
 	int area;			 /* its data centre, for forecasts */
@@ -355,9 +361,9 @@
 
 void choose_init(struct proxy *);
 void choose_clear(struct proxy *);
-/* Why a target is not offered requests now, or NULL. */
-const char *choose_unusable(
-    const struct listed_target *, const GPtrArray *tried, int64_t now);
+/* Why a target is not offered requests of a kind now, or NULL. */
+const char *choose_unusable(const struct listed_target *, uint32_t kind,
+    const GPtrArray *tried, int64_t now);
 /*
  * Compares the targets of the job's service, and stores the forecasts of those
  * that are usable, which are valid until the next call.  goal_ms is the latency
@@ -378,6 +384,10 @@
     const struct forecast *, int64_t took_ms, int64_t now);
 /* Returns the state of a target by its address; created if it is new. */
 struct peer *peer_get(struct proxy *, const char *addr);
+/* The guard refused a kind for load: makes no offers of it until then (ms). */
+void peer_set_busy(struct peer *, uint32_t kind, int64_t until);
+/* Until when no offers are made of a kind, or 0. */
+int64_t peer_busy_until(const struct peer *, uint32_t kind);
 /* Sets whether the node at a link address takes no new requests. */
 void peers_set_leaving(struct proxy *, const char *link_addr, int leaving);
 /* Writes the link address of the node beside a target; buf has ADDRESS_MAX. */
--- a/proxy/where.c
+++ b/proxy/where.c
@@ -8,8 +8,8 @@
 
 static int compare_targets(gconstpointer, gconstpointer, gpointer);
 static void count_choices(const struct comparison *, int *);
-static void
-print_target(struct proxy *, const struct listed_target *, int64_t, GString *);
+static void print_target(
+    struct proxy *, const struct listed_target *, uint32_t, int64_t, GString *);
 static void print_forecast(const struct forecast *, int, GString *);
 static void print_service(
     struct proxy *, const struct view_route *, const char *, GString *);
@@ -49,10 +49,12 @@
 
 /* What is known of a target without a forecast. */
 static void
-print_target(
-    struct proxy *p, const struct listed_target *l, int64_t now, GString *out)
+print_target(struct proxy *p, const struct listed_target *l, uint32_t kind,
+    int64_t now, GString *out)
 {
-	const char *why = choose_unusable(l, NULL, now);
+	const char *why = choose_unusable(l, kind, NULL, now);
+	int64_t until =
+	    MAX(l->peer->avoid_until, peer_busy_until(l->peer, kind));
 
 	g_string_append_printf(out,
 	    "  target %s addr=%s data_centre=%s state=%s slots=%d",
@@ -62,9 +64,9 @@
 		g_string_append_printf(out,
 		    " beside=1 running=%u usable_slots=%d",
 		    p->guard.running->len, p->guard.admit.slots);
-	if (l->peer->avoid_until > now)
+	if (until > now)
 		g_string_append_printf(
-		    out, " avoided_ms=%" PRId64, l->peer->avoid_until - now);
+		    out, " avoided_ms=%" PRId64, until - now);
 }
 
 /* The numbers by which a target is compared; see forecast.h. */
@@ -106,7 +108,7 @@
 	g_array_sort_with_data(listed, compare_targets, p);
 	for (i = 0; i < listed->len; i++) {
 		l = &g_array_index(listed, struct listed_target, i);
-		print_target(p, l, now, out);
+		print_target(p, l, j.kind, now, out);
 		for (k = 0; k < c.usable->len; k++)
 			if (((struct listed_target *)g_ptr_array_index(
 				 c.usable, k))
--- a/test/test_choose.c
+++ b/test/test_choose.c
@@ -206,6 +206,39 @@
 	rig_stop(&r);
 }
 
+/*
+ * Guards against requests of one route being refused without an offer while the
+ * only target is avoided for the load of another route.
+ */
+static void
+busy_for_one_route_only(void)
+{
+	struct rig r;
+	struct rig_call c;
+	struct admit *a;
+	int i;
+
+	rig_start(&r, 2);
+	rig_list_target(&r, 0, "other", VIEW_READY);
+	a = &r.nodes[1].proxy->guard.admit;
+	/* Runs of this route take too long for any wait. */
+	for (i = 0; i < 10; i++) {
+		a->running++;
+		admit_done(a, g_str_hash("/once/"), 390000);
+	}
+	a->running = a->slots;
+	rig_call(&r, &c, 0, "/once/x", "a", 1000);
+	rig_wait(&r, &c);
+	CU_ASSERT_EQUAL(rig_status(&c), 503);
+	rig_call_end(&c);
+	a->running = 0;
+	rig_call(&r, &c, 0, "/run/x", "b", 1000);
+	rig_wait(&r, &c);
+	CU_ASSERT_EQUAL(rig_status(&c), 200);
+	rig_call_end(&c);
+	rig_stop(&r);
+}
+
 static const struct test tests[] = {
 	{ "estimates arrive from all guards",
 	    estimates_arrive_from_all_guards },
@@ -214,6 +247,7 @@
 	{ "refused requests go elsewhere", refused_requests_go_elsewhere },
 	{ "index follows the view", index_follows_the_view },
 	{ "comparison changes nothing", comparison_changes_nothing },
+	{ "busy for one route only", busy_for_one_route_only },
 };
 
 TEST_MAIN("choose", tests)
