feed: a node reads the store while its publisher's messages are late

Cause: a slow publisher still sends a message at least every 1.2 s, so it is kept, though its news are old; once given up, its successor may be slow as well, and after 8 s nodes return to the first one.

Now a node reads the store itself, beside its publisher, when two heartbeats are missing (800 ms). A line (publisher-slow) and a counter tell of it.

--- a/side/feed.c
+++ b/side/feed.c
@@ -19,6 +19,8 @@
 /* An advance of the view's synced_at by this much is published at once. */
 #define AGE_STEP_MS 200
 #define FRESH_MS    800 /* greatest age of a publisher's view to rely on it */
+/* Without a message for so long, two heartbeats, the publisher is late. */
+#define LATE_MS 800
 /*
  * No publisher can be chosen while no target of the own data centre is listed.
  * The first list may be stale by up to EMPTY_LIST_MS.  It is read again every
@@ -38,6 +40,7 @@
 static int reads_store(const struct follow *);
 static void fail_over(struct follow *, const char *, int);
 static void check_publisher(struct follow *, int64_t);
+static void check_messages(struct follow *, int64_t);
 
 /* Starts the periodic check of the publisher. */
 void
@@ -316,6 +319,25 @@
 	}
 }
 
+/*
+ * Reads the store while the publisher's messages are late.  A slow publisher
+ * sends often enough not to be given up, and those that replace it may be slow
+ * as well: the time until news arrive must not depend on how many of them are.
+ */
+static void
+check_messages(struct follow *f, int64_t now)
+{
+	int64_t silent_ms = now - f->feed.publisher.received_at;
+
+	if (reads_store(f) || f->feed.reads_meanwhile || silent_ms <= LATE_MS)
+		return;
+	base_log(G_LOG_LEVEL_MESSAGE, "publisher-slow",
+	    "addr=%s silent_ms=%" G_GINT64_FORMAT " known_ms=%" G_GINT64_FORMAT,
+	    f->feed.publisher.addr, silent_ms, now - f->view->synced_at);
+	counter_add(CTR_PUBLISHER_SLOW, 1);
+	f->feed.reads_meanwhile = 1;
+}
+
 /*
  * The periodic check: chooses a publisher once targets are listed, keeps the
  * store reader watching while this node or a subscriber needs it, checks the
@@ -341,6 +363,7 @@
 		return;
 	}
 	check_publisher(f, now);
+	check_messages(f, now);
 	/*
 	 * It takes more than a second to detect that a publisher is silent.  A
 	 * node that has lost its publisher therefore reads the store meanwhile,
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -219,7 +219,9 @@
 	follow_rig_stop(&w);
 }
 
-#define NSILENT 3 /* FOLLOW_RANKS_MAX */
+#define NSILENT		3 /* FOLLOW_RANKS_MAX */
+#define CONFIG_APPLY_MS 2500
+#define LATE_GAP_MS	1000 /* between messages of a slow publisher */
 
 /* Lists silent nodes that rank before all others. */
 static void
@@ -282,6 +284,34 @@
 		close(fds[i]);
 }
 
+/*
+ * Guards against a version that is late as its publisher's messages are.  The
+ * publisher neither reads nor publishes news, and sends its age each second, as
+ * one does whose VM is slow; the platform allows CONFIG_APPLY_MS.
+ */
+static void
+publisher_sends_late(void)
+{
+	struct follow_rig w;
+	int first, i, elapsed;
+
+	follow_rig_start(&w);
+	rig_run(&w.rig, 1200);
+	first = node_of_rank_0(&w);
+	follow_stop(w.follows[first]);
+	store_put_config(w.store, 20, "svc", "/run/");
+	for (elapsed = 0; elapsed < CONFIG_APPLY_MS; elapsed += LATE_GAP_MS) {
+		proxy_publish(w.rig.nodes[first].proxy, NULL, 0, 0);
+		rig_run(&w.rig, MIN(LATE_GAP_MS, CONFIG_APPLY_MS - elapsed));
+	}
+	for (i = 0; i < FOLLOW_RIG_NODES; i++)
+		if (i != first)
+			CU_ASSERT_EQUAL(follow_rig_config_version(&w, i), 20);
+	follow_rig_clear_view(&w.rig.nodes[first]);
+	follow_rig_start_node(&w, first);
+	follow_rig_stop(&w);
+}
+
 static const struct test tests[] = {
 	{ "history is compacted without publisher",
 	    history_is_compacted_without_publisher },
@@ -293,6 +323,7 @@
 	{ "nodes start before targets are listed",
 	    nodes_start_before_targets_are_listed },
 	{ "publisher is lost", publisher_is_lost },
+	{ "publisher sends late", publisher_sends_late },
 };
 
 TEST_MAIN("feed", tests)
