--- a/http/client.c
+++ b/http/client.c
@@ -183,6 +183,7 @@
 	struct http_message *m;
 	int err;
 
+	(void)bev;
 	if (c->path == NULL) {
 		close_connection(c);
 		return;
