--- a/side/feed.c
+++ b/side/feed.c
@@ -322,7 +322,7 @@
 /*
  * Reads the store while the publisher's messages are late.  A slow publisher
  * sends often enough not to be given up, and those that replace it may be slow
- * as well: the time until news arrive must not depend on how many of them are.
+ * too: the time until a change arrives must not depend on how many of them are.
  */
 static void
 check_messages(struct follow *f, int64_t now)
--- a/test/test_admit_routes.c
+++ b/test/test_admit_routes.c
@@ -13,7 +13,7 @@
 #define ASK_MS	     50 /* before its deadline, an entry revokes a request */
 #define QUEUED_MAX   1000
 #define FULL	     1	 /* the kind that overloads the target */
-#define URGENCIES    2	 /* a less urgent kind is sent as well */
+#define LESS_URGENT  2	 /* priority of a kind that is sent as well */
 #define NEW	     100 /* the first kind of a new route */
 #define SECONDS	     20
 #define MS_PER_S     1000
@@ -103,7 +103,7 @@
 overload(struct sim *s, int seconds, int new_gap_ms, int new_work_ms)
 {
 	struct admit_request less_urgent = { .kind = 2,
-		.priority = URGENCIES,
+		.priority = LESS_URGENT,
 		.goal = s->now + FULL_GOAL_MS,
 		.deadline = s->now + FULL_LEFT_MS };
 	int i;
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -286,8 +286,8 @@
 
 /*
  * Guards against a version that is late as its publisher's messages are.  The
- * publisher neither reads nor publishes news, and sends its age each second, as
- * one does whose VM is slow; the platform allows CONFIG_APPLY_MS.
+ * publisher neither reads nor publishes changes, and sends a heartbeat each
+ * second, as one does whose VM is slow; the platform allows CONFIG_APPLY_MS.
  */
 static void
 publisher_sends_late(void)
--- a/test/test_feed_behind.c
+++ b/test/test_feed_behind.c
@@ -1,4 +1,4 @@
-/* A publisher that sends in time, but whose news are old. */
+/* A publisher that sends heartbeats in time, but reads no changes. */
 #include "rig_follow.h"
 #include "test.h"
 
@@ -7,8 +7,8 @@
 
 /*
  * Guards against a version that is late as its publisher is behind.  The
- * publisher neither reads nor publishes news, and sends its age in time; the
- * platform allows CONFIG_APPLY_MS.
+ * publisher neither reads nor publishes changes, and sends heartbeats in time;
+ * the platform allows CONFIG_APPLY_MS.
  */
 static void
 publisher_is_behind(void)
