feed: nodes whose publisher is behind are told by another data centre as well

What callers saw: a version that was in force late on nodes whose publisher sent its heartbeats in time while its own knowledge was old. A subscriber judged its publisher by the time of the last message alone.

Cause: the age that each message carries was recorded and not acted upon. A publisher that is slow, but runs, was kept whatever it knew.

Change: a subscriber whose view is stale (FOLLOW_STALE_MS) subscribes to a node of the next data centre in PROXY_SLOT_BACKUP, as publishers do, and keeps that for FOLLOW_FAILBACK_MS after it was last stale. Subscribers spread over the nodes of the next data centre by their own rank. Where no other data centre exists and at most SMALL_DC_NODES nodes, they read the store. Each time is logged (publisher-behind) and counted.

--- a/base/counter.c
+++ b/base/counter.c
@@ -27,6 +27,7 @@
 	[CTR_GUARD_CALLEES] = "guard_refused_callees_total",
 	[CTR_GUARD_UNMEASURED] = "guard_refused_unmeasured_total",
 	[CTR_PUBLISHER_SLOW] = "publisher_slow_total",
+	[CTR_PUBLISHER_BEHIND] = "publisher_behind_total",
 	[CTR_GUARD_REVOKED] = "guard_revoked_total",
 	[CTR_GUARD_DUPLICATES] = "guard_duplicates_total",
 	[CTR_GUARD_EXPIRED] = "guard_expired_total",
--- a/side/feed.c
+++ b/side/feed.c
@@ -135,6 +135,17 @@
 	return i;
 }
 
+/* Rank of this node in its own data centre. */
+guint
+feed_own_rank(struct follow *f)
+{
+	GArray *list = feed_candidates(f, f->settings->proxy.data_centre);
+	guint rank = own_rank(f, list);
+
+	g_array_free(list, TRUE);
+	return rank;
+}
+
 /* Whether this node has no publisher and reads the store itself. */
 static int
 reads_store(const struct follow *f)
@@ -370,7 +381,8 @@
 	 * as the next publisher may be silent as well.
 	 */
 	reads =
-	    reads_store(f) || verify_is_pending(f) || f->feed.reads_meanwhile;
+	    reads_store(f) || verify_is_pending(f) || f->feed.reads_meanwhile ||
+	    (relay_lacks_backup(f) && f->feed.ncandidates <= SMALL_DC_NODES);
 	helping = proxy_subscribers(f->proxy, PROXY_SUBSCRIBE_HELP) > 0;
 	subscribers =
 	    helping + proxy_subscribers(f->proxy, PROXY_SUBSCRIBE_READ);
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -48,7 +48,8 @@
 
 /*
  * The other sources of a node that reads the store for others, used when the
- * store does not answer it.  Times are in ms of base_now_ms().
+ * store does not answer it, and of a subscriber whose publisher is behind.
+ * Times are in ms of base_now_ms().
  */
 struct relay {
 	struct event *timer; /* fires when the view becomes stale */
@@ -56,6 +57,7 @@
 	struct publisher backup; /* in another data centre */
 	guint backup_attempt;	 /* selects the data centre and the rank */
 	int64_t backup_chosen_at;
+	int64_t behind_until; /* of a subscriber whose view was stale */
 	struct publisher helpers[RELAY_HELPERS];
 	guint next_helper; /* index among the candidates, modulo their number */
 	int helper_rounds; /* since help was last not needed */
@@ -229,12 +231,16 @@
  * the settings, and are valid until either changes.
  */
 GArray *feed_candidates(struct follow *, const char *dc);
+/* Rank of this node in its own data centre. */
+guint feed_own_rank(struct follow *);
 
-/* relay.c: other sources for a node that reads the store for others */
+/* relay.c: other sources, for nodes whose publisher or store does not serve */
 void relay_start(struct follow *);
 void relay_stop(struct follow *);
 /* The periodic check of the backup and the helpers. */
 void relay_check(struct follow *, int64_t now);
+/* Whether this node is behind and there is no other data centre. */
+int relay_lacks_backup(const struct follow *);
 /*
  * The backup or a helper sent an update; is_new if it stems from an answer of
  * the store that was not recorded before.
--- a/side/relay.c
+++ b/side/relay.c
@@ -5,7 +5,9 @@
  * centres as long as the store answers one of them.  If its view becomes stale
  * all the same, it asks RELAY_HELPERS nodes of its own data centre at once to
  * read on its behalf.  Its subscribers stay with it meanwhile: when all of them
- * failed over one publisher after the other, the delays added up.
+ * failed over one publisher after the other, the delays added up.  Those whose
+ * view becomes stale get a backup as well, as the publisher may be too slow to
+ * notice.
  */
 #include <string.h>
 
@@ -27,6 +29,7 @@
 static int find_fresh_helper(const struct follow *, int64_t);
 static int has_received(const struct follow *);
 static void check_helpers(struct follow *, int64_t);
+static int is_behind(struct follow *, int64_t);
 static void set_publisher(struct follow *, enum proxy_slot, struct publisher *,
     const char *, enum proxy_subscription, int64_t);
 
@@ -108,7 +111,8 @@
 /*
  * Address of the backup for the current attempt, or NULL if there is none; the
  * caller frees it.  Attempts go through the first node of each other data
- * centre, then through the second ones, and so on.
+ * centre, then through the second ones, and so on.  A node that is behind
+ * begins at its own rank, so that not all of a data centre choose the same.
  */
 static char *
 pick_backup(struct follow *f)
@@ -122,6 +126,8 @@
 		list = feed_candidates(
 		    f, g_ptr_array_index(names, attempt % names->len));
 		rank = attempt / names->len % FOLLOW_RANKS_MAX;
+		if (f->relay.sync_floor == 0)
+			rank += feed_own_rank(f);
 		if (list->len > 0)
 			addr = g_strdup(g_array_index(
 			    list, struct candidate_node, rank % list->len)
@@ -289,8 +295,45 @@
 }
 
 /*
- * Activates the backup and the helpers while this node reads the store for
- * others, and releases them when it does not.
+ * Whether the view of this node, a subscriber, is or was recently stale: its
+ * publisher sends too late, or what it sends is too old.
+ */
+static int
+is_behind(struct follow *f, int64_t now)
+{
+	struct relay *r = &f->relay;
+
+	if (f->view->synced_at > 0 && follow_is_stale(f)) {
+		if (r->behind_until <= now) {
+			base_log(G_LOG_LEVEL_MESSAGE, "publisher-behind",
+			    "addr=%s known_ms=%" G_GINT64_FORMAT,
+			    f->feed.publisher.addr[0] != '\0'
+				? f->feed.publisher.addr
+				: "-",
+			    now - f->view->synced_at);
+			counter_add(CTR_PUBLISHER_BEHIND, 1);
+		}
+		r->behind_until = now + FOLLOW_FAILBACK_MS;
+	}
+	return now < r->behind_until;
+}
+
+/*
+ * Whether this node is behind and no other data centre can help it.  A few such
+ * nodes may read the store themselves.
+ */
+int
+relay_lacks_backup(const struct follow *f)
+{
+	const struct relay *r = &f->relay;
+
+	return r->sync_floor == 0 && r->backup_chosen_at != 0 &&
+	       r->backup.addr[0] == '\0';
+}
+
+/*
+ * Activates the helpers while this node reads the store for others, and the
+ * backup while it does or is behind; releases them when they are not needed.
  */
 void
 relay_check(struct follow *f, int64_t now)
@@ -305,18 +348,22 @@
 		r->sync_floor =
 		    f->view->synced_at > 0 ? f->view->synced_at : now;
 		r->helper_rounds = 0;
+		r->backup_chosen_at = 0;
 	} else if (!reads_for_others && r->sync_floor != 0) {
-		set_publisher(f, PROXY_SLOT_BACKUP, &r->backup, NULL,
-		    PROXY_UNSUBSCRIBED, now);
 		keep_helper(f, -1, now);
 		evtimer_del(r->timer);
 		r->sync_floor = r->backup_chosen_at = 0;
 		r->isolated = 0;
 	}
-	if (!reads_for_others)
-		return;
-	check_backup(f, now);
-	check_helpers(f, now);
+	if (reads_for_others || is_behind(f, now)) {
+		check_backup(f, now);
+	} else {
+		set_publisher(f, PROXY_SLOT_BACKUP, &r->backup, NULL,
+		    PROXY_UNSUBSCRIBED, now);
+		r->backup_chosen_at = 0;
+	}
+	if (reads_for_others)
+		check_helpers(f, now);
 }
 
 /* Handles their updates.  A backup that ends the subscription is replaced. */
