forecast: past 64 kinds, the one not used for longest gives way

What callers saw: nothing that was traced to it. An entry keeps the run time and the size of answers of 64 kinds of requests for a service; a further one shared those of another, by its number. So a request on a route that was added was placed by the run time of another, and a long kind that shares one with short ones was placed as short.

Change: the entry that was not used for longest is replaced; those in use are used all the time and stay. test_forecast, "means survive many routes": 640 kinds of 2 ms beside one of 500 ms; both its checks failed before and pass now.

--- a/mesh/forecast.c
+++ b/mesh/forecast.c
@@ -83,18 +83,28 @@
 	return NULL;
 }
 
-/* When the table is full, an unknown kind shares the means of another. */
+/*
+ * Finds or adds the means of a kind.  When the table is full, those that were
+ * not used for longest are replaced.
+ */
 static struct forecast_kind *
 add_kind(struct forecast_service *s, uint32_t kind)
 {
 	struct forecast_kind *k = find_kind(s, kind);
+	int i;
 
-	if (k != NULL)
-		return k;
-	if (s->nkinds == FORECAST_KINDS)
-		return &s->kinds[kind % FORECAST_KINDS];
-	s->kinds[s->nkinds] = (struct forecast_kind){ .kind = kind };
-	return &s->kinds[s->nkinds++];
+	if (k == NULL && s->nkinds < FORECAST_KINDS) {
+		k = &s->kinds[s->nkinds++];
+		*k = (struct forecast_kind){ .kind = kind };
+	} else if (k == NULL) {
+		k = s->kinds;
+		for (i = 1; i < s->nkinds; i++)
+			if (s->kinds[i].last_use < k->last_use)
+				k = &s->kinds[i];
+		*k = (struct forecast_kind){ .kind = kind };
+	}
+	k->last_use = ++s->uses;
+	return k;
 }
 
 /* Index of a priority in tables of waits. */
--- a/mesh/forecast.h
+++ b/mesh/forecast.h
@@ -47,9 +47,10 @@
 /* Means of one kind of request over the targets of a service. */
 struct forecast_kind {
 	uint32_t kind;
-	double work_ms; /* run time; 0: not known */
-	double bytes;	/* of answers; 0: not known */
-	int is_call;	/* as guards report */
+	double work_ms;	   /* run time; 0: not known */
+	double bytes;	   /* of answers; 0: not known */
+	int is_call;	   /* as guards report */
+	uint64_t last_use; /* by the count of uses */
 };
 
 /* Means over the targets of a service in one data centre. */
@@ -64,6 +65,7 @@
 struct forecast_service {
 	struct forecast_kind kinds[FORECAST_KINDS];
 	int nkinds;
+	uint64_t uses; /* counts uses of the kinds */
 	struct forecast_area areas[FORECAST_AREAS];
 };
 
--- a/test/test_forecast.c
+++ b/test/test_forecast.c
@@ -424,6 +424,30 @@
 	CU_ASSERT(b.total_ms > a.total_ms);
 }
 
+/*
+ * Guards against requests that are placed by the run times of others: past
+ * FORECAST_KINDS kinds, one that was added shared the means of another.
+ */
+static void
+means_survive_many_routes(void)
+{
+	struct forecast_service s = { 0 };
+	struct forecast_target t = { 0 };
+	struct forecast_report used = { .estimate.work_ms = 500 };
+	struct forecast_report added = { .estimate.work_ms = 2 };
+	struct forecast_query q;
+
+	while (added.kind < 10 * FORECAST_KINDS) {
+		added.kind++;
+		forecast_reported(&s, FORECAST_NEAR, &t, &added, 1000);
+		forecast_reported(&s, FORECAST_NEAR, &t, &used, 1000);
+	}
+	forecast_query(&q, &s, used.kind, 0, GOAL_MS, GOAL_MS, 1000);
+	CU_ASSERT_DOUBLE_EQUAL(q.work_ms, 500, 0.1);
+	forecast_query(&q, &s, added.kind, 0, GOAL_MS, GOAL_MS, 1000);
+	CU_ASSERT_DOUBLE_EQUAL(q.work_ms, 2, 0.1);
+}
+
 static const struct test tests[] = {
 	{ "uneven targets get work by speed",
 	    uneven_targets_get_work_by_speed },
@@ -438,6 +462,7 @@
 	{ "reported waits count", reported_waits_count },
 	{ "run times count", run_times_count },
 	{ "failing target draws little", failing_target_draws_little },
+	{ "means survive many routes", means_survive_many_routes },
 };
 
 TEST_MAIN("forecast", tests)
