slow start: past 32 kinds, the one not used for longest gives way

What callers saw: nothing that was traced to it. A guard judges whether its target has become slow by the usual run times of 32 kinds; a further one shared the reference of another. Short requests of routes that come and go so lowered the reference of a long kind, and when they ended the target seemed slow and lost half of its slots, under which requests are refused that it could serve.

Change: the entry that was not used for longest is replaced. test_slow_start, "references survive many routes", failed before (slowness was detected of a target whose run time never changed) and passes now.

--- a/mesh/slow_start.c
+++ b/mesh/slow_start.c
@@ -105,21 +105,29 @@
 	s->last_ratio = 0;
 }
 
-/* Finds or adds a kind; when the table is full, kinds share an entry. */
+/*
+ * Finds or adds a kind.  When the table is full, the one that was not used for
+ * longest is replaced.
+ */
 static struct slow_start_kind *
 find_kind(struct slow_start *s, uint32_t kind)
 {
-	struct slow_start_kind *k;
+	struct slow_start_kind *k, *oldest = s->kinds;
 	int i;
 
-	for (i = 0; i < s->nkinds; i++)
-		if (s->kinds[i].kind == kind)
-			return &s->kinds[i];
-	if (s->nkinds == SLOW_START_KINDS)
-		return &s->kinds[kind % SLOW_START_KINDS];
-	k = &s->kinds[s->nkinds++];
+	for (i = 0; i < s->nkinds; i++) {
+		k = &s->kinds[i];
+		if (k->kind == kind) {
+			k->last_use = ++s->uses;
+			return k;
+		}
+		if (k->last_use < oldest->last_use)
+			oldest = k;
+	}
+	k = s->nkinds < SLOW_START_KINDS ? &s->kinds[s->nkinds++] : oldest;
 	*k = (struct slow_start_kind){ .kind = kind,
-		.variance = VARIANCE_INITIAL };
+		.variance = VARIANCE_INITIAL,
+		.last_use = ++s->uses };
 	return k;
 }
 
--- a/mesh/slow_start.h
+++ b/mesh/slow_start.h
@@ -51,6 +51,7 @@
 	int batches;	  /* that the reference is made of */
 	double usual;	 /* reference: mean logarithm of the lowest run times */
 	double variance; /* of that logarithm */
+	uint64_t last_use; /* by the count of uses */
 };
 
 struct slow_start {
@@ -69,6 +70,7 @@
 	int64_t not_before; /* of the next SLOW_START_BEGAN */
 	struct slow_start_kind kinds[SLOW_START_KINDS];
 	int nkinds;
+	uint64_t uses; /* counts uses of the kinds */
 };
 
 /* Names in logs, by enum slow_start_reason. */
--- a/test/test_slow_start.c
+++ b/test/test_slow_start.c
@@ -477,6 +477,32 @@
 	}
 }
 
+/*
+ * Guards against a target that loses slots without being slow: past
+ * SLOW_START_KINDS kinds, short requests of one that was added counted for a
+ * long one, which then seemed to have become slow.
+ */
+static void
+references_survive_many_routes(void)
+{
+	struct slow_start_run used = { .work_us = 500000, .slots = 8 };
+	struct slow_start_run added = { .work_us = 2000, .slots = 8 };
+	struct slow_start s;
+	int64_t now;
+	int began = 0;
+
+	slow_start_init(&s);
+	for (now = 0; now < 60000; now += 20) {
+		began += slow_start_record(&s, &used, now) == SLOW_START_BEGAN;
+		if (now % 100 != 0 || now > 30000)
+			continue;
+		added.kind += now % 500 == 0 ? SLOW_START_KINDS : 0;
+		slow_start_record(&s, &added, now);
+	}
+	CU_ASSERT_EQUAL(began, 0);
+	CU_ASSERT_EQUAL(slow_start_slots(&s, 8, now), 8);
+}
+
 static const struct test tests[] = {
 	{ "release replaces targets", release_replaces_targets },
 	{ "scale-out under full load", scale_out_under_full_load },
@@ -490,6 +516,7 @@
 	{ "healthy target is not limited", healthy_target_is_not_limited },
 	{ "slow callees are no slowness", slow_callees_are_no_slowness },
 	{ "full target is not limited", full_target_is_not_limited },
+	{ "references survive many routes", references_survive_many_routes },
 };
 
 TEST_MAIN("slow_start", tests)
