link admission: past 64 kinds, the one not used for longest gives way

What callers saw: nothing that was traced to it. Admission by bytes keeps the sizes of 64 kinds; a further one shared the estimate of another, so that answers were refused, or filled the link, by the sizes of others.

Change: the entry that was not used for longest is replaced, unless a commitment refers to it by its index; if all are referred to, a kind shares an estimate as before.

--- a/mesh/link_admit.c
+++ b/mesh/link_admit.c
@@ -71,20 +71,35 @@
 	for (i = 0; i < la->nkinds; i++)
 		if (la->kinds[i].kind == kind)
 			return i;
-	return la->nkinds == LINK_ADMIT_KINDS ? (int)(kind % LINK_ADMIT_KINDS)
-					      : -1;
+	return -1;
 }
 
-/* Index of a kind's estimates, added if it has none. */
+/*
+ * Index of a kind's estimates, added if it has none.  When the table is full,
+ * those that were not used for longest are replaced, but not while a commitment
+ * refers to them; if all are referred to, the kind shares those of another.
+ */
 static int
 add_kind(struct link_admit *la, uint32_t kind)
 {
-	int i = find_kind(la, kind);
-
-	if (i >= 0)
-		return i;
-	la->kinds[la->nkinds] = (struct link_kind){ .kind = kind };
-	return la->nkinds++;
+	int i, k = find_kind(la, kind);
+
+	if (k < 0 && la->nkinds < LINK_ADMIT_KINDS) {
+		k = la->nkinds++;
+		la->kinds[k] = (struct link_kind){ .kind = kind };
+	} else if (k < 0) {
+		for (i = 0; i < la->nkinds; i++)
+			if (la->kinds[i].commits == 0 &&
+			    (k < 0 ||
+				la->kinds[i].last_use < la->kinds[k].last_use))
+				k = i;
+		if (k >= 0)
+			la->kinds[k] = (struct link_kind){ .kind = kind };
+		else
+			k = (int)(kind % LINK_ADMIT_KINDS);
+	}
+	la->kinds[k].last_use = ++la->uses;
+	return k;
 }
 
 /* A kind that was never answered is taken for an average one. */
@@ -341,6 +356,7 @@
 	c->trial = k->size.samples == 0;
 	k->trials += c->trial;
 	k->open++;
+	k->commits++;
 	la->last_ready =
 	    la->open++ > 0 ? MAX(la->last_ready, r->ready) : r->ready;
 	la->rate = rate;
@@ -405,6 +421,7 @@
 		return;
 	k = &la->kinds[c->kind];
 	mean = size_of(la, c->kind)->mean;
+	k->commits--;
 	la->open--;
 	if (c->state == LINK_COMMIT_OPEN) {
 		k->open--;
--- a/mesh/link_admit.h
+++ b/mesh/link_admit.h
@@ -24,7 +24,9 @@
 	uint32_t kind;
 	struct link_size size;
 	int open;
-	int trials; /* of them, admitted although their size was not known */
+	int trials;  /* of them, admitted although their size was not known */
+	int commits; /* commitments that refer to it, answered or not */
+	uint64_t last_use; /* by the count of uses */
 };
 
 enum link_commit_state {
@@ -58,6 +60,7 @@
 struct link_admit {
 	struct link_kind kinds[LINK_ADMIT_KINDS];
 	int nkinds;
+	uint64_t uses;	       /* counts uses of the kinds */
 	struct link_size size; /* over all kinds */
 	int64_t begun;	       /* bytes to come of answers that have begun */
 	int open;	       /* commitments that are not settled */
--- a/test/test_link_admit.c
+++ b/test/test_link_admit.c
@@ -443,6 +443,32 @@
 	sim_free(s);
 }
 
+/*
+ * Guards against answers that are refused, or fill the link, by the sizes of
+ * others: past LINK_ADMIT_KINDS kinds, one that was added shared an estimate.
+ * The commitment that is open meanwhile keeps its kind.
+ */
+static void
+sizes_survive_many_routes(void)
+{
+	struct sim *s = sim_new(RATE);
+	struct link_request r = sim_request(s, SHORT_KIND);
+	struct link_commit open = { 0 };
+	uint32_t kind;
+
+	link_admit_commit(&s->la, &s->e, &r, &open, s->now);
+	for (kind = 100; kind < 100 + 10 * LINK_ADMIT_KINDS; kind++) {
+		learn(s, LARGE_KIND, 90000);
+		learn(s, kind, 500);
+	}
+	CU_ASSERT_EQUAL(link_admit_size(&s->la, LARGE_KIND), 90000);
+	CU_ASSERT_EQUAL(link_admit_size(&s->la, kind - 1), 500);
+	link_admit_settle(&s->la, &open, 700);
+	CU_ASSERT_EQUAL(link_admit_size(&s->la, SHORT_KIND), 700);
+	CU_ASSERT_EQUAL(link_admit_committed(&s->la), 0);
+	sim_free(s);
+}
+
 static const struct test tests[] = {
 	{ "overload is refused", overload_is_refused },
 	{ "burst at idle node comes in time",
@@ -461,6 +487,7 @@
 	{ "late request gets a free link", late_request_gets_a_free_link },
 	{ "readers that wait do not count", readers_that_wait_do_not_count },
 	{ "too large estimate is corrected", too_large_estimate_is_corrected },
+	{ "sizes survive many routes", sizes_survive_many_routes },
 };
 
 TEST_MAIN("link_admit", tests)
