feed: a node that starts is not behind

Now a view counts as behind only when the node has run for as long as a view may be old, and in a data centre without others the store is read until the publisher is fresh, as after a late message.

--- a/side/feed.c
+++ b/side/feed.c
@@ -380,9 +380,10 @@
 	 * node that has lost its publisher therefore reads the store meanwhile,
 	 * as the next publisher may be silent as well.
 	 */
+	if (relay_lacks_backup(f) && f->feed.ncandidates <= SMALL_DC_NODES)
+		f->feed.reads_meanwhile = 1;
 	reads =
-	    reads_store(f) || verify_is_pending(f) || f->feed.reads_meanwhile ||
-	    (relay_lacks_backup(f) && f->feed.ncandidates <= SMALL_DC_NODES);
+	    reads_store(f) || verify_is_pending(f) || f->feed.reads_meanwhile;
 	helping = proxy_subscribers(f->proxy, PROXY_SUBSCRIBE_HELP) > 0;
 	subscribers =
 	    helping + proxy_subscribers(f->proxy, PROXY_SUBSCRIBE_READ);
--- a/side/relay.c
+++ b/side/relay.c
@@ -296,14 +296,15 @@
 
 /*
  * Whether the view of this node, a subscriber, is or was recently stale: its
- * publisher sends too late, or what it sends is too old.
+ * publisher sends too late, or what it sends is too old.  One that has just
+ * started may have been told by a node that knows little itself.
  */
 static int
 is_behind(struct follow *f, int64_t now)
 {
 	struct relay *r = &f->relay;
 
-	if (f->view->synced_at > 0 && follow_is_stale(f)) {
+	if (now - f->feed.started_at > FOLLOW_STALE_MS && follow_is_stale(f)) {
 		if (r->behind_until <= now) {
 			base_log(G_LOG_LEVEL_MESSAGE, "publisher-behind",
 			    "addr=%s known_ms=%" G_GINT64_FORMAT,
@@ -319,8 +320,8 @@
 }
 
 /*
- * Whether this node is behind and no other data centre can help it.  A few such
- * nodes may read the store themselves.
+ * Whether this node is behind now and no other data centre can help it.  A few
+ * such nodes may read the store themselves.
  */
 int
 relay_lacks_backup(const struct follow *f)
@@ -328,7 +329,7 @@
 	const struct relay *r = &f->relay;
 
 	return r->sync_floor == 0 && r->backup_chosen_at != 0 &&
-	       r->backup.addr[0] == '\0';
+	       r->backup.addr[0] == '\0' && follow_is_stale(f);
 }
 
 /*
