feed: a node that becomes the first does not subscribe to itself

Now it reads the store at once. test_feed, "node becomes first", plays the case; it passes without this change as well.

--- a/side/feed.c
+++ b/side/feed.c
@@ -225,6 +225,9 @@
 	f->feed.chosen_at = now;
 	if (strcmp(addr, f->feed.publisher.addr) == 0) {
 		f->feed.rank = 0;
+	} else if (own_rank(f, list) == 0) {
+		f->feed.rank = 0;
+		choose_publisher(f);
 	} else {
 		*p = (struct publisher){ .received_at = now };
 		g_strlcpy(p->addr, addr, sizeof(p->addr));
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -4,6 +4,7 @@
 
 #include <xxhash.h>
 
+#include "../side/follow_int.h"
 #include "rig_follow.h"
 #include "test.h"
 
@@ -339,6 +340,27 @@
 	close(fd);
 }
 
+/*
+ * The publisher's target leaves while its node still sends.  The next node is
+ * the first then: it reads the store, and the others subscribe to it.
+ */
+static void
+node_becomes_first(void)
+{
+	struct follow_rig w;
+	int order[RIG_NODES_MAX];
+
+	follow_rig_start(&w);
+	follow_rig_order(&w, "north", order);
+	follow_rig_put_target(&w, order[0], "draining");
+	rig_run(&w.rig, 4500);
+	CU_ASSERT(store_reader_is_watching(w.follows[order[1]]->reader));
+	CU_ASSERT_STRING_EQUAL(w.follows[order[1]]->feed.publisher.addr, "");
+	CU_ASSERT_STRING_EQUAL(w.follows[order[2]]->feed.publisher.addr,
+	    w.rig.nodes[order[1]].target.addr);
+	follow_rig_stop(&w);
+}
+
 static const struct test tests[] = {
 	{ "history is compacted without publisher",
 	    history_is_compacted_without_publisher },
@@ -352,6 +374,7 @@
 	{ "publisher is lost", publisher_is_lost },
 	{ "publisher sends late", publisher_sends_late },
 	{ "silent node ranks first", silent_node_ranks_first },
+	{ "node becomes first", node_becomes_first },
 };
 
 TEST_MAIN("feed", tests)
