feed: a node that was not up to date since its start is not behind

Now a view counts once it has been up to date. test_feed, test_feed_behind, test_relay, test_follow, test_removal and test_restore pass.

--- a/side/relay.c
+++ b/side/relay.c
@@ -296,15 +296,17 @@
 
 /*
  * Whether the view of this node, a subscriber, is or was recently stale: its
- * publisher sends too late, or what it sends is too old.  One that has just
- * started may have been told by a node that knows little itself.
+ * publisher sends too late, or what it sends is too old.  One that has started
+ * and not been up to date since is not behind, but was told by a node that is
+ * starting as well.
  */
 static int
 is_behind(struct follow *f, int64_t now)
 {
 	struct relay *r = &f->relay;
 
-	if (now - f->feed.started_at > FOLLOW_STALE_MS && follow_is_stale(f)) {
+	if (f->view->synced_at >= f->feed.started_at - FOLLOW_STALE_MS &&
+	    follow_is_stale(f)) {
 		if (r->behind_until <= now) {
 			base_log(G_LOG_LEVEL_MESSAGE, "publisher-behind",
 			    "addr=%s known_ms=%" G_GINT64_FORMAT,
