feed: subscriptions do not put off a publisher's heartbeats

A publisher to which many nodes subscribed at once (a start, a return to the first node, a failover) sent nothing but the store's answers, 1.2 s apart, for seconds. Its subscribers took it for late and read the store, or for silent and failed over, all at once, to the next one, which the same happened to.

Cause: each subscription makes the publisher's check due at once, by event_active() with EV_TIMEOUT on a persistent timer. libevent takes that for a run of the timer and schedules the next one an interval after the time for which it was due. So each of 25 subscriptions put the next check, and with it the heartbeats, off by 200 ms: 5 s in all.

Change: the check is made due as for a socket, upon which libevent schedules the next one an interval from now. No other place makes a timer due like that.

--- a/side/feed.c
+++ b/side/feed.c
@@ -63,11 +63,15 @@
 	event_free(f->feed.timer);
 }
 
-/* Makes the check due in this iteration of the event loop. */
+/*
+ * Makes the check due in this iteration of the event loop.  The next one comes
+ * CHECK_MS after it; with EV_TIMEOUT, libevent would put it off by as much from
+ * the time for which it was due, with each call.
+ */
 void
 feed_check_now(struct follow *f)
 {
-	event_active(f->feed.timer, EV_TIMEOUT, 0);
+	event_active(f->feed.timer, EV_READ, 0);
 }
 
 /* Orders candidates by weight; equal weights by address. */
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -361,6 +361,40 @@
 	follow_rig_stop(&w);
 }
 
+/*
+ * Guards against a publisher that is given up as silent, as its heartbeats
+ * stopped for seconds after many nodes had subscribed to it at once: 33
+ * subscriptions here.  Heartbeats are 400 ms apart.
+ */
+static void
+many_subscribe_at_once(void)
+{
+	static const char *const north = "north";
+	struct follow_rig w;
+	const struct publisher *p;
+	int order[RIG_NODES_MAX], i, k;
+
+	follow_rig_start_in(&w, RIG_NODES_MAX, &north, 1);
+	rig_run(&w.rig, 1200);
+	follow_rig_order(&w, "north", order);
+	for (k = 0; k < 3; k++)
+		for (i = 1; i < RIG_NODES_MAX; i++) {
+			proxy_subscribe(w.rig.nodes[order[i]].proxy,
+			    PROXY_SLOT_PUBLISHER,
+			    w.rig.nodes[order[0]].target.addr,
+			    PROXY_SUBSCRIBE_READ);
+			rig_run(&w.rig, 4);
+		}
+	for (k = 0; k < 30; k++) {
+		rig_run(&w.rig, 100);
+		for (i = 1; i < RIG_NODES_MAX; i++) {
+			p = &w.follows[order[i]]->feed.publisher;
+			CU_ASSERT(base_now_ms() - p->received_at < 700);
+		}
+	}
+	follow_rig_stop(&w);
+}
+
 static const struct test tests[] = {
 	{ "history is compacted without publisher",
 	    history_is_compacted_without_publisher },
@@ -375,6 +409,7 @@
 	{ "publisher sends late", publisher_sends_late },
 	{ "silent node ranks first", silent_node_ranks_first },
 	{ "node becomes first", node_becomes_first },
+	{ "many subscribe at once", many_subscribe_at_once },
 };
 
 TEST_MAIN("feed", tests)
