--- a/side/feed.c
+++ b/side/feed.c
@@ -4,9 +4,10 @@
  * centre are ranked by a hash of their addresses, the node of rank 0 reads the
  * store, and it publishes to the others, which subscribe to it.  A node whose
  * publisher is lost or times out fails over to the next rank, and after
- * FOLLOW_RANKS_MAX of them reads the store itself.  There is no election: a
- * node reads the store if another one is subscribed to it.  If the store does
- * not answer a node that reads for others, relay.c finds it another source.
+ * FOLLOW_RANKS_MAX of them reads the store itself.  It returns when the node of
+ * rank 0 has sent it fresh state.  There is no election: a node reads the store
+ * if another one is subscribed to it.  If the store does not answer a node that
+ * reads for others, relay.c finds it another source.
  */
 #include <string.h>
 
