--- a/base/base.h
+++ b/base/base.h
@@ -107,7 +107,7 @@
 	CTR_GUARD_CALLEES,   /* of them, parents whose calls would fail */
 	CTR_GUARD_UNMEASURED, /* of them, for load, of kinds without samples */
 	CTR_PUBLISHER_SLOW,   /* times that a publisher was late */
-	CTR_PUBLISHER_BEHIND, /* times that a publisher's news were old */
+	CTR_PUBLISHER_BEHIND, /* times that a view became stale */
 	CTR_GUARD_REVOKED,    /* of them, queued, as their entry asked */
 	CTR_GUARD_DUPLICATES, /* requests whose id the guard already holds */
 	CTR_GUARD_EXPIRED,    /* requests whose deadline passed in the queue */
