--- a/base/base.h
+++ b/base/base.h
@@ -90,6 +90,7 @@
 	CTR_CALLS,	       /* calls accepted from callers */
 	CTR_ANSWERED,	       /* complete answers returned to callers */
 	CTR_ANSWERS_TRUNCATED, /* streamed answers that ended early */
+	CTR_ANSWERS_OVERDUE,   /* answers after the time limit of the call */
 	CTR_REFUSED_NOT_RUN,   /* calls refused as "not run" */
 	CTR_REFUSED_UNKNOWN,   /* calls refused as "outcome unknown" */
 	CTR_FORWARDS,	       /* requests sent from an entry to a guard */
@@ -121,6 +122,7 @@
 	CTR_SOURCE_DEFERRED,  /* reads delayed by the node's read budget */
 	CTR_APPLIED,	      /* versions applied */
 	CTR_REJECTED,	      /* versions rejected by validation */
+	CTR_CONFIG_PARSED,    /* bytes of configurations that were parsed */
 	CTR_CONFLICTS,	      /* differing sets with one version number */
 	CTR_PUSHES,	      /* versions pushed to a peer */
 	CTR_FETCHES,	      /* versions fetched from a peer */
@@ -160,6 +162,9 @@
 	HIST_GUARD_WAIT,  /* at the guard: from an offer until it is sent */
 	HIST_STATE_AGE,	  /* staleness of the guard's state as it sends */
 	HIST_EGRESS_WAIT, /* of frames that waited for their turn on a link */
+	HIST_OVERDUE, /* at the entry: answers after the limit, by how much */
+	HIST_LOOP_DELAY,   /* of a periodic timer of the event loop */
+	HIST_CONFIG_APPLY, /* from a version's arrival until it is in force */
 	HIST_COUNT
 };
 
--- a/base/histogram.c
+++ b/base/histogram.c
@@ -16,6 +16,9 @@
 	[HIST_GUARD_WAIT] = "gate_wait_seconds",
 	[HIST_STATE_AGE] = "knowledge_age_seconds",
 	[HIST_EGRESS_WAIT] = "egress_wait_seconds",
+	[HIST_OVERDUE] = "answer_overdue_seconds",
+	[HIST_LOOP_DELAY] = "loop_delay_seconds",
+	[HIST_CONFIG_APPLY] = "config_apply_seconds",
 };
 
 static struct {
--- a/proxy/offer.c
+++ b/proxy/offer.c
@@ -23,6 +23,7 @@
 static int may_retry(struct request *r, int64_t now);
 static void finish_stream(struct request *r, const struct job_result *res);
 static void handle_answer(struct request *r, struct http_message *m);
+static void record_overdue(const struct request *, int64_t);
 static void send_answer(struct request *r, struct http_message *m);
 static int log_quarantined(const struct request *r);
 static void keep_wait(struct request *r, const struct job_result *res);
@@ -206,6 +207,7 @@
 {
 	int whole = res->outcome == OUTCOME_ANSWERED || r->body_left == 0;
 
+	record_overdue(r, base_now_ms());
 	calls_ended(r->entry->proxy, &r->job, whole);
 	counter_add(whole ? CTR_ANSWERED : CTR_ANSWERS_TRUNCATED, 1);
 	if (whole) {
@@ -283,11 +285,24 @@
 	request_offer(r);
 }
 
+/* Records an answer after the time limit of its request. */
+static void
+record_overdue(const struct request *r, int64_t now)
+{
+	if (now <= r->answer_by)
+		return;
+	counter_add(CTR_ANSWERS_OVERDUE, 1);
+	histogram_add(HIST_OVERDUE, now - r->answer_by);
+	base_log(G_LOG_LEVEL_INFO, "answer-overdue",
+	    "id=%s by_ms=%" G_GINT64_FORMAT, r->id, now - r->answer_by);
+}
+
 /* Sends a target's answer to the caller, without hop-by-hop headers. */
 static void
 send_answer(struct request *r, struct http_message *m)
 {
 	http_strip_hop(m);
+	record_overdue(r, base_now_ms());
 	calls_ended(r->entry->proxy, &r->job,
 	    m->status < HTTP_STATUS_INTERNAL_SERVER_ERROR);
 	leaving_record(r->entry, r->job.kind, base_now_ms() - r->arrived);
@@ -365,6 +380,7 @@
 		send_answer(r, r->failure);
 		return;
 	}
+	record_overdue(r, now);
 	calls_ended(r->entry->proxy, &r->job, 0);
 	if (r->may_have_run)
 		status = now >= r->answer_by ? 504 : 502;
--- a/side/feed.c
+++ b/side/feed.c
@@ -31,8 +31,11 @@
 #define EMPTY_LIST_MS  3000
 #define SMALL_DC_NODES 8 /* nodes that may all read the store at once */
 #define RELIST_MS      400
+/* A check that comes so late is logged: the event loop was busy for as long. */
+#define LOOP_DELAY_LOG_MS 100
 
 static void on_timer(evutil_socket_t, short, void *);
+static void record_delay(struct feed *, short, int64_t);
 static int compare_candidates(const void *, const void *);
 static guint own_rank(const struct follow *, const GArray *);
 static void choose_publisher(struct follow *);
@@ -404,6 +407,24 @@
 	f->feed.reads_meanwhile = 1;
 }
 
+/*
+ * Records how late the check is: a pass of the event loop took as long.  One
+ * that was asked for has no due time.
+ */
+static void
+record_delay(struct feed *feed, short what, int64_t now)
+{
+	int64_t delay_ms = MAX(now - feed->check_due_at, 0);
+
+	if (feed->check_due_at != 0 && (what & EV_TIMEOUT) != 0) {
+		histogram_add(HIST_LOOP_DELAY, delay_ms);
+		if (delay_ms >= LOOP_DELAY_LOG_MS)
+			base_log(G_LOG_LEVEL_MESSAGE, "loop-delayed",
+			    "delay_ms=%" G_GINT64_FORMAT, delay_ms);
+	}
+	feed->check_due_at = now + CHECK_MS;
+}
+
 /*
  * The periodic check: chooses a publisher once targets are listed, keeps the
  * store reader watching while this node or a subscriber needs it, checks the
@@ -417,7 +438,7 @@
 	int subscribers, helping, reads;
 
 	(void)fd;
-	(void)what;
+	record_delay(&f->feed, what, now);
 	if (f->view->listed_revision.number == 0)
 		return;
 	if (f->feed.chosen_at == 0 && is_dc_empty(f) &&
--- a/side/follow.c
+++ b/side/follow.c
@@ -121,6 +121,7 @@
 {
 	struct report *rep = report_new();
 	struct view_config *c;
+	int64_t began_us = base_now_us(), took_us;
 	uint64_t version;
 	int accepted = 0;
 
@@ -142,12 +143,15 @@
 			    version, it->revision.era, it->revision.number);
 	}
 	if (accepted) {
+		took_us = base_now_us() - began_us;
 		counter_add(CTR_APPLIED, 1);
+		histogram_add(HIST_CONFIG_APPLY, took_us / 1000);
 		base_log(G_LOG_LEVEL_MESSAGE, "config-accepted",
 		    "version=%" G_GUINT64_FORMAT " era=%" G_GUINT64_FORMAT
-		    " revision=%" G_GUINT64_FORMAT " routes=%d",
+		    " revision=%" G_GUINT64_FORMAT
+		    " routes=%d apply_us=%" G_GINT64_FORMAT,
 		    version, it->revision.era, it->revision.number,
-		    f->view->config->nroutes);
+		    f->view->config->nroutes, took_us);
 	}
 	if (accepted && rep->warnings > 0) {
 		counter_add(CTR_SOURCE_UNPARSED, rep->warnings);
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -45,6 +45,7 @@
 	int64_t published_at, published_up_to;
 	int reads_meanwhile; /* reads the store until a publisher is fresh */
 	int64_t started_at, relisted_at; /* latter: targets listed again */
+	int64_t check_due_at; /* the periodic check; 0: not yet scheduled */
 };
 
 /*
--- a/tools/config-lag.sh
+++ b/tools/config-lag.sh
@@ -4,11 +4,18 @@
 # after the first node the last one accepted it or a later one, which node that
 # was, and how many nodes took longer than LIMIT seconds; then the worst of all.
 # A node that accepts nothing later, as it has stopped or the log ends, does not
-# count.
+# count, nor does one that started or was told to stop within TOUCH seconds
+# before the version or before it accepted that.
 set -eu
 LIMIT=${LIMIT:-2}
+TOUCH=${TOUCH:-3}
 
-grep -h 'event=config-accepted' "$@" | awk -v limit="$LIMIT" '
+grep -h 'event=config-accepted\|event=started\|event=stopping' "$@" |
+    awk -v limit="$LIMIT" -v touch="$TOUCH" '
+/event=st/ {
+	changes[$2] = changes[$2] " " $1
+	next
+}
 {
 	for (i = 3; i <= NF; i++)
 		if ($i ~ /^version=/) {
@@ -24,6 +31,15 @@
 	node[lines] = $2
 	accepted[lines] = version
 }
+# Whether a node started or was stopping between two times.
+function is_disturbed(x, from, to,   t, i, m)
+{
+	m = split(changes[x], t, " ")
+	for (i = 1; i <= m; i++)
+		if (t[i] + 0 >= from && t[i] + 0 <= to)
+			return 1
+	return 0
+}
 END {
 	for (k = 0; k < n; k++) {
 		v = order[k]
@@ -34,6 +50,8 @@
 				when[node[i]] = at[i]
 		last = 0; late = 0; who = "-"
 		for (x in when) {
+			if (is_disturbed(x, first[v] - touch, when[x]))
+				continue
 			lag = when[x] - first[v]
 			late += lag > limit
 			if (lag > last) { last = lag; who = x }
