platform: share routes between versions of a configuration

Callers saw requests sent on after they had left (GONE), answers of a stopping node's target lost (LOST), and, on a slower processor, long requests held past their route's limit (CONFIG): a node with a tenth of a core stood still for a quarter to one second with each version of a large configuration.

Cause: all of a version was parsed, whatever it changed; 85 in 100 of the time went to the parser. Class: work in proportion to the whole state for each change.

Now the text is cut into its frame and the elements of its long lists without parsing these. An element that has the same text as a route of the version in force is found by comparing bytes, and the route is shared by reference; only the others are parsed. The document is still checked as one and taken whole or not at all: what is shared was checked before, and a route is shared only if its host and the handles of all services are the same.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	mesh/memory.c mesh/names.c mesh/outlier.c mesh/pick.c mesh/poison.c mesh/reqid.c mesh/set.c \
 	mesh/set_check.c mesh/set_diff.c mesh/set_edit.c mesh/set_read.c mesh/retry_quota.c mesh/slow_start.c mesh/version.c
 VIEW = view/config.c view/view.c
-PLATFORM = platform/config.c platform/names.c platform/page.c platform/stamp.c platform/store.c platform/target.c
+PLATFORM = platform/config.c platform/config_read.c platform/config_text.c platform/names.c platform/page.c platform/stamp.c platform/store.c platform/target.c
 PROXY = proxy/calls.c proxy/choose.c proxy/crash.c proxy/entry.c proxy/estimate.c proxy/feed_codec.c proxy/guard.c proxy/guard_http.c proxy/guard_link.c proxy/guard_slots.c proxy/leaving.c proxy/link_client.c proxy/link_egress.c proxy/link_frame.c proxy/link_server.c proxy/link_state.c proxy/link_stream.c proxy/link_suspect.c proxy/links.c proxy/offer.c proxy/probe.c proxy/quarantine.c \
 	proxy/proxy.c proxy/upstream.c proxy/where.c proxy/link.pb-c.c
 SIDE = side/feed.c side/follow.c side/held.c side/pause.c side/publish.c side/store_reader.c side/relay.c side/settings.c side/settle.c side/state.c side/state.pb-c.c side/verify.c side/where.c
--- a/fuzz/fuzz_store.c
+++ b/fuzz/fuzz_store.c
@@ -15,13 +15,13 @@
 {
 	struct report *rep = report_new();
 	struct view_config *c = platform_config_decode(text, rep);
-	int i;
+	guint i;
 
 	FUZZ_REQUIRE((c != NULL) == (rep->errors == 0));
 	if (c != NULL) {
-		for (i = 0; i < c->nroutes; i++) {
-			FUZZ_REQUIRE(c->routes[i].nparts > 0);
-			FUZZ_REQUIRE(c->routes[i].timeout_ms > 0);
+		for (i = 0; i < c->routes->len; i++) {
+			FUZZ_REQUIRE(view_config_route(c, i)->nparts > 0);
+			FUZZ_REQUIRE(view_config_route(c, i)->timeout_ms > 0);
 		}
 		view_route(c, "h.example", "/x/y?z=1");
 		view_config_unref(c);
--- a/proxy/calls.c
+++ b/proxy/calls.c
@@ -65,11 +65,11 @@
 static uint32_t *
 kinds_of(const struct view_config *c)
 {
-	uint32_t *kinds = g_new(uint32_t, c->nroutes);
-	int i;
+	uint32_t *kinds = g_new(uint32_t, c->routes->len);
+	guint i;
 
-	for (i = 0; i < c->nroutes; i++)
-		kinds[i] = g_str_hash(c->routes[i].name);
+	for (i = 0; i < c->routes->len; i++)
+		kinds[i] = g_str_hash(view_config_route(c, i)->name);
 	return kinds;
 }
 
@@ -84,8 +84,8 @@
 		return;
 	p->calls_version = c->version;
 	kinds = kinds_of(c);
-	call_kinds_retain(&p->guard.call_kinds, kinds, c->nroutes);
-	callee_retain(&p->guard.callees, kinds, c->nroutes);
-	call_reports_retain(&p->entry.call_reports, kinds, c->nroutes);
+	call_kinds_retain(&p->guard.call_kinds, kinds, (int)c->routes->len);
+	callee_retain(&p->guard.callees, kinds, (int)c->routes->len);
+	call_reports_retain(&p->entry.call_reports, kinds, (int)c->routes->len);
 	g_free(kinds);
 }
--- a/side/follow.c
+++ b/side/follow.c
@@ -120,12 +120,15 @@
 apply_config(struct follow *f, const struct platform_item *it)
 {
 	struct report *rep = report_new();
+	struct platform_decode *d;
 	struct view_config *c;
 	int64_t began_us = base_now_us(), took_us;
 	uint64_t version;
 	int accepted = 0;
 
-	if ((c = platform_config_decode(it->value, rep)) == NULL) {
+	d = platform_decode_start(it->value, f->view->config, rep);
+	platform_decode_step(d, SIZE_MAX);
+	if ((c = platform_decode_end(d)) == NULL) {
 		counter_add(CTR_REJECTED, 1);
 		base_log(G_LOG_LEVEL_WARNING, "config-rejected",
 		    "era=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
@@ -149,9 +152,9 @@
 		base_log(G_LOG_LEVEL_MESSAGE, "config-accepted",
 		    "version=%" G_GUINT64_FORMAT " era=%" G_GUINT64_FORMAT
 		    " revision=%" G_GUINT64_FORMAT
-		    " routes=%d apply_us=%" G_GINT64_FORMAT,
+		    " routes=%u apply_us=%" G_GINT64_FORMAT,
 		    version, it->revision.era, it->revision.number,
-		    f->view->config->nroutes, took_us);
+		    f->view->config->routes->len, took_us);
 	}
 	if (accepted && rep->warnings > 0) {
 		counter_add(CTR_SOURCE_UNPARSED, rep->warnings);
--- a/test/rig.c
+++ b/test/rig.c
@@ -22,6 +22,7 @@
 {
 	struct view_config *c = view_config_new();
 	static const char *const prefixes[] = { "/run/", "/once/" };
+	struct view_route *r;
 	int i;
 
 	c->version = 1;
@@ -29,23 +30,18 @@
 	c->nservices = 1;
 	c->services[0] = (struct view_service){ g_strdup("svc"),
 		g_strdup("/health"), 100, 3000, 20 };
-	c->routes = g_new0(struct view_route, 2);
-	c->nroutes = 2;
 	for (i = 0; i < 2; i++) {
-		c->routes[i] =
-		    (struct view_route){ .name = g_strdup(prefixes[i]),
-			    .host = g_strdup("rig"),
-			    .prefix = g_strdup(prefixes[i]),
-			    .repeatable = i == 0,
-			    .timeout_ms = 1000,
-			    .goal_ms = 400,
-			    .attempts = 2,
-			    .parts = g_new0(struct view_split, 1),
-			    .nparts = 1 };
-		c->routes[i].parts[0].weight = 1;
+		r = view_route_new(prefixes[i], "rig", prefixes[i]);
+		r->repeatable = i == 0;
+		r->timeout_ms = 1000;
+		r->goal_ms = 400;
+		r->attempts = 2;
+		r->parts = g_new0(struct view_split, 1);
+		r->nparts = 1;
+		r->parts[0].weight = 1;
+		view_config_add(c, r);
 	}
 	c->limits = (struct view_limits){ 4096, 65536, 300, 5000 };
-	view_config_index(c);
 	return c;
 }
 
--- a/test/test_calls.c
+++ b/test/test_calls.c
@@ -61,7 +61,8 @@
 entry_knows(struct rig *r, int node, int route)
 {
 	return call_reports_is_call(&r->nodes[node].proxy->entry.call_reports,
-	    g_str_hash(r->nodes[node].view->config->routes[route].name));
+	    g_str_hash(
+		view_config_route(r->nodes[node].view->config, route)->name));
 }
 
 /* The same of a node's guard. */
@@ -69,7 +70,8 @@
 guard_knows(struct rig *r, int node, int route)
 {
 	return call_kinds_is_call(&r->nodes[node].proxy->guard.call_kinds,
-	    g_str_hash(r->nodes[node].view->config->routes[route].name));
+	    g_str_hash(
+		view_config_route(r->nodes[node].view->config, route)->name));
 }
 
 /*
@@ -139,7 +141,6 @@
 	for (i = 0; i < NODES; i++) {
 		c = view_config_new();
 		c->version = r.nodes[i].view->config->version + 1;
-		view_config_index(c);
 		view_set_config(r.nodes[i].view, c);
 		proxy_view_changed(r.nodes[i].proxy);
 	}
@@ -161,7 +162,7 @@
 		c->services[1] = (struct view_service){ g_strdup("parents"),
 			g_strdup("/health"), 100, 3000, 20 };
 		c->nservices = 2;
-		c->routes[1].parts[0].service = 1;
+		view_config_route(c, 1)->parts[0].service = 1;
 	}
 }
 
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -34,12 +34,12 @@
 
 	rig_start(&r, 1);
 	c = r.nodes[0].view->config;
-	c->routes[1].unusable = 1;
+	view_config_route(c, 1)->unusable = 1;
 	CU_ASSERT_EQUAL(call_status(&r, "/once/x", &retry_s), 503);
 	CU_ASSERT(retry_s > 0);
 	CU_ASSERT_EQUAL(call_status(&r, "/run/x", &retry_s), 200);
-	c->routes[1].unusable = 0;
-	c->routes[1].parts[0].service = VIEW_SERVICE_UNKNOWN;
+	view_config_route(c, 1)->unusable = 0;
+	view_config_route(c, 1)->parts[0].service = VIEW_SERVICE_UNKNOWN;
 	CU_ASSERT_EQUAL(call_status(&r, "/once/x", &retry_s), 503);
 	CU_ASSERT(retry_s > 0);
 	CU_ASSERT_EQUAL(call_status(&r, "/none/x", &retry_s), 404);
@@ -207,7 +207,8 @@
 		if (cases[i].nodes > 1)
 			rig_list_target(
 			    &r, !cases[i].target, "other", VIEW_READY);
-		r.nodes[0].view->config->routes[1].timeout_ms = 4000;
+		view_config_route(r.nodes[0].view->config, 1)->timeout_ms =
+		    4000;
 		t = &r.nodes[cases[i].target].target;
 		t->work_ms = 1800;
 		CU_ASSERT_EQUAL(status_at(&r, 0, "/once/x", "a", 3600), 200);
@@ -246,7 +247,7 @@
 
 	rig_start(&r, 2);
 	rig_list_target(&r, 1, "other", VIEW_READY);
-	r.nodes[1].view->config->routes[1].timeout_ms = 8000;
+	view_config_route(r.nodes[1].view->config, 1)->timeout_ms = 8000;
 	t = &r.nodes[0].target;
 	t->work_ms = 4000;
 	CU_ASSERT_EQUAL(status_at(&r, 1, "/once/x", "a", 8000), 200);
--- a/test/test_guard_link.c
+++ b/test/test_guard_link.c
@@ -32,7 +32,7 @@
 	};
 	rig_stream_start(&w->r, &w->s);
 	for (i = 0; i < 2; i++) {
-		route = &w->r.nodes[i].view->config->routes[0];
+		route = view_config_route(w->r.nodes[i].view->config, 0);
 		route->goal_ms = GOAL_MS;
 		route->timeout_ms = LEFT_MS;
 	}
@@ -126,7 +126,8 @@
 	rig_call_end(&again);
 	i = fill(&w, c, i);
 	/* Of what is admitted, most is to be sent before this goal. */
-	w.r.nodes[1].view->config->routes[0].goal_ms = SHORT_GOAL_MS;
+	view_config_route(w.r.nodes[1].view->config, 0)->goal_ms =
+	    SHORT_GOAL_MS;
 	q = (struct link_request){ .kind = g_str_hash("/run/"),
 		.ready = base_now_ms() + 10,
 		.goal = base_now_ms() + SHORT_GOAL_MS,
--- a/test/test_link_egress.c
+++ b/test/test_link_egress.c
@@ -67,7 +67,8 @@
 
 	rig_start(r, 1);
 	config = r->nodes[0].view->config;
-	config->routes[0].timeout_ms = config->routes[1].timeout_ms = 3000;
+	view_config_route(config, 0)->timeout_ms =
+	    view_config_route(config, 1)->timeout_ms = 3000;
 	rig_list_target(r, 0, "other", VIEW_READY);
 	g_snprintf(addr, sizeof(addr), PEER_HOST "%s",
 	    strrchr(r->nodes[0].settings.links, ':'));
--- a/test/test_link_lost.c
+++ b/test/test_link_lost.c
@@ -102,8 +102,8 @@
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		rig_start(&r, 1);
 		config = r.nodes[0].view->config;
-		config->routes[0].timeout_ms = config->routes[1].timeout_ms =
-		    3000;
+		view_config_route(config, 0)->timeout_ms =
+		    view_config_route(config, 1)->timeout_ms = 3000;
 		rig_list_target(&r, 0, "other", VIEW_READY);
 		mute_peer_start(&r, &peer);
 		rig_call(&r, &c, 0, cases[i].path, "a", 3000);
@@ -329,7 +329,8 @@
 
 	for (i = 0; i < G_N_ELEMENTS(ends); i++) {
 		rig_start(&r, 1);
-		r.nodes[0].view->config->routes[0].timeout_ms = 4000;
+		view_config_route(r.nodes[0].view->config, 0)->timeout_ms =
+		    4000;
 		rig_list_target(&r, 0, "other", VIEW_READY);
 		mute_peer_start(&r, &peer);
 		call_pipelined(&r, &c, "/run/x", 4);
@@ -382,7 +383,8 @@
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		rig_start(&r, 1);
-		r.nodes[0].view->config->routes[0].timeout_ms = 4000;
+		view_config_route(r.nodes[0].view->config, 0)->timeout_ms =
+		    4000;
 		rig_list_target(&r, 0, "other", VIEW_READY);
 		mute_peer_start(&r, &peer);
 		rig_call(&r, &c, 0, "/run/x", "a", 3500);
@@ -445,7 +447,8 @@
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		rig_start(&r, 1);
-		r.nodes[0].view->config->routes[1].timeout_ms = 4000;
+		view_config_route(r.nodes[0].view->config, 1)->timeout_ms =
+		    4000;
 		rig_list_target(&r, 0, "other", VIEW_READY);
 		mute_peer_start(&r, &peer);
 		rig_call(&r, &c, 0, "/once/x", "a", 3500);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -271,7 +271,7 @@
 	if (c == NULL)
 		return;
 	for (i = 0; i < 1000; i++)
-		n[view_next_service(&c->routes[0], 12345)]++;
+		n[view_next_service(view_config_route(c, 0), 12345)]++;
 	CU_ASSERT(n[0] >= 898 && n[0] <= 902);
 	view_config_unref(c);
 }
@@ -407,8 +407,8 @@
 	CU_ASSERT_EQUAL(view_set_config(v, c), VIEW_OK);
 	c = decode(CONFIG("5", ROUTE("/", "200", TO_A)), &errors);
 	CU_ASSERT_EQUAL(view_set_config(v, c), VIEW_EOLDER);
-	CU_ASSERT(v->config != NULL && v->config->nroutes == 1 &&
-		  v->config->routes[0].timeout_ms == 100);
+	CU_ASSERT(v->config != NULL && v->config->routes->len == 1 &&
+		  view_config_route(v->config, 0)->timeout_ms == 100);
 	view_free(v);
 }
 
--- a/test/test_where.c
+++ b/test/test_where.c
@@ -87,7 +87,7 @@
 	int i;
 
 	rig_start(&r, 2);
-	route = &r.nodes[0].view->config->routes[0];
+	route = view_config_route(r.nodes[0].view->config, 0);
 	route->parts[0].credit = 7;
 	for (i = 0; i < 5; i++)
 		check_text(&r, RUN, "target t1 ");
--- a/view/config.c
+++ b/view/config.c
@@ -3,9 +3,88 @@
 
 #include "view.h"
 
-static char *make_index_key(const char *, size_t, const char *, size_t);
+static char *make_key(const char *, size_t, const char *, size_t);
+static guint route_hash(gconstpointer);
+static gboolean route_equal(gconstpointer, gconstpointer);
+static void route_unref(gpointer);
 
-/* The reader of the platform fills it in, then indexes it. */
+/* Key of a host and prefix, owned by the caller; the host in lower case. */
+static char *
+make_key(const char *host, size_t hlen, const char *prefix, size_t plen)
+{
+	char *key = g_malloc(hlen + plen + 1);
+	size_t i;
+
+	for (i = 0; i < hlen; i++)
+		key[i] = g_ascii_tolower(host[i]);
+	memcpy(key + hlen, prefix, plen);
+	key[hlen + plen] = '\0';
+	return key;
+}
+
+/* The hash is kept, as each version of a configuration indexes all routes. */
+static guint
+route_hash(gconstpointer p)
+{
+	return ((const struct view_route *)p)->hash;
+}
+
+/* Whether two routes have the same host and prefix. */
+static gboolean
+route_equal(gconstpointer a, gconstpointer b)
+{
+	return strcmp(((const struct view_route *)a)->key,
+		   ((const struct view_route *)b)->key) == 0;
+}
+
+/* Copies the strings; all other fields are 0. */
+struct view_route *
+view_route_new(const char *name, const char *host, const char *prefix)
+{
+	struct view_route *r = g_new0(struct view_route, 1);
+
+	r->refs = 1;
+	r->name = g_strdup(name);
+	r->host = g_strdup(host);
+	if (prefix != NULL) {
+		r->prefix = g_strdup(prefix);
+		r->key = make_key(host, strlen(host), prefix, strlen(prefix));
+		r->hash = g_str_hash(r->key);
+	}
+	return r;
+}
+
+/* Not atomic, so all references must belong to one thread. */
+struct view_route *
+view_route_ref(struct view_route *r)
+{
+	r->refs++;
+	return r;
+}
+
+/* The last reference releases the route. */
+void
+view_route_unref(struct view_route *r)
+{
+	if (--r->refs > 0)
+		return;
+	g_free(r->key);
+	g_free(r->name);
+	g_free(r->host);
+	g_free(r->prefix);
+	g_free(r->parts);
+	g_free(r->problem);
+	g_free(r);
+}
+
+/* The same, as a callback of GLib. */
+static void
+route_unref(gpointer r)
+{
+	view_route_unref(r);
+}
+
+/* The reader of the platform fills it in. */
 struct view_config *
 view_config_new(void)
 {
@@ -13,7 +92,9 @@
 
 	c = g_new0(struct view_config, 1);
 	c->refs = 1;
-	c->index = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->routes = g_ptr_array_new_with_free_func(route_unref);
+	c->extents = g_array_new(FALSE, FALSE, sizeof(struct view_extent));
+	c->index = g_hash_table_new(route_hash, route_equal);
 	c->unparsed_hosts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return c;
@@ -39,54 +120,36 @@
 		g_free(c->services[i].name);
 		g_free(c->services[i].health_path);
 	}
-	for (i = 0; i < c->nroutes; i++) {
-		g_free(c->routes[i].name);
-		g_free(c->routes[i].host);
-		g_free(c->routes[i].prefix);
-		g_free(c->routes[i].parts);
-	}
 	g_free(c->services);
-	g_free(c->routes);
 	g_hash_table_destroy(c->index);
+	g_ptr_array_free(c->routes, TRUE);
+	g_array_free(c->extents, TRUE);
+	if (c->text != NULL)
+		g_bytes_unref(c->text);
 	g_hash_table_destroy(c->unparsed_hosts);
 	g_free(c);
 }
 
-/* Key of a host and prefix, owned by the caller; the host in lower case. */
-static char *
-make_index_key(const char *host, size_t hlen, const char *prefix, size_t plen)
-{
-	char *key = g_malloc(hlen + plen + 1);
-	size_t i;
-
-	for (i = 0; i < hlen; i++)
-		key[i] = g_ascii_tolower(host[i]);
-	memcpy(key + hlen, prefix, plen);
-	key[hlen + plen] = '\0';
-	return key;
-}
-
 /* Routes with an unparsed prefix are not in the index. */
 int
-view_config_index(struct view_config *c)
+view_config_add(struct view_config *c, struct view_route *r)
 {
-	struct view_route *r;
-	int i;
+	g_ptr_array_add(c->routes, r);
+	if (r->key == NULL)
+		return 1;
+	if (g_hash_table_contains(c->index, r))
+		return 0;
+	return g_hash_table_add(c->index, r);
+}
 
-	for (i = 0; i < c->nroutes; i++) {
-		r = &c->routes[i];
-		if (r->prefix == NULL)
-			continue;
-		if (!g_hash_table_insert(c->index,
-			make_index_key(r->host, strlen(r->host), r->prefix,
-			    strlen(r->prefix)),
-			r))
-			return 0;
-	}
-	return 1;
+/* It belongs to the configuration. */
+struct view_route *
+view_config_route(const struct view_config *c, guint i)
+{
+	return g_ptr_array_index(c->routes, i);
 }
 
-/* Hosts are kept in lower case; see make_index_key. */
+/* Hosts are kept in lower case; see make_key. */
 void
 view_add_unparsed_host(struct view_config *c, const char *host)
 {
@@ -124,20 +187,18 @@
 struct view_route *
 view_route(const struct view_config *c, const char *host, const char *path)
 {
-	struct view_route *r;
 	size_t hlen = strcspn(host, ":"), len = strcspn(path, "?#");
-	char *key;
+	struct view_route *r = NULL, query = { 0 };
 
-	for (; len > 0; len--) {
+	for (; len > 0 && r == NULL; len--) {
 		if (path[len - 1] != '/')
 			continue;
-		key = make_index_key(host, hlen, path, len);
-		r = g_hash_table_lookup(c->index, key);
-		g_free(key);
-		if (r != NULL)
-			return r;
+		query.key = make_key(host, hlen, path, len);
+		query.hash = g_str_hash(query.key);
+		r = g_hash_table_lookup(c->index, &query);
+		g_free(query.key);
 	}
-	return NULL;
+	return r;
 }
 
 /*
--- a/view/view.h
+++ b/view/view.h
@@ -51,7 +51,11 @@
 	int credit; /* state of the weighted round-robin */
 };
 
+/* One route, reference-counted, as versions of a configuration share it. */
 struct view_route {
+	int refs;
+	uint32_t hash; /* of key */
+	char *key;     /* host in lower case and prefix; NULL if unparsed */
 	char *name;
 	char *host;
 	char *prefix;	/* begins and ends with a slash; NULL if unparsed */
@@ -62,7 +66,9 @@
 	int priority;	/* 0 is the most urgent */
 	struct view_split *parts;
 	int nparts;
-	int unusable; /* 1: partly unparsed, so its requests are refused */
+	int unusable;  /* 1: partly unparsed, so its requests are refused */
+	int unparsed;  /* number of its parts that are */
+	char *problem; /* with the first of them, or NULL */
 };
 
 /* Limits for callers' requests and connections; below 0: not set. */
@@ -72,8 +78,13 @@
 	int idle_ms; /* between requests */
 };
 
+/* Where a route stands in the text of its configuration; length 0: unknown. */
+struct view_extent {
+	uint32_t at, length; /* bytes */
+};
+
 /*
- * One configuration, reference-counted.  It is immutable once indexed, except
+ * One configuration, reference-counted.  It is immutable once complete, except
  * for the round-robin state of its routes.
  */
 struct view_config {
@@ -81,10 +92,12 @@
 	uint64_t version;
 	struct view_service *services;
 	int nservices;
-	struct view_route *routes;
-	int nroutes;
+	GPtrArray *routes; /* of struct view_route, each with a reference */
 	struct view_limits limits;
-	GHashTable *index; /* host and prefix to struct view_route */
+	GHashTable *index; /* set of struct view_route by their keys */
+	/* Encoded, or NULL; the next version is compared with it. */
+	GBytes *text;
+	GArray *extents; /* of struct view_extent, by route; or empty */
 	/* Hosts of routes with an unparsed prefix; "" stands for any host. */
 	GHashTable *unparsed_hosts;
 };
@@ -95,8 +108,18 @@
 struct view_config *view_config_ref(struct view_config *);
 /* Drops a reference; the last one releases it.  NULL is allowed. */
 void view_config_unref(struct view_config *);
-/* Builds the index; returns 0 if two routes share a host and prefix. */
-int view_config_index(struct view_config *);
+/* Creates a route with one reference; the prefix may be NULL. */
+struct view_route *
+view_route_new(const char *name, const char *host, const char *prefix);
+struct view_route *view_route_ref(struct view_route *);
+void view_route_unref(struct view_route *);
+/*
+ * Adds a route and takes over the caller's reference.  Returns 0 if it shares
+ * host and prefix with another one, and is not indexed then.
+ */
+int view_config_add(struct view_config *, struct view_route *);
+/* A route by its position. */
+struct view_route *view_config_route(const struct view_config *, guint);
 /* Handle of a service, or -1. */
 int view_find_service(const struct view_config *, const char *name);
 /* The route of the longest prefix, or NULL; ignores a port and a query. */
