teaselside: decode configurations in steps, pass them on first, newest first

A node read no request, no closed connection and no leaving target while it parsed. Versions that arrived in the meantime were parsed one by one, and a publisher parsed each before its subscribers got it, so delays added up with each hop.

Now a configuration is decoded in steps of 64 KB of parsed text, one in each pass of the event loop; the version in force stays until the new one is complete. Of several that wait the newest is decoded first; the others are needed only if it is rejected. A new one is published before it is decoded, as each node decides for itself; a node that is still decoding its first sends it to new subscribers.

--- a/side/follow.c
+++ b/side/follow.c
@@ -16,8 +16,6 @@
 static void on_answered(void *, enum platform_part);
 static int is_needed(void *);
 static int apply_item(struct follow *, const struct platform_item *);
-static const char *first_problem(const struct report *, int);
-static int apply_config(struct follow *, const struct platform_item *);
 static int apply_target(struct follow *, const struct platform_item *);
 static void apply_page(struct follow *, const struct platform_page *, int);
 static void remove_missing(struct follow *, const struct store_list *);
@@ -57,6 +55,7 @@
 	proxy_set_state(p, &state);
 	f->bootstrap_timer = evtimer_new(base, on_bootstrap, f);
 	evtimer_add(f->bootstrap_timer, &tv);
+	config_apply_start(f);
 	f->reader = store_reader_new(base, s->store, s->beat_ms, &calls);
 	feed_start(f);
 	return f;
@@ -69,6 +68,7 @@
 	proxy_set_state(f->proxy, &(struct proxy_state_calls){ 0 });
 	feed_stop(f);
 	store_reader_free(f->reader);
+	config_apply_stop(f);
 	held_clear_bases(f);
 	g_hash_table_destroy(f->held);
 	g_hash_table_destroy(f->unparsed);
@@ -100,72 +100,6 @@
 
 /* ---- applying items ---- */
 
-/* Message of a report's first error, or first warning; "-" if none. */
-static const char *
-first_problem(const struct report *rep, int warning)
-{
-	const struct report_entry *e;
-	guint i;
-
-	for (i = 0; i < rep->entries->len; i++) {
-		e = g_ptr_array_index(rep->entries, i);
-		if (e->warning == warning)
-			return e->message;
-	}
-	return "-";
-}
-
-/* Applies a configuration if it is valid and newer; 1 if it was applied. */
-static int
-apply_config(struct follow *f, const struct platform_item *it)
-{
-	struct report *rep = report_new();
-	struct platform_decode *d;
-	struct view_config *c;
-	int64_t began_us = base_now_us(), took_us;
-	uint64_t version;
-	int accepted = 0;
-
-	d = platform_decode_start(it->value, f->view->config, rep);
-	platform_decode_step(d, SIZE_MAX);
-	if ((c = platform_decode_end(d)) == NULL) {
-		counter_add(CTR_REJECTED, 1);
-		base_log(G_LOG_LEVEL_WARNING, "config-rejected",
-		    "era=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
-		    " errors=%d first=\"%s\"",
-		    it->revision.era, it->revision.number, rep->errors,
-		    first_problem(rep, 0));
-	} else {
-		version = c->version;
-		accepted = view_set_config(f->view, c) == VIEW_OK;
-		if (!accepted)
-			base_log(G_LOG_LEVEL_MESSAGE, "config-older",
-			    "version=%" G_GUINT64_FORMAT
-			    " era=%" G_GUINT64_FORMAT
-			    " revision=%" G_GUINT64_FORMAT,
-			    version, it->revision.era, it->revision.number);
-	}
-	if (accepted) {
-		took_us = base_now_us() - began_us;
-		counter_add(CTR_APPLIED, 1);
-		histogram_add(HIST_CONFIG_APPLY, took_us / 1000);
-		base_log(G_LOG_LEVEL_MESSAGE, "config-accepted",
-		    "version=%" G_GUINT64_FORMAT " era=%" G_GUINT64_FORMAT
-		    " revision=%" G_GUINT64_FORMAT
-		    " routes=%u apply_us=%" G_GINT64_FORMAT,
-		    version, it->revision.era, it->revision.number,
-		    f->view->config->routes->len, took_us);
-	}
-	if (accepted && rep->warnings > 0) {
-		counter_add(CTR_SOURCE_UNPARSED, rep->warnings);
-		base_log(G_LOG_LEVEL_WARNING, "config-unread",
-		    "version=%" G_GUINT64_FORMAT " parts=%d first=\"%s\"",
-		    version, rep->warnings, first_problem(rep, 1));
-	}
-	report_free(rep);
-	return accepted;
-}
-
 /* Applies an entry; a malformed one removes its target.  1: to be published. */
 static int
 apply_target(struct follow *f, const struct platform_item *it)
@@ -212,7 +146,10 @@
 		return 0;
 	switch (it->kind) {
 	case PLATFORM_CONFIG:
-		return it->value != NULL && apply_config(f, it);
+		/* Published at once, as each node decides for itself. */
+		if (it->value != NULL)
+			config_apply_add(f, it);
+		return it->value != NULL;
 	case PLATFORM_EVACUATION:
 		if (!view_set_out(f->view, it->name, it->value != NULL))
 			return 0;
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -1,8 +1,8 @@
 /*
- * Shared by the parts of the follower: applying what was read (follow.c), the
- * items that are held (held.c), choosing the publisher of this node (feed.c),
- * and finding another source when the store does not answer a publisher
- * (relay.c).
+ * Shared by the parts of the follower: applying what was read (follow.c,
+ * config_apply.c), the items that are held (held.c), choosing the publisher of
+ * this node (feed.c), and finding another source when the store does not answer
+ * a publisher (relay.c).
  */
 #ifndef FOLLOW_INT_H
 #define FOLLOW_INT_H
@@ -73,6 +73,20 @@
 	uint64_t weight;  /* hash of addr: the lowest has rank 0 */
 };
 
+/* Configurations that were received and are not in force yet. */
+struct config_apply {
+	struct event *timer; /* takes the next step */
+	GQueue waiting;	     /* of struct config_arrival, newest first */
+	/* The one that is being decoded, or NULL, and its decoder. */
+	struct config_arrival *current;
+	struct platform_decode *decode;
+	struct report *report;
+	int64_t began_us; /* when it was begun */
+	int steps;
+	uint64_t received; /* number of configurations */
+	int superseded;	   /* not begun, since the last one in force */
+};
+
 struct follow {
 	struct event_base *base;
 	const struct side_settings *settings;
@@ -95,6 +109,7 @@
 	int draining;		       /* the node is about to stop */
 	/* Of the own target, told by a node and not verified; 0: none. */
 	struct view_revision own_removal;
+	struct config_apply config_apply;
 	struct feed feed;
 	struct relay relay;
 };
@@ -139,6 +154,17 @@
 /* Whether items of an earlier era are held that the list names or lacks. */
 int follow_is_unsettled(const struct follow *, const struct store_list *);
 
+/*
+ * config_apply.c: decodes configurations in steps, between which the event loop
+ * handles everything else
+ */
+void config_apply_start(struct follow *);
+void config_apply_stop(struct follow *);
+/* A new configuration was received; it is decoded in later passes. */
+void config_apply_add(struct follow *, const struct platform_item *);
+/* Whether a configuration is not in force yet. */
+int config_apply_is_pending(const struct follow *);
+
 /* settle.c: whether an item that a list lacks was removed.  Times in ms. */
 struct settle {
 	int expiry_ms; /* shortest outage that expires an entry */
--- a/side/publish.c
+++ b/side/publish.c
@@ -137,7 +137,7 @@
 	gpointer key, value;
 	uint64_t digest;
 
-	if (f->view->config == NULL)
+	if (f->view->config == NULL && !config_apply_is_pending(f))
 		return;
 	set = digest_set(peer);
 	items = g_ptr_array_new();
