--- a/Makefile
+++ b/Makefile
@@ -117,13 +117,13 @@
 	@$(CC) $(ALL_CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS) \
 	    -lcunit
 
-$(BIN)/bench_mesh: $(OBJ)/bench/bench_mesh.o $(OBJ)/libteaselstep.a
+$(BIN)/bench_%: $(OBJ)/bench/bench_%.o $(OBJ)/libteaselstep.a
 	@mkdir -p $(@D)
 	@echo "  LD $@"
 	@$(CC) $(ALL_CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LIBS)
 
 # All measurements, as JSON lines; the results are kept in bench/results/.
-bench: all $(BIN)/bench_mesh
+bench: all $(BIN)/bench_mesh $(BIN)/bench_config
 	@FLEET_BIN=$(BIN) BIN=$(BIN) tools/bench.sh
 
 # Installs the packages that the build and the tests need; only tools/deps.sh
--- a/base/json.c
+++ b/base/json.c
@@ -7,6 +7,8 @@
 
 #define DEPTH_MAX  16	  /* levels of nesting; bounds json_free's recursion */
 #define VALUES_MAX 200000 /* values in one text */
+/* Keys of an object up to which comparing all is faster than hashing them. */
+#define MEMBERS_COMPARED 16
 
 /* State of one parse. */
 struct parser {
@@ -34,6 +36,9 @@
 static int on_start_array(void *);
 static int on_end(void *);
 static int open_container(struct parser *, enum json_type);
+static void
+report_duplicate(struct parser *, const struct json *, const struct json *);
+static const struct json *find_before(const struct json *, const struct json *);
 static void check_duplicates(struct parser *, const struct json *);
 static void report_syntax(struct parser *);
 
@@ -71,10 +76,14 @@
 current_line(struct parser *p)
 {
 	size_t end = yajl_get_bytes_consumed(p->yajl);
+	const char *newline;
 
-	for (; p->counted < end; p->counted++)
-		if (p->text[p->counted] == '\n')
-			p->line++;
+	while (p->counted < end && (newline = memchr(p->text + p->counted, '\n',
+					end - p->counted)) != NULL) {
+		p->line++;
+		p->counted = (size_t)(newline + 1 - p->text);
+	}
+	p->counted = end;
 	return p->line;
 }
 
@@ -221,24 +230,49 @@
 	return 1;
 }
 
+/* Reports a key that stands in an object again. */
+static void
+report_duplicate(
+    struct parser *p, const struct json *j, const struct json *first)
+{
+	report_error(p->rep, j->line, "name", j->key,
+	    "stands twice in one object, first on line %d", first->line);
+}
+
+/* The member of an object, before another one, that has its key; or NULL. */
+static const struct json *
+find_before(const struct json *obj, const struct json *member)
+{
+	const struct json *j;
+
+	for (j = obj->child; j != member; j = j->next)
+		if (strcmp(j->key, member->key) == 0)
+			return j;
+	return NULL;
+}
+
 /* Reports each repeated key of an object. */
 static void
 check_duplicates(struct parser *p, const struct json *obj)
 {
 	const struct json *j, *first;
-	GHashTable *seen;
+	GHashTable *seen = NULL;
+	int n = 0;
 
-	seen = g_hash_table_new(g_str_hash, g_str_equal);
+	for (j = obj->child; j != NULL; j = j->next)
+		n++;
+	if (n > MEMBERS_COMPARED)
+		seen = g_hash_table_new(g_str_hash, g_str_equal);
 	for (j = obj->child; j != NULL; j = j->next) {
-		first = g_hash_table_lookup(seen, j->key);
+		first = seen != NULL ? g_hash_table_lookup(seen, j->key)
+				     : find_before(obj, j);
 		if (first != NULL)
-			report_error(p->rep, j->line, "name", j->key,
-			    "stands twice in one object, first on line %d",
-			    first->line);
-		else
+			report_duplicate(p, j, first);
+		else if (seen != NULL)
 			g_hash_table_insert(seen, j->key, (gpointer)j);
 	}
-	g_hash_table_destroy(seen);
+	if (seen != NULL)
+		g_hash_table_destroy(seen);
 }
 
 /* Adds yajl's error message to the report. */
--- a/side/state.c
+++ b/side/state.c
@@ -1,7 +1,11 @@
 /* Encodes and decodes the items that nodes send to each other (state.proto). */
+#include <stdlib.h>
+
 #include "follow_int.h"
 #include "state.pb-c.h"
 
+static GBytes *take_value(State__Item *);
+
 /* Appends the encoded items; a NULL value is sent as a removal. */
 void
 state_pack(const GPtrArray *items, struct view_revision as_of, GString *out)
@@ -40,12 +44,23 @@
 	g_free(list);
 }
 
+/* Takes the value of an item without a copy; protobuf-c allocates by malloc. */
+static GBytes *
+take_value(State__Item *s)
+{
+	ProtobufCBinaryData value = s->value;
+
+	s->value = (ProtobufCBinaryData){ 0, NULL };
+	return g_bytes_new_with_free_func(
+	    value.data, value.len, free, value.data);
+}
+
 /* Decodes items; those of kinds that this build does not know are skipped. */
 int
 state_unpack(const char *text, size_t len, struct platform_page *p)
 {
 	struct platform_item it;
-	const State__Item *s;
+	State__Item *s;
 	State__State *st;
 	size_t i;
 
@@ -60,8 +75,7 @@
 			continue;
 		it = (struct platform_item){ (enum platform_kind)s->kind,
 			s->kind == PLATFORM_CONFIG ? NULL : g_strdup(s->name),
-			s->removed ? NULL
-				   : g_bytes_new(s->value.data, s->value.len),
+			s->removed ? NULL : take_value(s),
 			{ s->era, s->revision }, s->copied,
 			{ s->removed_major, s->removed_minor } };
 		g_array_append_val(p->items, it);
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -6,6 +6,7 @@
 trap 'rm -f "$set"' EXIT
 tools/mkset.sh 1400 52 300 9 > "$set"
 "${BIN:-bin}/bench_mesh" "$set"
+"${BIN:-bin}/bench_config" 2000 5000 10000
 for n in 25 50 200; do
 	BENCH_SETTLE=$((10 + n / 2)) tools/bench-control.sh $n
 done
