view: a part of a split with weight 0 gets no requests

Callers' requests ran on a service to which no configuration sends anything, or that had just been taken out of a split by a weight of 0 (ROUTE, CONFIG).

Cause: the round-robin starts a part with a random credit, whatever its weight, and a part with credit may be chosen although it gains none.

Now parts of weight 0 neither get the start nor take part.

--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -276,6 +276,40 @@
 	view_config_unref(c);
 }
 
+/*
+ * Guards against requests for a part of a split whose weight is 0, as it was
+ * just added or taken out (CONFIG, ROUTE; review/8).
+ */
+static void
+part_of_weight_0_gets_nothing(void)
+{
+	static const char *const documents[] = {
+		CONFIG("1", ROUTE("/", "100",
+				"\"TrafficSplit\":[{\"Service\":\"a\","
+				"\"Weight\":0},{\"Service\":\"b\","
+				"\"Weight\":20}]")),
+		CONFIG("1", ROUTE("/", "100",
+				"\"TrafficSplit\":[{\"Service\":\"b\","
+				"\"Weight\":50},{\"Service\":\"a\","
+				"\"Weight\":0},{\"Service\":\"b\","
+				"\"Weight\":50}]")),
+	};
+	struct view_config *c;
+	int errors, i, k, wrong = 0;
+
+	for (i = 0; i < 400; i++) {
+		c = decode(documents[i % 2], &errors);
+		CU_ASSERT_PTR_NOT_NULL(c);
+		if (c == NULL)
+			return;
+		for (k = 0; k < 5; k++)
+			wrong += view_next_service(view_config_route(c, 0),
+				     (uint32_t)i * 2654435761U) == 0;
+		view_config_unref(c);
+	}
+	CU_ASSERT_EQUAL(wrong, 0);
+}
+
 /* A target is used only if all fields of its entry are valid. */
 static void
 target_entries_are_decoded(void)
@@ -446,6 +480,7 @@
 	{ "malformed services limits and hosts",
 	    malformed_services_limits_and_hosts },
 	{ "split shares are exact", split_shares_are_exact },
+	{ "a part of weight 0 gets nothing", part_of_weight_0_gets_nothing },
 	{ "target entries are decoded", target_entries_are_decoded },
 	{ "store pages are parsed", store_pages_are_parsed },
 	{ "empty input is malformed", empty_input_is_malformed },
--- a/view/config.c
+++ b/view/config.c
@@ -7,6 +7,7 @@
 static guint route_hash(gconstpointer);
 static gboolean route_equal(gconstpointer, gconstpointer);
 static void route_unref(gpointer);
+static void set_start(struct view_route *, int, int);
 
 /* Key of a host and prefix, owned by the caller; the host in lower case. */
 static char *
@@ -201,6 +202,17 @@
 	return r;
 }
 
+/* Gives a part a credit: the nth of those with a weight above 0. */
+static void
+set_start(struct view_route *r, int n, int credit)
+{
+	int i;
+
+	for (i = 0; i < r->nparts; i++)
+		if (r->parts[i].weight > 0 && n-- == 0)
+			r->parts[i].credit = credit;
+}
+
 /*
  * Smooth weighted round-robin: each service gains its weight as credit; the one
  * with the most credit is chosen and pays the sum of the weights.  Shares are
@@ -209,23 +221,27 @@
 int
 view_next_service(struct view_route *r, uint32_t random)
 {
-	int i, best = 0, sum = 0;
+	int i, best = -1, sum = 0, weighted = 0, started = 0;
 
 	if (r->nparts == 1)
 		return r->parts[0].service;
-	for (i = 0; i < r->nparts; i++)
+	for (i = 0; i < r->nparts; i++) {
 		sum += r->parts[i].weight;
+		weighted += r->parts[i].weight > 0;
+		started |= r->parts[i].credit != 0;
+	}
 	if (sum <= 0)
 		return r->parts[0].service;
 	/* A random start keeps nodes from choosing in lockstep. */
-	for (i = 0; i < r->nparts && r->parts[i].credit == 0; i++)
-		;
-	if (i == r->nparts)
-		r->parts[random % (uint32_t)r->nparts].credit =
-		    (int)(random % (uint32_t)sum);
+	if (!started)
+		set_start(r, (int)(random % (uint32_t)weighted),
+		    (int)(random % (uint32_t)sum));
+	/* A part of weight 0 is not chosen, whatever its credit. */
 	for (i = 0; i < r->nparts; i++) {
+		if (r->parts[i].weight <= 0)
+			continue;
 		r->parts[i].credit += r->parts[i].weight;
-		if (r->parts[i].credit > r->parts[best].credit)
+		if (best < 0 || r->parts[i].credit > r->parts[best].credit)
 			best = i;
 	}
 	r->parts[best].credit -= sum;
