--- a/bench/bench_config.c
+++ b/bench/bench_config.c
@@ -21,6 +21,7 @@
 	STEP_UNPACK,	 /* the same */
 	STEP_CHANGE,	 /* decode: one route differs from the version before */
 	STEP_WHOLE,	 /* decode, without a version before */
+	STEP_STAMP,	 /* order it after a restore of the store */
 	STEP_RELEASE,	 /* release a version of which nothing is shared */
 	STEP_COUNT
 };
@@ -33,6 +34,7 @@
 	[STEP_UNPACK] = "unpack",
 	[STEP_CHANGE] = "decode_change",
 	[STEP_WHOLE] = "decode_whole",
+	[STEP_STAMP] = "stamp",
 	[STEP_RELEASE] = "release",
 };
 
@@ -159,6 +161,10 @@
 	stop(STEP_CHANGE);
 	view_config_unref(c);
 	start();
+	platform_item_stamp(
+	    &g_array_index(told.items, struct platform_item, 0));
+	stop(STEP_STAMP);
+	start();
 	view_config_unref(before);
 	stop(STEP_RELEASE);
 	g_bytes_unref(full);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -310,6 +310,40 @@
 	CU_ASSERT_EQUAL(wrong, 0);
 }
 
+/*
+ * Guards against a node that parses all of a configuration only to order it
+ * after a restore of the store.
+ */
+static void
+stamp_is_read_from_the_outline(void)
+{
+	static const struct {
+		const char *text;
+		int64_t version;
+	} cases[] = {
+		{ CONFIG("12", ROUTE("/", "100", TO_A)), 12 },
+		{ "{\"VirtualHosts\":[{\"PathRules\":[{},{\"Version\":3}]}],"
+		  "\"Version\":13}",
+		    13 },
+		{ "{\"Version\":14,\"VirtualHosts\":[{\"PathRules\":[{}", 0 },
+		{ "{\"Version\":15", 0 },
+		/* What is wrong within a route does not matter for it. */
+		{ "{\"Version\":16,\"VirtualHosts\":[{\"PathRules\":[{\"a\":1,"
+		  "\"a\":2}]}]}",
+		    16 },
+		{ "", 0 },
+	};
+	struct platform_item it = { .kind = PLATFORM_CONFIG };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		it.value = g_bytes_new(cases[i].text, strlen(cases[i].text));
+		CU_ASSERT_EQUAL(
+		    platform_item_stamp(&it).major, cases[i].version);
+		g_bytes_unref(it.value);
+	}
+}
+
 /* A target is used only if all fields of its entry are valid. */
 static void
 target_entries_are_decoded(void)
@@ -480,6 +514,7 @@
 	{ "malformed services limits and hosts",
 	    malformed_services_limits_and_hosts },
 	{ "split shares are exact", split_shares_are_exact },
+	{ "a stamp is read from the outline", stamp_is_read_from_the_outline },
 	{ "a part of weight 0 gets nothing", part_of_weight_0_gets_nothing },
 	{ "target entries are decoded", target_entries_are_decoded },
 	{ "store pages are parsed", store_pages_are_parsed },
