http client: an answer that is arriving does not time out

Cause: the timeout of a request, 1.2 s for a list, 0.7 s after the wait of a watch, covered the transfer. On a link of 14 Mbit/s a configuration of 9800 routes takes 1.1 s, on one of 10 Mbit/s 1.5 s, and other traffic shares the link. Class: a fixed time for something that grows with what the node holds.

Now the timeout ends when an answer has begun; from then on it may pause for 700 ms and take ten seconds. Evidence: test_client failed before.

--- a/http/client.c
+++ b/http/client.c
@@ -14,6 +14,13 @@
  */
 #define READ_AHEAD_MAX (256 * 1024)
 #define READ_BYTES     65536 /* in one system call */
+/*
+ * Once an answer has begun, it may pause for so long beyond the timeout, and
+ * its transfer may take TRANSFER_MAX_MS: a large one takes the VM's link
+ * seconds.
+ */
+#define PAUSE_MAX_MS	700
+#define TRANSFER_MAX_MS 10000
 
 struct http_client {
 	struct event_base *base;
@@ -22,6 +29,8 @@
 	struct evbuffer *ahead; /* read beyond the bufferevent, not parsed */
 	struct http_parse parse;
 	struct event *timer;
+	int64_t deadline;     /* ms; at which the timer fires */
+	int64_t transfer_end; /* ms; the deadline is not later */
 	http_client_done done;
 	void *arg;
 	char *path; /* of the request in flight, or NULL */
@@ -32,6 +41,7 @@
 static void
 finish_request(struct http_client *, int, const struct http_message *);
 static void send_request(struct http_client *);
+static void extend_deadline(struct http_client *);
 static ssize_t read_ahead(struct http_client *);
 static int parse_answer(struct http_client *);
 static void on_read(struct bufferevent *, void *);
@@ -119,15 +129,15 @@
 }
 
 /*
- * The timeout covers connecting as well.  The connection of a cancelled request
+ * The timeout covers connecting as well, but not the transfer of an answer that
+ * has begun.  The connection of a cancelled request
  * is closed, as its answer could be taken for that of the new one.
  */
 void
 http_client_get(struct http_client *c, const char *path, int timeout_ms,
     http_client_done done, void *arg)
 {
-	struct timeval tv = { timeout_ms / BASE_MS_PER_S,
-		timeout_ms % BASE_MS_PER_S * 1000L };
+	int64_t now = base_now_ms();
 
 	if (c->path != NULL)
 		close_connection(c);
@@ -135,10 +145,23 @@
 	c->path = g_strdup(path);
 	c->done = done;
 	c->arg = arg;
-	evtimer_add(c->timer, &tv);
+	c->deadline = now + timeout_ms;
+	c->transfer_end = MAX(c->deadline, now + TRANSFER_MAX_MS);
+	http_timer_set(c->timer, timeout_ms);
 	send_request(c);
 }
 
+/* A part of the answer has arrived: the next one may take PAUSE_MAX_MS. */
+static void
+extend_deadline(struct http_client *c)
+{
+	int64_t now = base_now_ms();
+
+	c->deadline =
+	    MAX(c->deadline, MIN(now + PAUSE_MAX_MS, c->transfer_end));
+	http_timer_set(c->timer, MAX(c->deadline - now, 0));
+}
+
 /*
  * Reads what the kernel holds; returns the number of bytes, or 0 or less if
  * there are none.  The bufferevent will notice an end or an error itself.
@@ -189,8 +212,10 @@
 		return;
 	}
 	err = parse_answer(c);
-	if (err == HTTP_EINCOMPLETE)
+	if (err == HTTP_EINCOMPLETE) {
+		extend_deadline(c);
 		return;
+	}
 	if (err != HTTP_OK) {
 		finish_request(c, err, NULL);
 		return;
--- a/test/test_client.c
+++ b/test/test_client.c
@@ -13,10 +13,18 @@
 #define PASS_US	   2000		/* time in which the server sends more */
 #define TIMEOUT_MS 10000
 
+/* A body that takes longer than the timeout, but never pauses for long. */
+#define PIECES		 20
+#define PIECE_PAUSE_US	 50000
+#define SHORT_TIMEOUT_MS 400
+
 /* A server that gives one answer and then the bytes beyond it, if any. */
 struct server {
-	int fd;
 	const char *beyond;
+	int pause_us;	/* before each of PIECES pieces of the body */
+	int pieces;	/* that are sent; the others never are */
+	int timeout_ms; /* of the client */
+	int fd;
 };
 
 struct answer {
@@ -41,13 +49,16 @@
 {
 	const struct server *s = arg;
 	char head[128], request[4096], *body = g_malloc0(BODY_BYTES);
-	int fd = accept(s->fd, NULL, NULL);
+	int fd = accept(s->fd, NULL, NULL), i;
 
 	CU_ASSERT(fd >= 0 && read(fd, request, sizeof(request)) > 0);
 	g_snprintf(head, sizeof(head),
 	    "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", BODY_BYTES);
 	send_all(fd, head, strlen(head));
-	send_all(fd, body, BODY_BYTES);
+	for (i = 0; i < s->pieces; i++) {
+		usleep((useconds_t)s->pause_us);
+		send_all(fd, body, BODY_BYTES / PIECES);
+	}
 	send_all(fd, s->beyond, strlen(s->beyond));
 	while (read(fd, request, sizeof(request)) > 0)
 		;
@@ -71,11 +82,10 @@
 
 /* Gets one answer; returns the passes of the event loop that it took. */
 static int
-get(struct answer *a, const char *beyond)
+get_from(struct answer *a, struct server s)
 {
 	struct sockaddr_in sin = { .sin_family = AF_INET,
 		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
-	struct server s = { socket(AF_INET, SOCK_STREAM, 0), beyond };
 	struct event_base *base = event_base_new();
 	socklen_t len = sizeof(sin);
 	struct http_client *c;
@@ -84,6 +94,7 @@
 	int passes;
 
 	memset(a, 0, sizeof(*a));
+	s.fd = socket(AF_INET, SOCK_STREAM, 0);
 	CU_ASSERT_EQUAL_FATAL(
 	    bind(s.fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
 	CU_ASSERT_EQUAL_FATAL(listen(s.fd, 1), 0);
@@ -91,7 +102,7 @@
 	g_snprintf(addr, sizeof(addr), "127.0.0.1:%d", ntohs(sin.sin_port));
 	pthread_create(&thread, NULL, serve, &s);
 	c = http_client_new(base, addr);
-	http_client_get(c, "/kv-range", TIMEOUT_MS, on_answer, a);
+	http_client_get(c, "/kv-range", s.timeout_ms, on_answer, a);
 	for (passes = 0; a->ended == 0; passes++) {
 		usleep(PASS_US);
 		event_base_loop(base, EVLOOP_ONCE);
@@ -105,6 +116,35 @@
 	return passes;
 }
 
+/* The same from a server that sends all at once. */
+static int
+get(struct answer *a, const char *beyond)
+{
+	return get_from(a,
+	    (struct server){
+		.beyond = beyond, .pieces = PIECES, .timeout_ms = TIMEOUT_MS });
+}
+
+/*
+ * Guards against a large configuration that is never read, as its transfer
+ * takes longer than the timeout and begins anew each time (CONFIG).
+ */
+static void
+long_transfer_is_not_given_up(void)
+{
+	struct answer a;
+
+	get_from(&a, (struct server){
+			 "", PIECE_PAUSE_US, PIECES, SHORT_TIMEOUT_MS, -1 });
+	CU_ASSERT_EQUAL(a.err, HTTP_OK);
+	CU_ASSERT_EQUAL(a.bytes, BODY_BYTES);
+	/* One that stops is. */
+	get_from(&a, (struct server){ "", PIECE_PAUSE_US, PIECES - 1,
+			 SHORT_TIMEOUT_MS, -1 });
+	CU_ASSERT_EQUAL(a.ended, 1);
+	CU_ASSERT_EQUAL(a.err, HTTP_ETIMEOUT);
+}
+
 /*
  * Guards against a configuration that is late as a busy node reads a few KB of
  * it in each pass of its event loop.
@@ -135,6 +175,7 @@
 static const struct test tests[] = {
 	{ "long answer takes few passes", long_answer_takes_few_passes },
 	{ "bytes beyond the answer", bytes_beyond_the_answer },
+	{ "long transfer is not given up", long_transfer_is_not_given_up },
 };
 
 TEST_MAIN("client", tests)
