links, feed: a large update is read sooner and is no silence

Callers got what an older version allows, as nodes gave up a publisher whose large update was arriving, turned to the next and began anew (CONFIG); each of them also read the whole configuration from the store, over the same link.

Cause: only a complete message counted as a sign of life, and nothing overtakes a large one on its link. And of a link 4 KB were read in a pass of the event loop, so a busy node needed many passes for an update of 40 to 100 KB.

Now a frame that is arriving counts, and up to 64 KB of it are read in a pass.

--- a/proxy/link_frame.c
+++ b/proxy/link_frame.c
@@ -30,6 +30,13 @@
 	evbuffer_commit_space(out, &v, 1);
 }
 
+/* Whether a part of a frame has arrived. */
+int
+link_is_receiving(const struct link *l)
+{
+	return evbuffer_get_length(bufferevent_get_input(l->bev)) > 0;
+}
+
 /* Reads a frame for the caller to free; 1, 0 if incomplete, -1 if invalid. */
 int
 link_read_frame(struct link *l, Link__Frame **f)
--- a/proxy/link_int.h
+++ b/proxy/link_int.h
@@ -87,6 +87,8 @@
  * Parses the next frame, which the caller frees.  Returns 1, 0 if more bytes
  * are needed, or -1 for an invalid frame.
  */
+/* Whether a frame has arrived in part. */
+int link_is_receiving(const struct link *);
 int link_read_frame(struct link *, Link__Frame **);
 /* Converts headers to a list that borrows their strings, and back. */
 Link__Header **link_headers(const struct http_message *);
--- a/proxy/link_state.c
+++ b/proxy/link_state.c
@@ -185,6 +185,18 @@
 	return 0;
 }
 
+/*
+ * Time in ms of the last input from the publisher in a slot, if that was a part
+ * of a frame, else 0.  Nothing can overtake a large frame on its way.
+ */
+int64_t
+links_receiving_at(const struct links *ls, enum proxy_slot slot)
+{
+	struct link *l = ls->publishers[slot];
+
+	return l != NULL && link_is_receiving(l) ? l->received_at : 0;
+}
+
 /* Replaces a slot's subscription; ends the old one if no slot needs it. */
 void
 links_subscribe(struct links *ls, enum proxy_slot slot, const char *addr,
--- a/proxy/links.c
+++ b/proxy/links.c
@@ -13,8 +13,9 @@
 #include "link_int.h"
 
 #define BACKLOG		  256
-#define CHECK_INTERVAL_MS 100 /* between two checks for silent links */
-#define PING_AFTER_MS	  300 /* without input while an answer is due */
+#define READ_AHEAD_MAX	  (64 * 1024) /* bytes of a link in a pass */
+#define CHECK_INTERVAL_MS 100	      /* between two checks for silent links */
+#define PING_AFTER_MS	  300	      /* without input while an answer is due */
 /* Time to answer a ping; longer while a long answer or update is in flight. */
 #define PONG_TIMEOUT_MS	     500
 #define PONG_LONG_TIMEOUT_MS 2500
@@ -28,6 +29,7 @@
 static void accept_waiting(struct links *);
 static void on_accept(
     struct evconnlistener *, evutil_socket_t, struct sockaddr *, int, void *);
+static int read_more(struct link *);
 static void on_read(struct bufferevent *, void *);
 static void on_event(struct bufferevent *, short, void *);
 static void on_timer(evutil_socket_t, short, void *);
@@ -325,21 +327,45 @@
 	}
 }
 
+/*
+ * Reads more of a frame that is incomplete.  libevent reads 4 KB of a
+ * connection in a pass of its loop, so a busy loop would need seconds for a
+ * large update. Returns the number of bytes; the bufferevent notices an end or
+ * an error.
+ */
+static int
+read_more(struct link *l)
+{
+	struct evbuffer *in = bufferevent_get_input(l->bev);
+	int n;
+
+	evbuffer_unfreeze(in, 0);
+	n = evbuffer_read(in, bufferevent_getfd(l->bev), -1);
+	evbuffer_freeze(in, 0);
+	return MAX(n, 0);
+}
+
 /* Handles the frames that have arrived. */
 static void
 on_read(struct bufferevent *bev, void *arg)
 {
 	struct link *l = arg;
+	int n, more, ahead = 0;
 	Link__Frame *f;
-	int n;
 
 	(void)bev;
 	l->received_at = base_now_ms();
 	l->pinged_at = 0;
-	while ((n = link_read_frame(l, &f)) > 0) {
-		on_frame(l, f);
-		link__frame__free_unpacked(f, NULL);
-	}
+	do {
+		while ((n = link_read_frame(l, &f)) > 0) {
+			on_frame(l, f);
+			link__frame__free_unpacked(f, NULL);
+		}
+		more = n == 0 && ahead < READ_AHEAD_MAX && link_is_receiving(l)
+			   ? read_more(l)
+			   : 0;
+		ahead += more;
+	} while (more > 0);
 	if (n < 0)
 		link_close(l, "malformed frame");
 }
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -258,6 +258,13 @@
 	links_subscribe(&p->links, slot, addr != NULL ? link : NULL, kind);
 }
 
+/* When a part of a frame arrived from the publisher in a slot, or 0. */
+int64_t
+proxy_receiving_at(const struct proxy *p, enum proxy_slot slot)
+{
+	return links_receiving_at(&p->links, slot);
+}
+
 /* Number of nodes with this kind of subscription to this one. */
 int
 proxy_subscribers(const struct proxy *p, enum proxy_subscription kind)
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -145,6 +145,11 @@
 /* Replaces the subscription of a slot; addr NULL only ends the old one. */
 void proxy_subscribe(
     struct proxy *, enum proxy_slot, const char *addr, enum proxy_subscription);
+/*
+ * Time in ms of base_now_ms() of the last input from the publisher in a slot,
+ * if that was a part of a frame that is still incomplete, else 0.
+ */
+int64_t proxy_receiving_at(const struct proxy *, enum proxy_slot);
 /* Number of nodes with this kind of subscription to this one. */
 int proxy_subscribers(const struct proxy *, enum proxy_subscription);
 /*
--- a/proxy/proxy_int.h
+++ b/proxy/proxy_int.h
@@ -274,6 +274,8 @@
 void links_subscribe(
     struct links *, enum proxy_slot, const char *addr, enum proxy_subscription);
 /* Number of nodes with this kind of subscription. */
+/* When a part of a frame arrived from the publisher in a slot (ms), or 0. */
+int64_t links_receiving_at(const struct links *, enum proxy_slot);
 int links_subscribers(const struct links *, enum proxy_subscription);
 /* Publishes an update to all subscribers; len 0: only the staleness. */
 void
--- a/side/feed.c
+++ b/side/feed.c
@@ -44,6 +44,7 @@
 static void give_up_first(struct follow *, int64_t);
 static int reads_store(const struct follow *);
 static void fail_over(struct follow *, const char *, int);
+static int64_t silent_ms(const struct follow *, int64_t);
 static void check_publisher(struct follow *, int64_t);
 static void check_messages(struct follow *, int64_t);
 
@@ -357,6 +358,17 @@
 		feed_publish_age(f, base_now_ms());
 }
 
+/*
+ * For how long nothing has arrived from the publisher.  A large update takes
+ * its link longer than a publisher may be silent.
+ */
+static int64_t
+silent_ms(const struct follow *f, int64_t now)
+{
+	return now - MAX(f->feed.publisher.received_at,
+			 proxy_receiving_at(f->proxy, PROXY_SLOT_PUBLISHER));
+}
+
 /*
  * Fails over from a publisher that timed out, tries rank 0 again after
  * FOLLOW_FAILBACK_MS, and follows changes of the ranking.
@@ -375,8 +387,7 @@
 		f->feed.reads_meanwhile = 1;
 		f->feed.rank = 0;
 		choose_publisher(f);
-	} else if (!reads &&
-		   now - f->feed.publisher.received_at > FOLLOW_TIMEOUT_MS) {
+	} else if (!reads && silent_ms(f, now) > FOLLOW_TIMEOUT_MS) {
 		fail_over(f, "silent", 1);
 	} else if (reads && rank == 0) {
 		choose_publisher(f);
@@ -396,13 +407,13 @@
 static void
 check_messages(struct follow *f, int64_t now)
 {
-	int64_t silent_ms = now - f->feed.publisher.received_at;
+	int64_t late_ms = silent_ms(f, now);
 
-	if (reads_store(f) || f->feed.reads_meanwhile || silent_ms <= LATE_MS)
+	if (reads_store(f) || f->feed.reads_meanwhile || late_ms <= LATE_MS)
 		return;
 	base_log(G_LOG_LEVEL_MESSAGE, "publisher-slow",
 	    "addr=%s silent_ms=%" G_GINT64_FORMAT " known_ms=%" G_GINT64_FORMAT,
-	    f->feed.publisher.addr, silent_ms, now - f->view->synced_at);
+	    f->feed.publisher.addr, late_ms, now - f->view->synced_at);
 	counter_add(CTR_PUBLISHER_SLOW, 1);
 	f->feed.reads_meanwhile = 1;
 }
