store reader: watches leave time for a large configuration

Nodes took their publisher for behind, and readers asked others for help, while a large configuration was on its way to the reader: 65 of 78 subscribed to another data centre as well with each, which filled links at the worst moment.

Cause: a watch waits for 1.2 s, and what is older than 1.6 s is stale; the transfer of a configuration of 4000 routes over 14 Mbit/s takes the rest.

Now watches of the operators' part end earlier by the time that the VM's link takes for the configuration, 0.4 s at the least.

--- a/side/config_apply.c
+++ b/side/config_apply.c
@@ -12,8 +12,10 @@
  * Work of a step, in bytes parsed: about 2 ms of a processor, or 20 ms of a
  * tenth of a core.
  */
-#define STEP_BYTES  (64 * 1024)
-#define WAITING_MAX 8 /* the oldest beyond it is dropped */
+#define STEP_BYTES	  (64 * 1024)
+#define WAITING_MAX	  8	/* the oldest beyond it is dropped */
+#define LINK_BYTES_PER_MS 125.0 /* of a link of 1 Mbit/s */
+#define BASE64_GROWTH	  (4.0 / 3.0)
 
 /* A configuration as it was received. */
 struct config_arrival {
@@ -24,6 +26,7 @@
 
 static void on_step(evutil_socket_t, short, void *);
 static void arrival_free(gpointer);
+static int transfer_ms(const struct follow *, GBytes *);
 static const char *first_problem(const struct report *, int);
 static int begin_newest(struct follow *);
 static void drop_earlier(struct config_apply *);
@@ -72,6 +75,18 @@
 	       f->config_apply.waiting.length > 0;
 }
 
+/* Time in ms that the VM's link takes for a value as the store sends it. */
+static int
+transfer_ms(const struct follow *f, GBytes *value)
+{
+	double bytes_per_ms = f->settings->proxy.link_mbps * LINK_BYTES_PER_MS;
+
+	if (bytes_per_ms <= 0)
+		return 0;
+	return (int)((double)g_bytes_get_size(value) * BASE64_GROWTH /
+		     bytes_per_ms);
+}
+
 /*
  * The first step is taken in the next pass, so that of several versions in this
  * one only the newest is decoded.
@@ -82,6 +97,7 @@
 	struct config_apply *a = &f->config_apply;
 	struct config_arrival *c = g_new(struct config_arrival, 1);
 
+	store_reader_set_transfer(f->reader, transfer_ms(f, it->value));
 	c->item = platform_item_copy(it);
 	c->number = ++a->received;
 	c->received_us = base_now_us();
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -194,7 +194,14 @@
 int64_t settle_all_at(const struct settle *, int64_t since);
 int64_t settle_calm_at(const struct settle *, int64_t since);
 
-/* pause.c: pauses between requests to a store that fails */
+/* pause.c: pauses between requests to the store */
+
+/*
+ * Between two watches of the targets.  It is part of the 2000 ms after which a
+ * leaving target must not get any requests.
+ */
+#define PAUSE_TARGETS_MS 800
+
 struct pause {
 	int failures; /* in a row, before this one */
 	int err;      /* of the request, enum platform_err */
@@ -209,6 +216,11 @@
 int64_t pause_max_ms(int nwatchers, int awaited);
 /* The pause until a failed request is retried; it is drawn at random. */
 int64_t pause_next_ms(const struct pause *);
+/*
+ * How long a watch of a part waits, before which it may have paused, where the
+ * transfer of a configuration takes transfer_ms.
+ */
+int pause_watch_ms(enum platform_part, int paused, int transfer_ms);
 
 /* verify.c: the removal of the own target, as another node tells of it */
 int verify_is_own(const struct follow *, const struct platform_item *);
--- a/side/pause.c
+++ b/side/pause.c
@@ -1,4 +1,5 @@
-/* Pauses between the requests of a reader to a store that fails. */
+/* Pauses between the requests of a reader to the store, and waits of watches.
+ */
 #include "follow_int.h"
 
 #define RETRY_MS     150 /* first pause after a failure; it doubles */
@@ -18,6 +19,15 @@
 #define RETRY_MANY_MAX_MS  5000
 #define OUTAGE_FAILURES	   2 /* in a row, after which a timeout is an outage */
 
+/*
+ * A watch whose answer is lost ends only by its timeout, a little after its
+ * wait.  A lost request and the pause before its retry take as long.  Both must
+ * end within three seconds of the end of a disturbance: from then on a node
+ * counts as connected, and must have everything written since that end.
+ */
+#define WATCH_WAIT_MS	  1200 /* the store answers a watch by then */
+#define WATCH_WAIT_MIN_MS 400  /* the same where answers take long */
+
 /* The longest pause, ms. */
 int64_t
 pause_max_ms(int nwatchers, int awaited)
@@ -54,3 +64,16 @@
 	ms = MAX(ms, MIN(p->retry_after_ms, p->max_ms));
 	return ms / 2 + g_random_int_range(0, (int)ms / 2 + 1);
 }
+
+/*
+ * How long a watch waits, ms.  While a large answer arrives, nothing else is
+ * known of the operators' part; the wait and the transfer together take
+ * WATCH_WAIT_MS.
+ */
+int
+pause_watch_ms(enum platform_part part, int paused, int transfer_ms)
+{
+	if (part == PLATFORM_OPERATORS)
+		return MAX(WATCH_WAIT_MS - transfer_ms, WATCH_WAIT_MIN_MS);
+	return paused ? WATCH_WAIT_MS - PAUSE_TARGETS_MS : WATCH_WAIT_MS;
+}
--- a/side/side.h
+++ b/side/side.h
@@ -90,6 +90,12 @@
  */
 void
 store_reader_watch(struct store_reader *, int on, int nwatchers, int helping);
+/*
+ * Sets the time in ms that the VM's link takes for a configuration: watches end
+ * earlier by as much, so that one that is on its way does not look like a store
+ * that does not answer.
+ */
+void store_reader_set_transfer(struct store_reader *, int ms);
 int store_reader_is_watching(const struct store_reader *);
 /*
  * Time in ms of base_now_ms() up to which every change of both parts has been
--- a/side/store_reader.c
+++ b/side/store_reader.c
@@ -8,19 +8,6 @@
 
 #include "follow_int.h"
 
-/*
- * A watch whose answer is lost ends only by its timeout, a little after its
- * wait.  A lost request and the pause before its retry take as long.  Both must
- * end within three seconds of the end of a disturbance: from then on a node
- * counts as connected, and must have everything written since that end.
- */
-#define WATCH_WAIT_MS 1200 /* the store answers a watch by then */
-/*
- * Between two watches of the targets.  It is part of the 2000 ms after which a
- * leaving target must not get any requests.
- */
-#define TARGETS_PAUSE_MS 800
-
 /* Reads one part of the store: a list in pages, then watches. */
 struct part_reader {
 	struct store_reader *reader;
@@ -53,8 +40,9 @@
 	int watching;
 	unsigned int period; /* counts starts to watch, and eras */
 	int nwatchers;	     /* nodes that also read for themselves, or 0 */
-	int helping; /* reads for another node, and no answer arrived yet */
-	int awaited; /* a list decides whether an item was removed */
+	int helping;	 /* reads for another node, and no answer arrived yet */
+	int awaited;	 /* a list decides whether an item was removed */
+	int transfer_ms; /* of a configuration on the VM's link */
 	struct settle settle; /* whether lists are complete */
 	uint64_t era;	      /* of the store; 0: no answer has named one */
 	int64_t era_since;    /* ms; the first answer in it, 0: no answer yet */
@@ -216,6 +204,13 @@
 	settle_set_interval(&r->settle, report_ms);
 }
 
+/* Watches end earlier by as much. */
+void
+store_reader_set_transfer(struct store_reader *r, int ms)
+{
+	r->transfer_ms = ms;
+}
+
 /* A reader that watches learns of it from the store soon enough. */
 void
 store_reader_saw_era(struct store_reader *r, uint64_t era)
@@ -294,9 +289,8 @@
 	pr->asked_at = base_now_ms();
 	if (pr->is_watch)
 		platform_watch(pr->store, pr->part, pr->watch_from.number,
-		    (int)relist_wait_ms(
-			pr, pr->paused ? WATCH_WAIT_MS - TARGETS_PAUSE_MS
-				       : WATCH_WAIT_MS),
+		    (int)relist_wait_ms(pr,
+			pause_watch_ms(pr->part, pr->paused, r->transfer_ms)),
 		    on_page, pr);
 	else
 		platform_list(pr->store, pr->part, pr->list_after, !r->watching,
@@ -427,7 +421,7 @@
 	pr->synced_at = base_now_ms();
 	pr->paused = pr->part == PLATFORM_TARGETS && p->items->len > 0;
 	http_timer_set(
-	    pr->timer, pr->paused ? relist_wait_ms(pr, TARGETS_PAUSE_MS) : 0);
+	    pr->timer, pr->paused ? relist_wait_ms(pr, PAUSE_TARGETS_MS) : 0);
 }
 
 /*
--- a/test/test_store_reader.c
+++ b/test/test_store_reader.c
@@ -4,7 +4,7 @@
  */
 #include <unistd.h>
 
-#include "../side/side.h"
+#include "../side/follow_int.h"
 #include "../standin/store.h"
 #include "rig.h"
 #include "test.h"
@@ -222,11 +222,28 @@
 	}
 }
 
+/*
+ * Guards against a store that seems not to answer while a large configuration
+ * is on its way: the wait of a watch and the transfer together are bounded.
+ */
+static void
+watch_leaves_time_for_the_transfer(void)
+{
+	CU_ASSERT_EQUAL(pause_watch_ms(PLATFORM_OPERATORS, 0, 0), 1200);
+	CU_ASSERT_EQUAL(pause_watch_ms(PLATFORM_OPERATORS, 0, 500), 700);
+	CU_ASSERT_EQUAL(pause_watch_ms(PLATFORM_OPERATORS, 0, 5000), 400);
+	/* Entries of targets are small. */
+	CU_ASSERT_EQUAL(pause_watch_ms(PLATFORM_TARGETS, 0, 500), 1200);
+	CU_ASSERT_EQUAL(pause_watch_ms(PLATFORM_TARGETS, 1, 500), 400);
+}
+
 static const struct test tests[] = {
 	{ "late watch answer is no list", late_watch_answer_is_no_list },
 	{ "retries stop once state is known",
 	    retries_stop_once_state_is_known },
 	{ "one of many polls rarely", one_of_many_polls_rarely },
+	{ "a watch leaves time for the transfer",
+	    watch_leaves_time_for_the_transfer },
 };
 
 TEST_MAIN("store_reader", tests)
