--- a/bench/bench_config.c
+++ b/bench/bench_config.c
@@ -14,15 +14,16 @@
 #define RUNS 15
 
 enum step {
-	STEP_PAGE,	 /* parse the store's answer */
-	STEP_PACK,	 /* write an update for subscribers */
-	STEP_COMPRESS,	 /* compress it with the last one as base */
-	STEP_DECOMPRESS, /* at a subscriber */
-	STEP_UNPACK,	 /* the same */
-	STEP_CHANGE,	 /* decode: one route differs from the version before */
-	STEP_WHOLE,	 /* decode, without a version before */
-	STEP_STAMP,	 /* order it after a restore of the store */
-	STEP_RELEASE,	 /* release a version of which nothing is shared */
+	STEP_PAGE,	     /* parse the store's answer */
+	STEP_PACK,	     /* write an update for subscribers */
+	STEP_COMPRESS,	     /* compress it with the last one as base */
+	STEP_COMPRESS_WHOLE, /* the same for one that has no base */
+	STEP_DECOMPRESS,     /* at a subscriber */
+	STEP_UNPACK,	     /* the same */
+	STEP_CHANGE,  /* decode: one route differs from the version before */
+	STEP_WHOLE,   /* decode, without a version before */
+	STEP_STAMP,   /* order it after a restore of the store */
+	STEP_RELEASE, /* release a version of which nothing is shared */
 	STEP_COUNT
 };
 
@@ -30,6 +31,7 @@
 	[STEP_PAGE] = "page",
 	[STEP_PACK] = "pack",
 	[STEP_COMPRESS] = "compress",
+	[STEP_COMPRESS_WHOLE] = "compress_whole",
 	[STEP_DECOMPRESS] = "decompress",
 	[STEP_UNPACK] = "unpack",
 	[STEP_CHANGE] = "decode_change",
@@ -146,6 +148,10 @@
 	delta = feed_compress(text->str, text->len, base);
 	stop(STEP_COMPRESS);
 	start();
+	full = feed_compress(text->str, text->len, NULL);
+	stop(STEP_COMPRESS_WHOLE);
+	g_bytes_unref(full);
+	start();
 	full = feed_decompress(g_bytes_get_data(delta, NULL),
 	    g_bytes_get_size(delta), text->len, base);
 	stop(STEP_DECOMPRESS);
