--- a/proxy/offer.c
+++ b/proxy/offer.c
@@ -98,8 +98,7 @@
 	    now - r->offered_at, now);
 }
 
-/* Records the size of an answer, on which the choice of a data centre depends.
- */
+/* Records an answer's size, on which the choice of a data centre depends. */
 static void
 record_answer_size(struct request *r, int64_t bytes)
 {
--- a/view/config.c
+++ b/view/config.c
@@ -230,7 +230,7 @@
 		weighted += r->parts[i].weight > 0;
 		started |= r->parts[i].credit != 0;
 	}
-	if (sum <= 0)
+	if (weighted == 0 || sum <= 0)
 		return r->parts[0].service;
 	/* A random start keeps nodes from choosing in lockstep. */
 	if (!started)
