view: a version that was replaced does not keep its text

Requests in flight keep the version that they were routed by, up to some seconds each, so in a storm of versions a node held dozens of texts of a large configuration. Only the version in force is compared with the next one.

--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -460,7 +460,7 @@
 view_accepts_only_newer_configurations(void)
 {
 	struct view_target t = { .id = "t", .addr = "1", .revision = { 1, 5 } };
-	struct view_config *c;
+	struct view_config *c, *old;
 	struct view *v = view_new();
 	int errors;
 
@@ -475,6 +475,14 @@
 	CU_ASSERT_EQUAL(view_set_config(v, c), VIEW_OK);
 	c = decode(CONFIG("5", ROUTE("/", "200", TO_A)), &errors);
 	CU_ASSERT_EQUAL(view_set_config(v, c), VIEW_EOLDER);
+	/* A request that keeps the old version does not keep its text. */
+	old = view_config_ref(v->config);
+	CU_ASSERT_PTR_NOT_NULL(old->text);
+	c = decode(CONFIG("6", ROUTE("/", "100", TO_A)), &errors);
+	CU_ASSERT_EQUAL(view_set_config(v, c), VIEW_OK);
+	CU_ASSERT(old->text == NULL && old->extents->len == 0);
+	CU_ASSERT_STRING_EQUAL(view_route(old, "h.example", "/")->name, "r/");
+	view_config_unref(old);
 	CU_ASSERT(v->config != NULL && v->config->routes->len == 1 &&
 		  view_config_route(v->config, 0)->timeout_ms == 100);
 	view_free(v);
--- a/view/config.c
+++ b/view/config.c
@@ -131,6 +131,15 @@
 	g_free(c);
 }
 
+/* Requests in flight may keep many versions of a large configuration. */
+void
+view_config_retire(struct view_config *c)
+{
+	g_clear_pointer(&c->text, g_bytes_unref);
+	g_array_free(c->extents, TRUE);
+	c->extents = g_array_new(FALSE, FALSE, sizeof(struct view_extent));
+}
+
 /* Routes with an unparsed prefix are not in the index. */
 int
 view_config_add(struct view_config *c, struct view_route *r)
--- a/view/view.c
+++ b/view/view.c
@@ -45,6 +45,8 @@
 		view_config_unref(c);
 		return VIEW_EOLDER;
 	}
+	if (v->config != NULL)
+		view_config_retire(v->config);
 	view_config_unref(v->config);
 	v->config = c;
 	return VIEW_OK;
--- a/view/view.h
+++ b/view/view.h
@@ -108,6 +108,8 @@
 struct view_config *view_config_ref(struct view_config *);
 /* Drops a reference; the last one releases it.  NULL is allowed. */
 void view_config_unref(struct view_config *);
+/* Drops the encoded text, which only the next version needs. */
+void view_config_retire(struct view_config *);
 /* Creates a route with one reference; the prefix may be NULL. */
 struct view_route *
 view_route_new(const char *name, const char *host, const char *prefix);
