feed: a node's relay is asked not to read the store

A node that had chosen its relay as the first of a shorter list, to read it, kept that subscription when it found that the node is its relay.

Cause: try_first took over the rank without a look at what the publisher is asked for. Now it subscribes again if that differs. The new test failed before.

--- a/side/feed.c
+++ b/side/feed.c
@@ -167,6 +167,7 @@
 	guint own = rank_own(f, list);
 	const char *relay = rank_relay(list, own), *addr;
 	struct publisher *p = &f->feed.first;
+	int is_same;
 
 	f->feed.chosen_at = now;
 	f->feed.first_rank = relay != NULL ? FOLLOW_RANK_RELAY : 0;
@@ -174,7 +175,11 @@
 		   ? relay
 		   : g_array_index(list, struct candidate_node, 0).addr;
 	if (strcmp(addr, f->feed.publisher.addr) == 0) {
+		is_same = subscription(f->feed.rank) ==
+			  subscription(f->feed.first_rank);
 		f->feed.rank = f->feed.first_rank;
+		if (!is_same)
+			choose_publisher(f);
 	} else if (own == 0) {
 		f->feed.rank = 0;
 		choose_publisher(f);
--- a/test/test_rank.c
+++ b/test/test_rank.c
@@ -137,10 +137,44 @@
 	follow_rig_stop(&w);
 }
 
+/*
+ * Guards against relays that read the store, as nodes that had chosen them from
+ * a shorter list, to read it, found later that they are their relays.
+ */
+static void
+relay_does_not_read(void)
+{
+	static const char *const north = "north";
+	int order[RIG_NODES_MAX], i, readers = 0;
+	struct follow_rig w;
+	struct follow *f;
+
+	follow_rig_start_in(&w, TREE_NODES, &north, 1);
+	rig_run(&w.rig, 1500);
+	follow_rig_order(&w, "north", order);
+	f = w.follows[order[TREE_NODES - 1]];
+	CU_ASSERT_EQUAL(f->feed.rank, FOLLOW_RANK_RELAY);
+	/* As if the relay had ranked first, in a list without relays. */
+	f->feed.rank = f->feed.first_rank = 0;
+	proxy_subscribe(f->proxy, PROXY_SLOT_PUBLISHER, f->feed.publisher.addr,
+	    PROXY_SUBSCRIBE_READ);
+	rig_run(&w.rig, 500);
+	for (i = 0; i < TREE_NODES; i++)
+		readers += store_reader_is_watching(w.follows[i]->reader);
+	CU_ASSERT_EQUAL(readers, 2);
+	rig_run(&w.rig, FOLLOW_RECHECK_MS + 1500);
+	CU_ASSERT_EQUAL(f->feed.rank, FOLLOW_RANK_RELAY);
+	for (i = readers = 0; i < TREE_NODES; i++)
+		readers += store_reader_is_watching(w.follows[i]->reader);
+	CU_ASSERT_EQUAL(readers, 1);
+	follow_rig_stop(&w);
+}
+
 static const struct test tests[] = {
 	{ "relays share the nodes", relays_share_the_nodes },
 	{ "relays are kept", relays_are_kept },
 	{ "versions pass the relays", versions_pass_the_relays },
+	{ "a relay does not read", relay_does_not_read },
 };
 
 TEST_MAIN("rank", tests)
