feed: subscribers of a node that starts hear of all that it held

Cause: a node without a configuration answers a subscription with nothing, as what it holds is not complete, and later published only what changed. What it had read before the configuration came was never told. Known since the nodes publish; the relays, which are chosen by rank, made it last.

Now a node publishes all that it holds when its first configuration arrives. The new test failed before.

--- a/side/follow.c
+++ b/side/follow.c
@@ -17,6 +17,7 @@
 static int is_needed(void *);
 static int apply_item(struct follow *, const struct platform_item *);
 static int apply_target(struct follow *, const struct platform_item *);
+static int has_config(const struct follow *);
 static void apply_page(struct follow *, const struct platform_page *, int);
 static void remove_missing(struct follow *, const struct store_list *);
 static void apply_state(void *, const char *, size_t);
@@ -167,6 +168,13 @@
 	return 0;
 }
 
+/* Whether a configuration is in force or will be. */
+static int
+has_config(const struct follow *f)
+{
+	return f->view->config != NULL || config_apply_is_pending(f);
+}
+
 /* Applies items and publishes the changes; from_node: a node sent them. */
 static void
 apply_page(struct follow *f, const struct platform_page *p, int from_node)
@@ -174,6 +182,7 @@
 	GPtrArray *changed = g_ptr_array_new();
 	struct platform_item *it;
 	int is_new_era = p->as_of.era > f->held_revision.era;
+	int had_config = has_config(f);
 	GString *text;
 	guint i;
 
@@ -198,6 +207,9 @@
 				store_reader_recheck(f->reader);
 		}
 	}
+	/* Those that subscribed earlier were told nothing. */
+	if (!had_config && has_config(f))
+		held_list_items(f, changed);
 	/* The era alone tells subscribers that the store was restored. */
 	if (changed->len > 0 || is_new_era) {
 		text = g_string_new(NULL);
--- a/side/follow_int.h
+++ b/side/follow_int.h
@@ -245,6 +245,8 @@
 /* Keeps the value of a new item as a base if it is large. */
 void held_keep_base(struct follow *, const struct platform_item *);
 void held_clear_bases(struct follow *);
+/* Replaces the entries in an array by all items held; it borrows them. */
+void held_list_items(const struct follow *, GPtrArray *items);
 
 /*
  * Records that all changes up to a time (ms) have been applied, according to
--- a/side/publish.c
+++ b/side/publish.c
@@ -126,6 +126,25 @@
 	return set;
 }
 
+/* A removal that is yet to be verified is not held, so removals stay. */
+void
+held_list_items(const struct follow *f, GPtrArray *items)
+{
+	const struct platform_item *item;
+	GHashTableIter it;
+	gpointer value;
+	guint i;
+
+	for (i = items->len; i > 0; i--) {
+		item = g_ptr_array_index(items, i - 1);
+		if (item->value != NULL)
+			g_ptr_array_remove_index(items, i - 1);
+	}
+	g_hash_table_iter_init(&it, f->held);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		g_ptr_array_add(items, value);
+}
+
 /* Appends the held items that the peer lacks. */
 void
 held_write(void *arg, const struct proxy_held *peer, GString *out)
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -397,6 +397,45 @@
 	follow_rig_stop(&w);
 }
 
+/*
+ * Guards against targets that a node never hears of, as its publisher held them
+ * before its first configuration when the node subscribed.  The node's own list
+ * is stale.
+ */
+static void
+publisher_starts_without_configuration(void)
+{
+	struct store_target late = { "late", "svc", "127.0.0.250:80", "north",
+		"ready", 0, 1 };
+	int order[RIG_NODES_MAX], i;
+	struct follow_rig w;
+
+	follow_rig_start(&w);
+	follow_rig_order(&w, "north", order);
+	for (i = 0; i < FOLLOW_RIG_NODES; i++) {
+		follow_stop(w.follows[i]);
+		follow_rig_clear_view(&w.rig.nodes[i]);
+		if (i != order[0])
+			store_remove_target(w.store, w.rig.nodes[i].target.id);
+	}
+	store_freeze_stale(w.store);
+	store_put_target(w.store, &late);
+	store_delay_answers(w.store, "op/");
+	follow_rig_start_node(&w, order[0]);
+	rig_run(&w.rig, 900);
+	follow_rig_start_node(&w, order[1]);
+	rig_run(&w.rig, 500);
+	CU_ASSERT_STRING_EQUAL(w.follows[order[1]]->feed.publisher.addr,
+	    w.rig.nodes[order[0]].target.addr);
+	store_send_delayed(w.store);
+	rig_run(&w.rig, 500);
+	CU_ASSERT(follow_rig_config_version(&w, order[1]) > 0);
+	CU_ASSERT(
+	    g_hash_table_contains(w.rig.nodes[order[1]].view->targets, "late"));
+	follow_rig_start_node(&w, order[2]);
+	follow_rig_stop(&w);
+}
+
 static const struct test tests[] = {
 	{ "history is compacted without publisher",
 	    history_is_compacted_without_publisher },
@@ -412,6 +451,8 @@
 	{ "silent node ranks first", silent_node_ranks_first },
 	{ "node becomes first", node_becomes_first },
 	{ "many subscribe at once", many_subscribe_at_once },
+	{ "publisher starts without configuration",
+	    publisher_starts_without_configuration },
 };
 
 TEST_MAIN("feed", tests)
