--- a/view/config.c
+++ b/view/config.c
@@ -135,7 +135,9 @@
 void
 view_config_retire(struct view_config *c)
 {
-	g_clear_pointer(&c->text, g_bytes_unref);
+	if (c->text != NULL)
+		g_bytes_unref(c->text);
+	c->text = NULL;
 	g_array_free(c->extents, TRUE);
 	c->extents = g_array_new(FALSE, FALSE, sizeof(struct view_extent));
 }
